--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Targets: build, test (all of CI), lint, model, demo, faults, bench.
+GO ?= go
+export CGO_ENABLED ?= 1
+TOOLS := $(CURDIR)/bin
+
+.PHONY: build test unit lint model demo faults bench tools clean
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test: lint model unit
+
+unit:
+	$(GO) test -race -count=1 ./...
+
+lint: tools
+	@bad=$$($(TOOLS)/gofumpt -l cmd internal); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
+	$(GO) vet ./...
+	$(TOOLS)/staticcheck ./...
+
+tools: $(TOOLS)/staticcheck $(TOOLS)/gofumpt
+
+$(TOOLS)/staticcheck: tools/go.mod
+	cd tools && GOFLAGS=-mod=mod $(GO) build -o $(TOOLS)/staticcheck honnef.co/go/tools/cmd/staticcheck
+
+$(TOOLS)/gofumpt: tools/go.mod
+	cd tools && GOFLAGS=-mod=mod $(GO) build -o $(TOOLS)/gofumpt mvdan.cc/gofumpt
+
+model:
+	sh spec/check.sh
+
+demo: build
+	bin/robinlab demo
+
+faults: build
+	bin/robinlab faults
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/internal/core/api.go
@@ -0,0 +1,166 @@
+// Package core implements the decision core of one balancer: it takes events
+// (packets, placements, members, peer messages, ticks) and gives effects. It
+// does no I/O and has no clock and no randomness of its own, so that processes,
+// tests, hollow nodes and benches drive the same code. See docs/DESIGN.md,
+// "The chain" and "Moves".
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// PacketKind says what a packet tells about its flow.
+type PacketKind uint8
+
+// The kinds of packets.
+const (
+	// PacketOpening opens a flow: TCP SYN without ACK.
+	PacketOpening PacketKind = iota + 1
+	// PacketMiddle belongs to a TCP flow opened before.
+	PacketMiddle
+	// PacketClosing is a TCP FIN or RST from the caller.
+	PacketClosing
+	// PacketUnmarked is a UDP packet: it does not tell whether it opens its flow.
+	PacketUnmarked
+)
+
+// Packet is what the core needs to know of one packet.
+type Packet struct {
+	Key  lb.FlowKey
+	Kind PacketKind
+	// OpeningID tells retransmissions of one opening from a new opening of
+	// the same 5-tuple: the TCP initial sequence number. Zero for others.
+	OpeningID uint32
+	Relay     lb.Relay // Hop is HopIngress for packets from the fabric
+}
+
+// Action is what is to be done with the packet of the event.
+type Action uint8
+
+// The actions.
+const (
+	// ActionDrop: count by Reason and forget.
+	ActionDrop Action = iota + 1
+	// ActionForward: send to Host in Geneve.
+	ActionForward
+	// ActionRelay: send to the node Peer in Geneve with Relay as option.
+	ActionRelay
+	// ActionRefuse: answer the caller with Refusal (TCP RST, ICMP for UDP).
+	ActionRefuse
+)
+
+// Reason says why a packet was dropped or refused; it labels metrics.
+type Reason string
+
+// The reasons.
+const (
+	ReasonUnknownService Reason = "unknown-service" // no service has this front end
+	ReasonNoBackend      Reason = "no-backend"      // the service has no active back end
+	ReasonBackendFailed  Reason = "backend-failed"  // the flow's back end is gone
+	ReasonAdmission      Reason = "admission"       // new flows exceed the limit
+	ReasonTupleReuse     Reason = "tuple-reuse"     // 5-tuple used again too soon after a move
+	ReasonUnknownPeer    Reason = "unknown-peer"    // relayed by or to a node not known
+	ReasonWrongService   Reason = "wrong-service"   // the last check before the write failed
+)
+
+// Decision is the effect on the packet of the event.
+type Decision struct {
+	Action  Action
+	Reason  Reason
+	Service lb.ServiceName
+	Backend lb.BackendID
+	Host    netip.AddrPort
+	Peer    lb.NodeID
+	Relay   lb.Relay
+	Refusal lb.Refusal
+}
+
+// Outgoing is a message to a peer.
+type Outgoing struct {
+	To      lb.NodeID
+	Message message.Message
+}
+
+// Effects is filled by one Step. The caller reuses it; Step resets it first.
+type Effects struct {
+	Decision Decision // valid after a packet event
+	Messages []Outgoing
+	// HandoverDone is set when a planned stop has no record left to hand over.
+	HandoverDone bool
+}
+
+// Member is one node as the membership sees it.
+type Member struct {
+	ID   lb.NodeID
+	Zone lb.Zone
+	// Leaving nodes still relay and answer, but are in no chain.
+	Leaving bool
+}
+
+// Event is one input of the core. Exactly one field is set, besides Tick.
+type Event struct {
+	Packet    *Packet
+	Placement *lb.Placement // adopted only when its version is higher
+	Members   []Member      // all nodes thought alive, self included
+	Peer      *PeerEvent
+	Tick      bool // at least every TickInterval
+	Leave     bool // planned stop begins
+	// Contact tells whether this node has lately exchanged placements with a peer.
+	Contact ContactChange
+}
+
+// PeerEvent is a message from a peer.
+type PeerEvent struct {
+	From    lb.NodeID
+	Message message.Message
+}
+
+// ContactChange tells the core of lost or regained contact with peers.
+type ContactChange uint8
+
+// Changes of contact.
+const (
+	ContactUnchanged ContactChange = iota
+	ContactLost
+	ContactRegained
+)
+
+// TickInterval is the longest time between two ticks in normal running.
+const TickInterval = 200 * time.Millisecond
+
+// Settings are the core's parameters. Zero values are not valid; see DefaultSettings.
+type Settings struct {
+	Self lb.NodeID
+	Zone lb.Zone
+	// OpeningHold is how long an opening is remembered: the longest time
+	// over which callers retransmit one opening.
+	OpeningHold time.Duration
+	// IdleTimeout ends flows without packets. Placements settle no faster.
+	IdleTimeout time.Duration
+	// PinLifetime bounds how long a node forwards by a pin without asking again.
+	PinLifetime time.Duration
+	// PauseLimit is the gap between steps after which the node distrusts its view.
+	PauseLimit time.Duration
+	// PinBytesPerSecond bounds the pins and confirmations sent.
+	PinBytesPerSecond int
+	// RetryAfter is the base of the time to come back given with a refusal.
+	RetryAfter time.Duration
+}
+
+// DefaultSettings gives the defaults for a node.
+func DefaultSettings(self lb.NodeID, zone lb.Zone) Settings {
+	return Settings{
+		Self:              self,
+		Zone:              zone,
+		OpeningHold:       60 * time.Second,
+		IdleTimeout:       300 * time.Second,
+		PinLifetime:       60 * time.Second,
+		PauseLimit:        time.Second,
+		PinBytesPerSecond: 3000,
+		RetryAfter:        500 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,207 @@
+// Package message defines the messages between balancers and their codec:
+// one JSON object a line. Every message names its type; an unknown type or
+// field value is a clear error, never a panic.
+package message
+
+import (
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Type names a message on the wire.
+type Type string
+
+// The types of messages.
+const (
+	TypePins       Type = "pins"
+	TypeRecords    Type = "records"
+	TypeRecordsAck Type = "records_ack"
+	TypeClean      Type = "clean"
+	TypePing       Type = "ping"
+	TypePingReq    Type = "ping_req"
+	TypePingAck    Type = "ping_ack"
+	TypeDigest     Type = "digest"
+	TypeWant       Type = "want"
+	TypePlacements Type = "placements"
+	TypeInForce    Type = "in_force"
+	TypeLoad       Type = "load"
+)
+
+// Message is any message between balancers.
+type Message interface{ MessageType() Type }
+
+// FlowRecord places one flow on one back end.
+type FlowRecord struct {
+	Flow      lb.FlowID    `json:"f"`
+	Backend   lb.BackendID `json:"b"` // NoBackend: the opening was refused
+	OpeningID uint32       `json:"o,omitempty"`
+}
+
+// Pins tells a node the back ends of flows, as decided by the tail of their
+// chain: from tail to head as confirmation, from head to ingress as pin.
+type Pins struct {
+	Service lb.ServiceName `json:"service"`
+	// Confirm: sent by a tail to the head; otherwise a pin for an ingress node.
+	Confirm bool         `json:"confirm,omitempty"`
+	Flows   []FlowRecord `json:"flows"`
+}
+
+// Records hands records over to a node that is or will be in the chain. It is
+// repeated until acknowledged.
+type Records struct {
+	Service  lb.ServiceName `json:"service"`
+	Sequence uint64         `json:"sequence"`
+	Flows    []FlowRecord   `json:"flows"`
+}
+
+// RecordsAck acknowledges one Records.
+type RecordsAck struct {
+	Sequence uint64 `json:"sequence"`
+}
+
+// Clean reports to the service's publisher that this head knows of no flow
+// away from the base back end in these buckets.
+type Clean struct {
+	Service lb.ServiceName `json:"service"`
+	Version lb.Version     `json:"version"`
+	Buckets []uint16       `json:"buckets"`
+}
+
+// MemberState is the state of a member in gossip.
+type MemberState string
+
+// States of members (SWIM, DSN 2002, section 4), plus planned leaving.
+const (
+	MemberAlive   MemberState = "alive"
+	MemberSuspect MemberState = "suspect"
+	MemberLeaving MemberState = "leaving"
+	MemberDead    MemberState = "dead"
+)
+
+// MemberUpdate is one piece of membership gossip.
+type MemberUpdate struct {
+	Node        lb.NodeID   `json:"n"`
+	Zone        lb.Zone     `json:"z"`
+	Control     string      `json:"c"` // address of the control endpoint, UDP and TCP
+	Data        string      `json:"d"` // address of the Geneve endpoint, UDP
+	State       MemberState `json:"s"`
+	Incarnation uint64      `json:"i"`
+}
+
+// Ping probes a member; PingAck answers it; PingReq asks a third node to probe.
+type Ping struct {
+	Sequence uint64         `json:"q"`
+	Updates  []MemberUpdate `json:"u,omitempty"`
+	// Digest of the sender's placements, so that each probe is also anti-entropy.
+	Digest uint64 `json:"g,omitempty"`
+}
+
+// PingAck answers a Ping.
+type PingAck struct {
+	Sequence uint64         `json:"q"`
+	Updates  []MemberUpdate `json:"u,omitempty"`
+	Digest   uint64         `json:"g,omitempty"`
+}
+
+// PingReq asks the receiver to probe Target on behalf of the sender.
+type PingReq struct {
+	Sequence uint64         `json:"q"`
+	Target   lb.NodeID      `json:"t"`
+	Updates  []MemberUpdate `json:"u,omitempty"`
+}
+
+// Digest carries one hash per group of services; a receiver that differs answers Want.
+type Digest struct {
+	Groups []uint64 `json:"groups"`
+	// All is the hash over all groups.
+	All uint64 `json:"all"`
+}
+
+// ServiceVersion is the version of one service's placement at the sender.
+type ServiceVersion struct {
+	Service lb.ServiceName `json:"s"`
+	Version lb.Version     `json:"v"`
+}
+
+// Want lists the sender's versions in differing groups; the receiver answers
+// with the placements that are newer, and its own Want for those that are older.
+type Want struct {
+	Groups   []uint16         `json:"groups"`
+	Versions []ServiceVersion `json:"versions"`
+	// Reply marks a Want sent in answer to a Want, which is not answered by another.
+	Reply bool `json:"reply,omitempty"`
+}
+
+// Placements carries placement documents (push of a new one, or answer to Want).
+type Placements struct {
+	Placements []lb.Placement `json:"placements"`
+}
+
+// InForce reports to its zone's reporters, and reporters to all publishers, what is in force.
+type InForce struct {
+	Zone lb.Zone `json:"zone"`
+	// Digest of the sender's placements.
+	Digest uint64 `json:"digest"`
+	// Nodes counts the nodes the report speaks of (1 from a single node).
+	Nodes int `json:"nodes"`
+	// Behind counts those known not to have the placements of Digest.
+	Behind int `json:"behind"`
+	// ConfigRevision: every configuration change up to this store revision is in force.
+	ConfigRevision int64 `json:"config_revision"`
+	// Versions of the placements that are in motion at the sender, for prepare acknowledgement.
+	Versions []ServiceVersion `json:"versions,omitempty"`
+}
+
+// BackendLoad is one back end's health and load, as probed.
+type BackendLoad struct {
+	Backend lb.BackendName `json:"b"`
+	Healthy bool           `json:"h"`
+	// Load is in thousandths of capacity, as the host reports it.
+	Load uint16 `json:"l"`
+	// AgeMillis is how old the report is, in milliseconds.
+	AgeMillis uint32 `json:"a"`
+	// UnansweredOpenings and Openings are evidence from the data path since the last report.
+	Openings           uint32 `json:"o,omitempty"`
+	UnansweredOpenings uint32 `json:"x,omitempty"`
+}
+
+// Load reports probed back ends to the publishers.
+type Load struct {
+	Zone     lb.Zone       `json:"zone"`
+	Backends []BackendLoad `json:"backends"`
+}
+
+// MessageType names the message on the wire.
+func (Pins) MessageType() Type { return TypePins }
+
+// MessageType names the message on the wire.
+func (Records) MessageType() Type { return TypeRecords }
+
+// MessageType names the message on the wire.
+func (RecordsAck) MessageType() Type { return TypeRecordsAck }
+
+// MessageType names the message on the wire.
+func (Clean) MessageType() Type { return TypeClean }
+
+// MessageType names the message on the wire.
+func (Ping) MessageType() Type { return TypePing }
+
+// MessageType names the message on the wire.
+func (PingAck) MessageType() Type { return TypePingAck }
+
+// MessageType names the message on the wire.
+func (PingReq) MessageType() Type { return TypePingReq }
+
+// MessageType names the message on the wire.
+func (Digest) MessageType() Type { return TypeDigest }
+
+// MessageType names the message on the wire.
+func (Want) MessageType() Type { return TypeWant }
+
+// MessageType names the message on the wire.
+func (Placements) MessageType() Type { return TypePlacements }
+
+// MessageType names the message on the wire.
+func (InForce) MessageType() Type { return TypeInForce }
+
+// MessageType names the message on the wire.
+func (Load) MessageType() Type { return TypeLoad }
