Add virtual time: event queue and network of zones

Cause: experiments and hollow nodes need virtual time that repeats. Ruled out: container/heap (an interface call and an allocation an event); testing/synctest, which works in tests only. Change: internal/sim.

--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,77 @@
+package sim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/sim"
+)
+
+func TestQueueOrdersByTimeThenInsertion(t *testing.T) {
+	is := is.New(t)
+	var queue sim.Queue[int]
+	random := sim.NewRandom(1)
+	const count = 2000
+	times := make([]time.Duration, count)
+	for i := range count {
+		times[i] = time.Duration(random.IntN(50))
+		queue.Add(times[i], i)
+	}
+	previous := -1
+	for range count {
+		event, ok := queue.Next()
+		is.True(ok)
+		if previous >= 0 {
+			is.True(times[previous] <= times[event])                     // in time order
+			is.True(times[previous] != times[event] || previous < event) // then by insertion
+		}
+		previous = event
+	}
+	_, ok := queue.Next()
+	is.True(!ok)
+}
+
+func TestQueueNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var queue sim.Queue[string]
+	queue.Add(time.Second, "first")
+	queue.Next()
+	queue.Add(0, "late")
+	event, _ := queue.Next()
+	is.Equal(event, "late")
+	is.Equal(queue.Now(), time.Second)
+}
+
+func TestNetworkCutsAndDelays(t *testing.T) {
+	is := is.New(t)
+	network := sim.Network{Within: time.Millisecond, Between: 3 * time.Millisecond}
+	network.Start(sim.NewRandom(7))
+	one, two := lb.Zone("one"), lb.Zone("two")
+	is.Equal(network.Delays(one, one, nil), []time.Duration{time.Millisecond})
+	is.Equal(network.Delays(one, two, nil), []time.Duration{3 * time.Millisecond})
+	network.Cut(one, two, true)
+	is.Equal(len(network.Delays(two, one, nil)), 0)
+	network.Cut(one, two, false)
+	is.Equal(len(network.Delays(two, one, nil)), 1)
+}
+
+func TestNetworkLossAndDuplication(t *testing.T) {
+	is := is.New(t)
+	network := sim.Network{Loss: 0.1, Duplication: 0.2}
+	network.Start(sim.NewRandom(7))
+	const count = 20000
+	lost, doubled := 0, 0
+	for range count {
+		switch len(network.Delays("a", "b", nil)) {
+		case 0:
+			lost++
+		case 2:
+			doubled++
+		}
+	}
+	is.True(lost > count*8/100 && lost < count*12/100)
+	is.True(doubled > count*16/100 && doubled < count*20/100)
+}
