--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"time"
+)
+
+// document is the settings file as written: text that is not yet checked.
+type document struct {
+	Node                 string   `yaml:"node"`
+	Zone                 string   `yaml:"zone"`
+	Region               string   `yaml:"region"`
+	DataAddress          string   `yaml:"data_address"`
+	ControlAddress       string   `yaml:"control_address"`
+	AdminAddress         string   `yaml:"admin_address"`
+	FabricReplyAddresses []string `yaml:"fabric_reply_addresses"`
+	StoreEndpoints       []string `yaml:"store_endpoints"`
+	MachinesURL          string   `yaml:"machines_url"`
+	Seeds                []string `yaml:"seeds"`
+	LogLevel             string   `yaml:"log_level"`
+	AllowFaultInjection  bool     `yaml:"allow_fault_injection"`
+
+	Limits  limitsDocument  `yaml:"limits"`
+	Timings timingsDocument `yaml:"timings"`
+	Health  healthDocument  `yaml:"health"`
+}
+
+type limitsDocument struct {
+	ControlBytesPerSecond int `yaml:"control_bytes_per_second"`
+	PinBytesPerSecond     int `yaml:"pin_bytes_per_second"`
+}
+
+type timingsDocument struct {
+	OpeningHold  string `yaml:"opening_hold"`
+	IdleTimeout  string `yaml:"idle_timeout"`
+	PinLifetime  string `yaml:"pin_lifetime"`
+	PrepareLimit string `yaml:"prepare_limit"`
+	PauseLimit   string `yaml:"pause_limit"`
+	RetryAfter   string `yaml:"retry_after"`
+	DrainGrace   string `yaml:"drain_grace"`
+	DrainLimit   string `yaml:"drain_limit"`
+}
+
+type healthDocument struct {
+	Enabled  bool   `yaml:"enabled"`
+	Interval string `yaml:"interval"`
+	Timeout  string `yaml:"timeout"`
+}
+
+// Defaults of the optional settings.
+const (
+	DefaultAdminAddress          = "127.0.0.1:9090"
+	DefaultLogLevel              = "info"
+	DefaultControlBytesPerSecond = 4096
+	DefaultPinBytesPerSecond     = 2048
+	DefaultOpeningHold           = 60 * time.Second
+	DefaultIdleTimeout           = 300 * time.Second
+	DefaultPinLifetime           = 60 * time.Second
+	DefaultPrepareLimit          = 2 * time.Second
+	DefaultPauseLimit            = time.Second
+	DefaultRetryAfter            = 500 * time.Millisecond
+	DefaultDrainGrace            = 3 * time.Second
+	DefaultDrainLimit            = 30 * time.Second
+	DefaultHealthInterval        = time.Second
+	DefaultHealthTimeout         = 500 * time.Millisecond
+)
+
+// defaultDocument holds the defaults, over which the file is read.
+func defaultDocument() document {
+	return document{
+		AdminAddress: DefaultAdminAddress,
+		LogLevel:     DefaultLogLevel,
+		Limits: limitsDocument{
+			ControlBytesPerSecond: DefaultControlBytesPerSecond,
+			PinBytesPerSecond:     DefaultPinBytesPerSecond,
+		},
+		Timings: timingsDocument{
+			OpeningHold:  DefaultOpeningHold.String(),
+			IdleTimeout:  DefaultIdleTimeout.String(),
+			PinLifetime:  DefaultPinLifetime.String(),
+			PrepareLimit: DefaultPrepareLimit.String(),
+			PauseLimit:   DefaultPauseLimit.String(),
+			RetryAfter:   DefaultRetryAfter.String(),
+			DrainGrace:   DefaultDrainGrace.String(),
+			DrainLimit:   DefaultDrainLimit.String(),
+		},
+		Health: healthDocument{
+			Enabled:  true,
+			Interval: DefaultHealthInterval.String(),
+			Timeout:  DefaultHealthTimeout.String(),
+		},
+	}
+}
+
+// override lays the given flags over the file's values.
+func (raw *document) override(flags Overrides) {
+	overrideText(&raw.Node, flags.Node)
+	overrideText(&raw.Zone, flags.Zone)
+	overrideText(&raw.Region, flags.Region)
+	overrideText(&raw.DataAddress, flags.DataAddress)
+	overrideText(&raw.ControlAddress, flags.ControlAddress)
+	overrideText(&raw.AdminAddress, flags.AdminAddress)
+	overrideText(&raw.MachinesURL, flags.MachinesURL)
+	overrideText(&raw.LogLevel, flags.LogLevel)
+	overrideList(&raw.FabricReplyAddresses, flags.FabricReply)
+	overrideList(&raw.StoreEndpoints, flags.StoreEndpoints)
+	overrideList(&raw.Seeds, flags.Seeds)
+	if flags.AllowFaultInjection {
+		raw.AllowFaultInjection = true
+	}
+}
+
+func overrideText(target *string, value string) {
+	if value != "" {
+		*target = value
+	}
+}
+
+func overrideList(target *[]string, values []string) {
+	if len(values) > 0 {
+		*target = values
+	}
+}
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Load reads the settings file at path, lays the flags over it and checks the
+// result. An empty path means flags only. What is wrong with the settings is
+// returned as Problems.
+func Load(path string, flags Overrides) (*Settings, error) {
+	if path == "" {
+		return Parse(nil, flags)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "settings file %q", path)
+	}
+	return Parse(data, flags)
+}
+
+// Parse reads settings from YAML, lays the flags over them and checks the result.
+func Parse(data []byte, flags Overrides) (*Settings, error) {
+	raw := defaultDocument()
+	problems, readable := decode(data, &raw)
+	if !readable {
+		return nil, problems
+	}
+	raw.override(flags)
+	checker := &checker{places: places(data), problems: problems}
+	settings := checker.settings(&raw)
+	if len(checker.problems) > 0 {
+		return nil, checker.problems
+	}
+	return settings, nil
+}
+
+// decode fills the document and gives what YAML finds wrong. The document is
+// not readable, so that its values can't be checked, when the text is not
+// YAML or gives a field twice.
+func decode(data []byte, raw *document) (problems Problems, readable bool) {
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	err := decoder.Decode(raw)
+	if err == nil {
+		err = decoder.Decode(new(document))
+		if err == nil {
+			return Problems{{Text: "the file holds more than one YAML document"}}, false
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return nil, true
+	}
+	var typeError *yaml.TypeError
+	if !errors.As(err, &typeError) {
+		return Problems{syntaxProblem(err)}, false
+	}
+	readable = true
+	for _, text := range typeError.Errors {
+		if twicePattern.MatchString(text) {
+			readable = false
+		}
+		problems = append(problems, yamlProblem(text))
+	}
+	return problems, readable
+}
+
+var (
+	linePattern    = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
+	unknownPattern = regexp.MustCompile(`^field (\S+) not found in type config\.\S+$`)
+	twicePattern   = regexp.MustCompile(`(?:^|: )mapping key "(.*)" already defined at line (\d+)$`)
+	typePattern    = regexp.MustCompile("^cannot unmarshal !!(\\S+) `(.*)` into (\\S+)$")
+)
+
+// yamlProblem puts a message of the YAML library into the form of the others.
+func yamlProblem(text string) Problem {
+	problem := Problem{Text: text}
+	if match := linePattern.FindStringSubmatch(text); match != nil {
+		problem.Line, _ = strconv.Atoi(match[1])
+		problem.Text = match[2]
+	}
+	if match := unknownPattern.FindStringSubmatch(problem.Text); match != nil {
+		problem.Field = match[1]
+		problem.Text = "is not a known field"
+	}
+	if match := twicePattern.FindStringSubmatch(problem.Text); match != nil {
+		problem.Field = match[1]
+		problem.Text = "is a duplicate of line " + match[2]
+	}
+	if match := typePattern.FindStringSubmatch(problem.Text); match != nil {
+		problem.Value = match[2]
+		problem.Text = "is not of type " + match[3]
+	}
+	return problem
+}
+
+func syntaxProblem(err error) Problem {
+	problem := yamlProblem(err.Error())
+	problem.Text = "YAML syntax: " + strings.TrimPrefix(problem.Text, "yaml: ")
+	return problem
+}
+
+// FieldNames lists the path of every setting, as in timings.idle_timeout, in
+// the order of the file.
+func FieldNames() []string {
+	return fieldNames("", reflect.TypeFor[document]())
+}
+
+func fieldNames(prefix string, structure reflect.Type) []string {
+	var names []string
+	for field := range structure.Fields() {
+		name := prefix + field.Tag.Get("yaml")
+		if field.Type.Kind() == reflect.Struct {
+			names = append(names, fieldNames(name+".", field.Type)...)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,76 @@
+// Package logging names the log events of a balancer and their fields, and
+// builds its logger: one JSON object a line with stable keys. The names are
+// part of the interface to operators; docs/operations-node.md lists them.
+package logging
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// Event names what happened; it is the value of FieldEvent.
+type Event string
+
+// The log events.
+const (
+	EventStarting          Event = "starting"
+	EventReady             Event = "ready"
+	EventNotReady          Event = "not_ready"
+	EventStopping          Event = "stopping"
+	EventHandedOver        Event = "handed_over"
+	EventStopped           Event = "stopped"
+	EventStoppedAtOnce     Event = "stopped_at_once"
+	EventFailed            Event = "failed"
+	EventPlacementAdopted  Event = "placement_adopted"
+	EventPlacementRejected Event = "placement_rejected"
+	EventMemberChanged     Event = "member_changed"
+	EventContactChanged    Event = "contact_changed"
+	EventWatcherChanged    Event = "watcher_changed"
+	EventStoreUp           Event = "store_up"
+	EventStoreDown         Event = "store_down"
+	EventStoreWriteFailed  Event = "store_write_failed"
+	EventMachinesFailed    Event = "machines_failed"
+	EventMessageRejected   Event = "message_rejected"
+	EventFaultInjected     Event = "fault_injected"
+)
+
+// Events lists every log event.
+func Events() []Event {
+	return []Event{
+		EventStarting, EventReady, EventNotReady, EventStopping, EventHandedOver, EventStopped,
+		EventStoppedAtOnce, EventFailed, EventPlacementAdopted, EventPlacementRejected,
+		EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
+		EventStoreWriteFailed, EventMachinesFailed, EventMessageRejected, EventFaultInjected,
+	}
+}
+
+// The keys of log fields.
+const (
+	FieldEvent    = "event"
+	FieldNode     = "node"
+	FieldZone     = "zone"
+	FieldService  = "service"
+	FieldVersion  = "version"
+	FieldPeer     = "peer"
+	FieldState    = "state"
+	FieldReason   = "reason"
+	FieldAddress  = "address"
+	FieldKey      = "key"
+	FieldDuration = "duration_ms"
+)
+
+// New builds a logger that writes to output at the given level (debug, info,
+// warn or error), with the node and its zone in every line.
+func New(output io.Writer, level, node, zone string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	logger := zerolog.New(output).Level(parsed).With().
+		Timestamp().
+		Str(FieldNode, node).
+		Str(FieldZone, zone).
+		Logger()
+	return logger, nil
+}
