Add the stand-in for the key-value service

Cause: tests of the store client, the demo and the fault runs need a store that keeps etcd's rules and fails on demand. Ruled out: a third-party server, which the project does not run. Change: internal/lab/storesim speaks the etcd v3 JSON gateway in memory (range, put, deleterange, txn, compaction, leases, watches with revisions) with outage, delay, lost answers, rate limit and dropped watches through PUT /faults, and serves a lagging machine list; robinlab store runs it. Conclusion: the store client can be tested against it.

--- /dev/null
+++ b/cmd/robinlab/main.go
@@ -0,0 +1,32 @@
+// Command robinlab runs the stand-ins for the platform (store, fabric, hosts,
+// callers) as separate processes, and the demo and the fault runs on them.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+)
+
+// commands are the subcommands of robinlab.
+type commands struct {
+	Store storeCommand `cmd:"" help:"Run the key-value service and machine list."`
+}
+
+func main() {
+	var line commands
+	parsed := kong.Parse(&line, kong.Name("robinlab"), kong.Description("Stand-ins, demo and fault runs for robinpulley."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	logger := zerolog.New(os.Stderr).With().Timestamp().Str("command", parsed.Command()).Logger()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(&logger); err != nil {
+		logger.Error().Err(err).Msg("failed")
+		stop()
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/lab/storesim/faults.go
@@ -0,0 +1,90 @@
+package storesim
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Faults says how the store misbehaves; the zero value is a healthy store.
+type Faults struct {
+	// Outage closes every connection without an answer or effect, watches included.
+	Outage bool `json:"outage"`
+	// DelayMillis delays each answer, in milliseconds.
+	DelayMillis int `json:"delay_ms"`
+	// LostAnswers is the share of writes, in thousandths, that take effect
+	// but whose connection is closed without an answer.
+	LostAnswers int `json:"lost_answers"`
+	// RatePerSecond refuses requests above this rate; zero is unlimited.
+	RatePerSecond int `json:"rate_per_second"`
+	// MachineLagMillis is how old the machine list is, in milliseconds.
+	MachineLagMillis int `json:"machine_lag_ms"`
+	// DropWatches closes, once, the watches that run when the faults are set.
+	DropWatches bool `json:"drop_watches"`
+}
+
+// faultState is the present faults and what they need to keep.
+type faultState struct {
+	mutex   sync.Mutex
+	faults  Faults
+	random  *rand.Rand
+	limiter *rate.Limiter
+	dropped chan struct{} // closed when running watches must end
+}
+
+func newFaultState(faults Faults, seed uint64) *faultState {
+	state := &faultState{
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		limiter: rate.NewLimiter(rate.Inf, 0),
+		dropped: make(chan struct{}),
+	}
+	state.set(faults)
+	return state
+}
+
+func (state *faultState) set(faults Faults) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.faults = faults
+	if faults.RatePerSecond > 0 {
+		state.limiter = rate.NewLimiter(rate.Limit(faults.RatePerSecond), faults.RatePerSecond)
+	} else {
+		state.limiter = rate.NewLimiter(rate.Inf, 0)
+	}
+	if faults.Outage || faults.DropWatches {
+		close(state.dropped)
+		state.dropped = make(chan struct{})
+	}
+}
+
+func (state *faultState) get() Faults {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.faults
+}
+
+func (state *faultState) watchesDropped() <-chan struct{} {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.dropped
+}
+
+// allow tells whether the rate limit lets one more request in.
+func (state *faultState) allow() bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.limiter.Allow()
+}
+
+// loseAnswer decides whether the answer to a write is lost.
+func (state *faultState) loseAnswer() bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.random.IntN(1000) < state.faults.LostAnswers
+}
+
+func (faults Faults) delay() time.Duration {
+	return time.Duration(faults.DelayMillis) * time.Millisecond
+}
--- /dev/null
+++ b/internal/lab/storesim/server.go
@@ -0,0 +1,287 @@
+package storesim
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// gRPC status codes used in error bodies.
+const (
+	codeInvalidArgument   = 3
+	codeNotFound          = 5
+	codeResourceExhausted = 8
+	codeOutOfRange        = 11
+)
+
+// maxRequestBytes is etcd's default limit of a request.
+const maxRequestBytes = 1536 * 1024
+
+// Server is the store's HTTP face. Its routes are those of the etcd v3 JSON
+// gateway, GET and POST /machines, and GET and PUT /faults for the lab.
+type Server struct {
+	store    *Store
+	faults   *faultState
+	machines machineList
+	routes   *http.ServeMux
+}
+
+// NewServer gives a server with an empty store. The seed decides which answers are lost.
+func NewServer(faults Faults, seed uint64) *Server {
+	server := &Server{store: NewStore(), faults: newFaultState(faults, seed), routes: http.NewServeMux()}
+	server.write("/v3/kv/txn", server.txn)
+	server.write("/v3/kv/put", server.put)
+	server.write("/v3/kv/deleterange", server.deleteRange)
+	server.write("/v3/kv/compaction", server.compact)
+	server.write("/v3/lease/grant", server.grant)
+	server.write("/v3/lease/revoke", server.revoke)
+	server.write("/v3/kv/lease/revoke", server.revoke)
+	server.read("/v3/kv/range", server.readRange)
+	server.read("/v3/lease/keepalive", server.keepAlive)
+	server.routes.HandleFunc("POST /v3/watch", server.watch)
+	server.routes.HandleFunc("GET /machines", server.getMachines)
+	server.routes.HandleFunc("POST /machines", server.postMachine)
+	server.routes.HandleFunc("GET /faults", server.getFaults)
+	server.routes.HandleFunc("PUT /faults", server.putFaults)
+	return server
+}
+
+// ServeHTTP answers one request.
+func (server *Server) ServeHTTP(response http.ResponseWriter, request *http.Request) {
+	server.routes.ServeHTTP(response, request)
+}
+
+// Store gives the keys, for checks by tests.
+func (server *Server) Store() *Store { return server.store }
+
+// SetFaults changes how the store misbehaves from now on.
+func (server *Server) SetFaults(faults Faults) { server.faults.set(faults) }
+
+// handler answers a request body with a response.
+type handler func(body []byte) (any, error)
+
+func (server *Server) read(path string, handle handler) { server.unary(path, handle, false) }
+
+func (server *Server) write(path string, handle handler) { server.unary(path, handle, true) }
+
+func (server *Server) unary(path string, handle handler, writes bool) {
+	server.routes.HandleFunc("POST "+path, func(response http.ResponseWriter, request *http.Request) {
+		if !server.admit(response) {
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(response, request.Body, maxRequestBytes))
+		if err != nil {
+			writeError(response, http.StatusBadRequest, codeInvalidArgument, err)
+			return
+		}
+		answer, err := handle(body)
+		if writes && server.faults.loseAnswer() {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		time.Sleep(server.faults.get().delay())
+		if err != nil {
+			writeStoreError(response, err)
+			return
+		}
+		writeJSON(response, answer)
+	})
+}
+
+// admit applies outage and rate limit.
+func (server *Server) admit(response http.ResponseWriter) bool {
+	if server.faults.get().Outage {
+		panic(http.ErrAbortHandler)
+	}
+	if !server.faults.allow() {
+		err := errors.New("etcdserver: too many requests")
+		writeError(response, http.StatusTooManyRequests, codeResourceExhausted, err)
+		return false
+	}
+	return true
+}
+
+func writeJSON(response http.ResponseWriter, answer any) {
+	response.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(response).Encode(answer) // a caller that has gone needs no answer
+}
+
+func writeError(response http.ResponseWriter, status, code int, err error) {
+	response.Header().Set("Content-Type", "application/json")
+	response.WriteHeader(status)
+	_ = json.NewEncoder(response).Encode(gatewayError{Error: err.Error(), Code: code, Message: err.Error()})
+}
+
+func writeStoreError(response http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, errNoLease):
+		writeError(response, http.StatusNotFound, codeNotFound, err)
+	case errors.Is(err, errCompacted):
+		writeError(response, http.StatusBadRequest, codeOutOfRange, err)
+	default:
+		writeError(response, http.StatusBadRequest, codeInvalidArgument, err)
+	}
+}
+
+func (server *Server) txn(body []byte) (any, error) {
+	var request TxnRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	return server.store.Txn(&request)
+}
+
+// single runs one operation as a transaction without conditions.
+func (server *Server) single(operation RequestOp) (Header, ResponseOp, error) {
+	response, err := server.store.Txn(&TxnRequest{Success: []RequestOp{operation}})
+	if err != nil {
+		return Header{}, ResponseOp{}, err
+	}
+	return response.Header, response.Responses[0], nil
+}
+
+func (server *Server) readRange(body []byte) (any, error) {
+	var request RangeRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	_, response, err := server.single(RequestOp{Range: &request})
+	return response.Range, err
+}
+
+func (server *Server) put(body []byte) (any, error) {
+	var request PutRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	_, response, err := server.single(RequestOp{Put: &request})
+	return response.Put, err
+}
+
+func (server *Server) deleteRange(body []byte) (any, error) {
+	var request DeleteRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	_, response, err := server.single(RequestOp{Delete: &request})
+	return response.Delete, err
+}
+
+func (server *Server) compact(body []byte) (any, error) {
+	var request CompactRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	err := server.store.Compact(int64(request.Revision))
+	return PutResponse{Header: server.store.current()}, err
+}
+
+func (server *Server) grant(body []byte) (any, error) {
+	var request LeaseRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	return server.store.Grant(request), nil
+}
+
+func (server *Server) revoke(body []byte) (any, error) {
+	var request LeaseRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	err := server.store.Revoke(int64(request.ID))
+	return PutResponse{Header: server.store.current()}, err
+}
+
+// keepAlive answers one renewal; the stream then ends, as with one message sent.
+func (server *Server) keepAlive(body []byte) (any, error) {
+	var request LeaseRequest
+	if err := decodeRequest(body, &request); err != nil {
+		return nil, err
+	}
+	return streamResult[LeaseResponse]{Result: server.store.KeepAlive(int64(request.ID))}, nil
+}
+
+// watch streams the events of one watch until the caller goes, the store has
+// an outage, or the history it needs is compacted.
+func (server *Server) watch(response http.ResponseWriter, request *http.Request) {
+	if !server.admit(response) {
+		return
+	}
+	dropped := server.faults.watchesDropped()
+	var created WatchRequest
+	// The body is a stream too: only its first message is read.
+	var first json.RawMessage
+	err := json.NewDecoder(request.Body).Decode(&first)
+	if err == nil {
+		err = decodeRequest(first, &created)
+	}
+	if err != nil || created.Create == nil {
+		err = errors.CombineErrors(err, errors.New("watch without create_request"))
+		writeError(response, http.StatusBadRequest, codeInvalidArgument, err)
+		return
+	}
+	stream := json.NewEncoder(response)
+	send := func(message WatchResponse) {
+		_ = stream.Encode(streamResult[WatchResponse]{Result: message})
+		_ = http.NewResponseController(response).Flush()
+	}
+	header := server.store.current()
+	next := int64(created.Create.StartRevision)
+	if next == 0 {
+		next = int64(header.Revision) + 1
+	}
+	send(WatchResponse{Header: header, Created: true})
+	for {
+		events, header, changed, err := server.store.since(created.Create, next)
+		if err != nil {
+			send(WatchResponse{Header: server.store.current(), Canceled: true, CompactRevision: header.Revision})
+			return
+		}
+		if len(events) > 0 {
+			time.Sleep(server.faults.get().delay())
+			send(WatchResponse{Header: header, Events: events})
+		}
+		next = max(next, int64(header.Revision)+1)
+		select {
+		case <-changed:
+		case <-dropped:
+			panic(http.ErrAbortHandler)
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (server *Server) getMachines(response http.ResponseWriter, _ *http.Request) {
+	lag := time.Duration(server.faults.get().MachineLagMillis) * time.Millisecond
+	writeJSON(response, server.machines.asOf(time.Now().Add(-lag)))
+}
+
+func (server *Server) postMachine(response http.ResponseWriter, request *http.Request) {
+	var machine Machine
+	if err := json.NewDecoder(request.Body).Decode(&machine); err != nil {
+		writeError(response, http.StatusBadRequest, codeInvalidArgument, err)
+		return
+	}
+	server.machines.post(machine)
+	writeJSON(response, machine)
+}
+
+func (server *Server) getFaults(response http.ResponseWriter, _ *http.Request) {
+	writeJSON(response, server.faults.get())
+}
+
+func (server *Server) putFaults(response http.ResponseWriter, request *http.Request) {
+	var faults Faults
+	decoder := json.NewDecoder(request.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		writeError(response, http.StatusBadRequest, codeInvalidArgument, err)
+		return
+	}
+	server.faults.set(faults)
+	writeJSON(response, faults)
+}
