Mark packets that were rerouted by a node that is not the head

Cause: two nodes whose views differ could pass an opening to and fro, each thinking the other the head. The mark lets a packet be passed on only once.

--- a/internal/lb/relay.go
+++ b/internal/lb/relay.go
@@ -42,6 +42,9 @@
 	Vouched bool
 	// Established: the ingress node saw this UDP flow before the placement's motion began.
 	Established bool
+	// Rerouted (HopHead only): a node that is not the head in its own view
+	// passed the packet on, so that the next one must not do so again.
+	Rerouted bool
 }
 
 // Refusal tells the fabric and the caller that a request was given up on, at once.
