--- a/internal/catalog/selector.go
+++ b/internal/catalog/selector.go
@@ -52,7 +52,11 @@
 	case OperatorEquals, OperatorNotEquals:
 		return requirement.Key + string(requirement.Operator) + requirement.Values[0]
 	}
-	return requirement.Key + " " + string(requirement.Operator) + " (" + strings.Join(requirement.Values, ",") + ")"
+	values := strings.Join(requirement.Values, ",")
+	if values == "" {
+		values = "," // one empty value; "()" would be none
+	}
+	return requirement.Key + " " + string(requirement.Operator) + " (" + values + ")"
 }
 
 // Selector is a conjunction of requirements. One without requirements matches
