--- /dev/null
+++ b/internal/message/codec.go
@@ -0,0 +1,149 @@
+package message
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// MaxLineBytes is the size of the longest line, its newline included.
+const MaxLineBytes = 1 << 20
+
+// FieldError says which field of a message cannot be accepted, and why.
+type FieldError struct {
+	Message Type   // empty when the type itself is unknown
+	Field   string // JSON path below the message body, or "type", "from", "line"
+	Value   string // as received, cut to a bounded length
+	Reason  string
+}
+
+// Error names the message, the field, the value and the reason.
+func (err *FieldError) Error() string {
+	return fmt.Sprintf("message %q: field %s: value %q: %s", string(err.Message), err.Field, err.Value, err.Reason)
+}
+
+func fieldError(kind Type, field string, value any, reason string) error {
+	return &FieldError{
+		Message: kind,
+		Field:   field,
+		Value:   string(clip([]byte(fmt.Sprint(value)))),
+		Reason:  reason,
+	}
+}
+
+// envelope is the form of every line. Body is the message as a JSON object.
+type envelope struct {
+	Type Type            `json:"type"`
+	From lb.NodeID       `json:"from"`
+	Body json.RawMessage `json:"body"`
+}
+
+// Encode appends one line, newline included, to dst: the message in an
+// envelope that names its type and its sender. Messages are passed by value; a
+// pointer to a message is refused, as is a message that Decode would refuse.
+func Encode(dst []byte, from lb.NodeID, message Message) ([]byte, error) {
+	kind, err := validate(message)
+	if err != nil {
+		return dst, err
+	}
+	if err := checkName(kind, "from", string(from)); err != nil {
+		return dst, err
+	}
+	body, err := json.Marshal(message)
+	if err != nil {
+		return dst, errors.Wrapf(err, "message %q", string(kind))
+	}
+	start := len(dst)
+	dst = append(dst, `{"type":"`...)
+	dst = append(dst, kind...)
+	dst = append(dst, `","from":"`...) // checkName leaves nothing to escape
+	dst = append(dst, from...)
+	dst = append(dst, `","body":`...)
+	dst = append(dst, body...)
+	dst = append(dst, "}\n"...)
+	if size := len(dst) - start; size > MaxLineBytes {
+		return dst[:start], fieldError(kind, "line", size, "longer than the limit of a line")
+	}
+	return dst, nil
+}
+
+// Decode reads one line, with or without its newline, and gives the sender and
+// the message, by value. Whatever it refuses is a *FieldError.
+func Decode(line []byte) (lb.NodeID, Message, error) {
+	if len(line) > MaxLineBytes {
+		return "", nil, fieldError("", "line", len(line), "longer than the limit of a line")
+	}
+	var outer envelope
+	if err := decodeStrict("", line, &outer); err != nil {
+		return "", nil, err
+	}
+	decodeBody, known := decoders[outer.Type]
+	if !known {
+		return "", nil, fieldError("", "type", outer.Type, "unknown message type")
+	}
+	if err := checkName(outer.Type, "from", string(outer.From)); err != nil {
+		return "", nil, err
+	}
+	decoded, err := decodeBody(outer.Body)
+	if err != nil {
+		return "", nil, err
+	}
+	return outer.From, decoded, nil
+}
+
+// decoders gives the decoder of each type of message.
+var decoders = map[Type]func(body []byte) (Message, error){
+	TypePins:       decodeAs[Pins],
+	TypeRecords:    decodeAs[Records],
+	TypeRecordsAck: decodeAs[RecordsAck],
+	TypeClean:      decodeAs[Clean],
+	TypePing:       decodeAs[Ping],
+	TypePingAck:    decodeAs[PingAck],
+	TypePingReq:    decodeAs[PingReq],
+	TypeDigest:     decodeAs[Digest],
+	TypeWant:       decodeAs[Want],
+	TypePlacements: decodeAs[Placements],
+	TypeInForce:    decodeAs[InForce],
+	TypeLoad:       decodeAs[Load],
+}
+
+func decodeAs[M Message](body []byte) (Message, error) {
+	var decoded M
+	kind := decoded.MessageType()
+	if err := decodeStrict(kind, body, &decoded); err != nil {
+		return nil, err
+	}
+	if _, err := validate(decoded); err != nil {
+		return nil, err
+	}
+	return decoded, nil
+}
+
+// decodeStrict reads exactly one JSON object without unknown fields.
+func decodeStrict(kind Type, data []byte, target any) error {
+	if trimmed := bytes.TrimLeft(data, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
+		return fieldError(kind, "line", string(clip(data)), "not a JSON object")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return decodeError(kind, data, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return fieldError(kind, "line", string(clip(data)), "more than one JSON value")
+	}
+	return nil
+}
+
+func decodeError(kind Type, data []byte, err error) error {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		return fieldError(kind, typeError.Field, typeError.Value, "want "+typeError.Type.String())
+	}
+	return fieldError(kind, "line", string(clip(data)), err.Error())
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -1,6 +1,7 @@
 // Package message defines the messages between balancers and their codec:
-// one JSON object a line. Every message names its type; an unknown type or
-// field value is a clear error, never a panic.
+// one JSON object a line, {"type":T,"from":NODE,"body":MESSAGE}. An unknown
+// type, field or value is a clear error, never a panic. Messages are passed by
+// value, and their slices are not changed once sent or received.
 package message
 
 import (
@@ -29,11 +30,12 @@
 // Message is any message between balancers.
 type Message interface{ MessageType() Type }
 
-// FlowRecord places one flow on one back end.
+// FlowRecord places one flow on one back end. On the wire it is a text of 14
+// or 19 characters (see MarshalText).
 type FlowRecord struct {
-	Flow      lb.FlowID    `json:"f"`
-	Backend   lb.BackendID `json:"b"` // NoBackend: the opening was refused
-	OpeningID uint32       `json:"o,omitempty"`
+	Flow      lb.FlowID
+	Backend   lb.BackendID // NoBackend: the opening was refused
+	OpeningID uint32       // zero: not known or not needed
 }
 
 // Pins tells a node the back ends of flows, as decided by the tail of their
@@ -50,7 +52,11 @@
 type Records struct {
 	Service  lb.ServiceName `json:"service"`
 	Sequence uint64         `json:"sequence"`
-	Flows    []FlowRecord   `json:"flows"`
+	// Unconfirmed: the sender knows of no tail that answered with these records.
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	// IdleSeconds is the least time since the sender last heard of the flows.
+	IdleSeconds uint32       `json:"idle,omitempty"`
+	Flows       []FlowRecord `json:"flows"`
 }
 
 // RecordsAck acknowledges one Records.
@@ -77,12 +83,13 @@
 	MemberDead    MemberState = "dead"
 )
 
-// MemberUpdate is one piece of membership gossip.
+// MemberUpdate is one piece of membership gossip. Suspect and dead updates may
+// leave out zone and addresses.
 type MemberUpdate struct {
 	Node        lb.NodeID   `json:"n"`
-	Zone        lb.Zone     `json:"z"`
-	Control     string      `json:"c"` // address of the control endpoint, UDP and TCP
-	Data        string      `json:"d"` // address of the Geneve endpoint, UDP
+	Zone        lb.Zone     `json:"z,omitempty"`
+	Control     string      `json:"c,omitempty"` // address of the control endpoint, UDP and TCP
+	Data        string      `json:"d,omitempty"` // address of the Geneve endpoint, UDP
 	State       MemberState `json:"s"`
 	Incarnation uint64      `json:"i"`
 }
@@ -111,7 +118,7 @@
 
 // Digest carries one hash per group of services; a receiver that differs answers Want.
 type Digest struct {
-	Groups []uint64 `json:"groups"`
+	Groups GroupHashes `json:"groups"`
 	// All is the hash over all groups.
 	All uint64 `json:"all"`
 }
@@ -122,11 +129,14 @@
 	Version lb.Version     `json:"v"`
 }
 
-// Want lists the sender's versions in differing groups; the receiver answers
-// with the placements that are newer, and its own Want for those that are older.
+// Want lists the sender's versions: of every service in Groups, and of single
+// services besides. The receiver answers with its placements that are newer,
+// and with its own Want when some of its own are older. A service of one of
+// the Groups that is not listed is not known to the sender. With no Groups it
+// announces new placements.
 type Want struct {
-	Groups   []uint16         `json:"groups"`
-	Versions []ServiceVersion `json:"versions"`
+	Groups   []uint16         `json:"groups,omitempty"`
+	Versions []ServiceVersion `json:"versions,omitempty"`
 	// Reply marks a Want sent in answer to a Want, which is not answered by another.
 	Reply bool `json:"reply,omitempty"`
 }
--- /dev/null
+++ b/internal/message/validate.go
@@ -0,0 +1,238 @@
+package message
+
+import (
+	"fmt"
+	"net/netip"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Limits of what one message may carry. They bound the memory that a peer can
+// make a node use; senders split what is larger.
+const (
+	MaxNameBytes  = 128
+	MaxUpdates    = 64
+	MaxFlows      = 4096
+	MaxGroups     = 256
+	MaxVersions   = 8192
+	MaxPlacements = 4096
+	MaxBackends   = 8192
+	// MaxNodes is the largest number of nodes that a report may speak of.
+	MaxNodes = 1 << 16
+)
+
+// validate checks the values of a message and gives its type. It is called on
+// the way out and on the way in.
+func validate(message Message) (Type, error) {
+	switch message := message.(type) {
+	case Pins:
+		return TypePins, validatePins(message)
+	case Records:
+		return TypeRecords, validateRecords(message)
+	case RecordsAck:
+		return TypeRecordsAck, nil
+	case Clean:
+		return TypeClean, validateClean(message)
+	case Ping:
+		return TypePing, validateUpdates(TypePing, message.Updates)
+	case PingAck:
+		return TypePingAck, validateUpdates(TypePingAck, message.Updates)
+	case PingReq:
+		return TypePingReq, validatePingReq(message)
+	case Digest:
+		return TypeDigest, checkCount(TypeDigest, "groups", len(message.Groups), MaxGroups)
+	case Want:
+		return TypeWant, validateWant(message)
+	case Placements:
+		return TypePlacements, validatePlacements(message)
+	case InForce:
+		return TypeInForce, validateInForce(message)
+	case Load:
+		return TypeLoad, validateLoad(message)
+	}
+	return "", fieldError("", "type", fmt.Sprintf("%T", message), "not a message passed by value")
+}
+
+func validatePins(message Pins) error {
+	if err := checkName(TypePins, "service", string(message.Service)); err != nil {
+		return err
+	}
+	return checkCount(TypePins, "flows", len(message.Flows), MaxFlows)
+}
+
+func validateRecords(message Records) error {
+	if err := checkName(TypeRecords, "service", string(message.Service)); err != nil {
+		return err
+	}
+	return checkCount(TypeRecords, "flows", len(message.Flows), MaxFlows)
+}
+
+func validateClean(message Clean) error {
+	if err := checkName(TypeClean, "service", string(message.Service)); err != nil {
+		return err
+	}
+	if err := checkCount(TypeClean, "buckets", len(message.Buckets), lb.BucketCount); err != nil {
+		return err
+	}
+	for index, bucket := range message.Buckets {
+		if bucket >= lb.BucketCount {
+			return fieldError(TypeClean, fmt.Sprintf("buckets[%d]", index), bucket, "not a bucket")
+		}
+	}
+	return nil
+}
+
+func validatePingReq(message PingReq) error {
+	if err := checkName(TypePingReq, "t", string(message.Target)); err != nil {
+		return err
+	}
+	return validateUpdates(TypePingReq, message.Updates)
+}
+
+func validateUpdates(kind Type, updates []MemberUpdate) error {
+	if err := checkCount(kind, "u", len(updates), MaxUpdates); err != nil {
+		return err
+	}
+	for index := range updates {
+		if err := validateUpdate(kind, index, &updates[index]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validateUpdate checks one update. Only a node that can be spoken to needs
+// its zone and addresses: suspect and dead updates may leave them out.
+func validateUpdate(kind Type, index int, update *MemberUpdate) error {
+	field := func(name string) string { return fmt.Sprintf("u[%d].%s", index, name) }
+	if err := checkName(kind, field("n"), string(update.Node)); err != nil {
+		return err
+	}
+	switch update.State {
+	case MemberAlive, MemberLeaving:
+	case MemberSuspect, MemberDead:
+		if update.Zone == "" && update.Control == "" && update.Data == "" {
+			return nil
+		}
+	default:
+		return fieldError(kind, field("s"), update.State, "unknown member state")
+	}
+	if err := checkName(kind, field("z"), string(update.Zone)); err != nil {
+		return err
+	}
+	if err := checkAddress(kind, field("c"), update.Control); err != nil {
+		return err
+	}
+	return checkAddress(kind, field("d"), update.Data)
+}
+
+func validateWant(message Want) error {
+	if err := checkCount(TypeWant, "groups", len(message.Groups), MaxGroups); err != nil {
+		return err
+	}
+	for index, group := range message.Groups {
+		if group >= MaxGroups {
+			return fieldError(TypeWant, fmt.Sprintf("groups[%d]", index), group, "not a group")
+		}
+	}
+	return validateVersions(TypeWant, message.Versions)
+}
+
+func validateVersions(kind Type, versions []ServiceVersion) error {
+	if err := checkCount(kind, "versions", len(versions), MaxVersions); err != nil {
+		return err
+	}
+	for index := range versions {
+		if err := checkName(kind, fmt.Sprintf("versions[%d].s", index), string(versions[index].Service)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validatePlacements checks what the codec can: whether a document makes sense
+// is for the placement package, so that one bad document does not spoil others.
+func validatePlacements(message Placements) error {
+	if err := checkCount(TypePlacements, "placements", len(message.Placements), MaxPlacements); err != nil {
+		return err
+	}
+	for index := range message.Placements {
+		placement := &message.Placements[index]
+		if err := checkName(TypePlacements, fmt.Sprintf("placements[%d].service", index), string(placement.Service)); err != nil {
+			return err
+		}
+		for _, frontend := range placement.Frontends {
+			if frontend.Protocol != lb.TCP && frontend.Protocol != lb.UDP {
+				field := fmt.Sprintf("placements[%d].frontends", index)
+				return fieldError(TypePlacements, field, frontend.Protocol, "neither tcp nor udp")
+			}
+		}
+	}
+	return nil
+}
+
+func validateInForce(message InForce) error {
+	if err := checkName(TypeInForce, "zone", string(message.Zone)); err != nil {
+		return err
+	}
+	if message.Nodes < 0 || message.Nodes > MaxNodes {
+		return fieldError(TypeInForce, "nodes", message.Nodes, "out of range")
+	}
+	if message.Behind < 0 || message.Behind > message.Nodes {
+		return fieldError(TypeInForce, "behind", message.Behind, "not between 0 and nodes")
+	}
+	if message.ConfigRevision < 0 {
+		return fieldError(TypeInForce, "config_revision", message.ConfigRevision, "negative")
+	}
+	return validateVersions(TypeInForce, message.Versions)
+}
+
+func validateLoad(message Load) error {
+	if err := checkName(TypeLoad, "zone", string(message.Zone)); err != nil {
+		return err
+	}
+	if err := checkCount(TypeLoad, "backends", len(message.Backends), MaxBackends); err != nil {
+		return err
+	}
+	for index := range message.Backends {
+		if err := checkName(TypeLoad, fmt.Sprintf("backends[%d].b", index), string(message.Backends[index].Backend)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkCount(kind Type, field string, count, limit int) error {
+	if count <= limit {
+		return nil
+	}
+	return fieldError(kind, field, count, fmt.Sprintf("more than %d entries", limit))
+}
+
+// checkName accepts 1 to MaxNameBytes visible ASCII characters without quote
+// and backslash, so that names need no escaping in JSON and logs.
+func checkName(kind Type, field, name string) error {
+	if name == "" {
+		return fieldError(kind, field, name, "empty")
+	}
+	if len(name) > MaxNameBytes {
+		return fieldError(kind, field, name, fmt.Sprintf("longer than %d bytes", MaxNameBytes))
+	}
+	for _, character := range []byte(name) {
+		if character <= ' ' || character > '~' || character == '"' || character == '\\' {
+			return fieldError(kind, field, name, "not visible ASCII without quote and backslash")
+		}
+	}
+	return nil
+}
+
+func checkAddress(kind Type, field, text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return fieldError(kind, field, text, "not an IP address and port")
+	}
+	if address.Port() == 0 {
+		return fieldError(kind, field, text, "port is zero")
+	}
+	return nil
+}
