--- /dev/null
+++ b/internal/placement/benchmark_test.go
@@ -0,0 +1,93 @@
+package placement_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/placement"
+)
+
+// benchmarkDocument gives a document at rest, or with one generation in motion.
+func benchmarkDocument(b *testing.B, moving bool) *lb.Placement {
+	b.Helper()
+	document, err := placement.New("wallet-core", stamp(1), placement.Prepare(targets(14)), placement.Commit())
+	if err == nil && moving {
+		document, err = placement.Next(document, stamp(2), placement.Prepare(targets(13)), placement.Commit())
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	return document
+}
+
+func BenchmarkCompile(b *testing.B) {
+	for _, moving := range []bool{false, true} {
+		document := benchmarkDocument(b, moving)
+		b.Run(fmt.Sprintf("moving=%t", moving), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := placement.Compile(document); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTableMemory reports the heap held per table with its decoded document.
+func BenchmarkTableMemory(b *testing.B) {
+	for _, moving := range []bool{false, true} {
+		encoded, err := json.Marshal(benchmarkDocument(b, moving))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("moving=%t", moving), func(b *testing.B) {
+			const count = 3300
+			for b.Loop() {
+				b.ReportMetric(heapPerTable(b, encoded, count), "bytes/table")
+			}
+		})
+	}
+}
+
+// heapPerTable compiles count tables and measures what they hold.
+func heapPerTable(b *testing.B, encoded []byte, count int) float64 {
+	tables := make([]*placement.Table, count)
+	before := liveHeap()
+	for index := range tables {
+		document := new(lb.Placement)
+		if err := json.Unmarshal(encoded, document); err != nil {
+			b.Fatal(err)
+		}
+		tables[index], _ = placement.Compile(document)
+	}
+	held := liveHeap() - before
+	runtime.KeepAlive(tables)
+	return float64(held) / float64(count)
+}
+
+func liveHeap() uint64 {
+	var statistics runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&statistics)
+	return statistics.HeapAlloc
+}
+
+func BenchmarkLookup(b *testing.B) {
+	table, err := placement.Compile(benchmarkDocument(b, true))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	var bucket uint16
+	for b.Loop() {
+		bucket = (bucket + 1) % lb.BucketCount
+		if table.InMotion(bucket) || table.HasHistory(bucket) {
+			_ = table.Current(bucket)
+		}
+		_, _ = table.Backend(table.Base(bucket))
+	}
+}
