--- /dev/null
+++ b/internal/machines/machines.go
@@ -0,0 +1,104 @@
+// Package machines reads the platform's list of live and leaving machines. The
+// list lags, so it only seeds the membership: it adds peers to ask, and its
+// silence about a node proves nothing.
+package machines
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// maxListBytes bounds the answer: 10,000 machines of 400 bytes.
+const maxListBytes = 4_000_000
+
+// Machine is one entry of the list.
+type Machine struct {
+	Node    lb.NodeID
+	Zone    lb.Zone
+	Control netip.AddrPort // control address, UDP and TCP
+	Data    netip.AddrPort // Geneve address, UDP
+	Leaving bool
+}
+
+// Fetch reads the list at url. An entry without node, zone or address is an
+// error that names it: a list that is not understood is not used in part.
+func Fetch(ctx context.Context, client *http.Client, url string) ([]Machine, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "machine list %q", url)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "machine list %q", url)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("machine list %q: status %q", url, response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "machine list %q", url)
+	}
+	if len(body) > maxListBytes {
+		return nil, errors.Newf("machine list %q: more than %d bytes", url, maxListBytes)
+	}
+	return parse(url, body)
+}
+
+// entry is one entry as written by the platform. Fields that are not known
+// are the platform's business.
+type entry struct {
+	Node    string `json:"node"`
+	Zone    string `json:"zone"`
+	Control string `json:"control"`
+	Data    string `json:"data"`
+	Leaving bool   `json:"leaving"`
+}
+
+func parse(url string, body []byte) ([]Machine, error) {
+	var entries []entry
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&entries); err != nil {
+		return nil, errors.Wrapf(err, "machine list %q", url)
+	}
+	list := make([]Machine, 0, len(entries))
+	for index, entry := range entries {
+		machine, err := entry.machine()
+		if err != nil {
+			return nil, errors.Wrapf(err, "machine list %q: entry %d (%q)", url, index, entry.Node)
+		}
+		list = append(list, machine)
+	}
+	return list, nil
+}
+
+func (entry *entry) machine() (Machine, error) {
+	if entry.Node == "" {
+		return Machine{}, errors.New("node is missing")
+	}
+	if entry.Zone == "" {
+		return Machine{}, errors.New("zone is missing")
+	}
+	control, err := netip.ParseAddrPort(entry.Control)
+	if err != nil {
+		return Machine{}, errors.Newf("control: %q is not an IP address and port", entry.Control)
+	}
+	data, err := netip.ParseAddrPort(entry.Data)
+	if err != nil {
+		return Machine{}, errors.Newf("data: %q is not an IP address and port", entry.Data)
+	}
+	return Machine{
+		Node:    lb.NodeID(entry.Node),
+		Zone:    lb.Zone(entry.Zone),
+		Control: control,
+		Data:    data,
+		Leaving: entry.Leaving,
+	}, nil
+}
