Add the transport of peer messages with its byte budget

Datagrams up to 1,200 bytes, a TCP connection for each longer line. The queue is apart from sockets and clocks, so that simulations can drive the same budget.

--- /dev/null
+++ b/internal/transport/queue.go
@@ -0,0 +1,196 @@
+package transport
+
+import (
+	"net/netip"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// Class ranks messages by what their loss costs.
+type Class uint8
+
+// The classes, most urgent first.
+const (
+	// ClassMember is membership: without it peers declare this node dead. It
+	// is sent at once, ahead of the budget by at most MemberDebt.
+	ClassMember Class = iota
+	// ClassState is what safety and placements rest on; it waits for its bytes.
+	ClassState
+	// ClassHint only saves hops; it is dropped when bytes are short.
+	ClassHint
+	// ClassBulk is a line too long for the burst, as in the snapshot of a
+	// starting node; it has a budget of its own.
+	ClassBulk
+	classCount
+)
+
+// MemberDebt is how far ahead of the budget membership may be sent.
+const MemberDebt = time.Second
+
+// Overheads counted with the bytes of a line: IPv4 and UDP headers, and the
+// headers of the six segments that open and close a TCP connection.
+const (
+	DatagramOverhead   = 20 + 8
+	ConnectionOverhead = 6 * (20 + 20)
+)
+
+// MaxDatagramBytes is the largest line sent as a datagram: with headers it
+// stays below the smallest MTU in common use (1,280 bytes, RFC 8200).
+const MaxDatagramBytes = 1200
+
+// Cost gives the bytes that a line of this size takes from the budget.
+func Cost(lineBytes int) int {
+	if lineBytes <= MaxDatagramBytes {
+		return lineBytes + DatagramOverhead
+	}
+	return lineBytes + ConnectionOverhead
+}
+
+// Budget bounds the bytes that a node sends.
+type Budget struct {
+	// BytesPerSecond is sustained, over all classes but ClassBulk.
+	BytesPerSecond int
+	// BurstBytes may be sent at once after silence.
+	BurstBytes int
+	// BulkBytesPerSecond bounds ClassBulk.
+	BulkBytesPerSecond int
+	// QueueLength bounds the messages that wait, per class.
+	QueueLength int
+}
+
+// DefaultBudget is for today's deployments: 4 KB/s of control.
+func DefaultBudget() Budget {
+	return Budget{BytesPerSecond: 4096, BurstBytes: 32 << 10, BulkBytesPerSecond: 128 << 10, QueueLength: 1024}
+}
+
+// hintReserveShare is the part of the burst that hints leave to other classes.
+const hintReserveShare = 4
+
+// Queued is one encoded message on its way to a peer.
+type Queued struct {
+	To    netip.AddrPort
+	Type  message.Type
+	Class Class
+	Line  []byte
+}
+
+// Queue holds the messages of one node until the budget lets them go. It has
+// no clock: the caller gives the time, so that processes and simulations share
+// it. It is not safe for concurrent use.
+type Queue struct {
+	budget  Budget
+	limiter *rate.Limiter
+	bulk    *rate.Limiter
+	waiting [classCount][]Queued
+	dropped [classCount]uint64
+}
+
+// NewQueue gives an empty queue with a full burst.
+func NewQueue(budget Budget) *Queue {
+	return &Queue{
+		budget:  budget,
+		limiter: rate.NewLimiter(rate.Limit(budget.BytesPerSecond), budget.BurstBytes),
+		bulk:    rate.NewLimiter(rate.Limit(budget.BulkBytesPerSecond), max(budget.BulkBytesPerSecond, message.MaxLineBytes+ConnectionOverhead)),
+	}
+}
+
+// ClassOf ranks a message by its type and the size of its line.
+func (queue *Queue) ClassOf(kind message.Type, lineBytes int) Class {
+	switch kind {
+	case message.TypePing, message.TypePingAck, message.TypePingReq:
+		return ClassMember
+	case message.TypePins:
+		return ClassHint
+	}
+	if Cost(lineBytes) > queue.budget.BurstBytes {
+		return ClassBulk
+	}
+	return ClassState
+}
+
+// Push adds a message. When its class is full the message is dropped, counted, and false given.
+func (queue *Queue) Push(item Queued) bool {
+	if len(queue.waiting[item.Class]) >= queue.budget.QueueLength {
+		queue.dropped[item.Class]++
+		return false
+	}
+	queue.waiting[item.Class] = append(queue.waiting[item.Class], item)
+	return true
+}
+
+// Pop gives the next message that may be sent now. Without one it gives the
+// time after which to ask again, or zero when nothing waits.
+func (queue *Queue) Pop(now time.Time) (item Queued, ready bool, wait time.Duration) {
+	if item, ready = queue.popMember(now); ready {
+		return item, true, 0
+	}
+	item, ready, wait = queue.popWaiting(now, ClassState, queue.limiter)
+	if ready {
+		return item, true, 0
+	}
+	if item, ready = queue.popHint(now); ready {
+		return item, true, 0
+	}
+	item, ready, bulkWait := queue.popWaiting(now, ClassBulk, queue.bulk)
+	if ready {
+		return item, true, 0
+	}
+	if wait == 0 || (bulkWait > 0 && bulkWait < wait) {
+		wait = bulkWait
+	}
+	return Queued{}, false, wait
+}
+
+// popMember sends ahead of the budget, and drops what would be too far ahead.
+func (queue *Queue) popMember(now time.Time) (Queued, bool) {
+	for len(queue.waiting[ClassMember]) > 0 {
+		item := queue.take(ClassMember)
+		reservation := queue.limiter.ReserveN(now, Cost(len(item.Line)))
+		if reservation.OK() && reservation.DelayFrom(now) <= MemberDebt {
+			return item, true
+		}
+		reservation.CancelAt(now)
+		queue.dropped[ClassMember]++
+	}
+	return Queued{}, false
+}
+
+func (queue *Queue) popWaiting(now time.Time, class Class, limiter *rate.Limiter) (Queued, bool, time.Duration) {
+	if len(queue.waiting[class]) == 0 {
+		return Queued{}, false, 0
+	}
+	cost := Cost(len(queue.waiting[class][0].Line))
+	if limiter.AllowN(now, cost) {
+		return queue.take(class), true, 0
+	}
+	missing := float64(cost) - limiter.TokensAt(now)
+	seconds := missing / float64(limiter.Limit())
+	return Queued{}, false, max(time.Millisecond, time.Duration(seconds*float64(time.Second)))
+}
+
+// popHint drops hints that would eat into the reserve of other classes.
+func (queue *Queue) popHint(now time.Time) (Queued, bool) {
+	reserve := float64(queue.budget.BurstBytes / hintReserveShare)
+	for len(queue.waiting[ClassHint]) > 0 {
+		item := queue.take(ClassHint)
+		cost := Cost(len(item.Line))
+		if queue.limiter.TokensAt(now)-float64(cost) >= reserve && queue.limiter.AllowN(now, cost) {
+			return item, true
+		}
+		queue.dropped[ClassHint]++
+	}
+	return Queued{}, false
+}
+
+func (queue *Queue) take(class Class) Queued {
+	item := queue.waiting[class][0]
+	queue.waiting[class][0] = Queued{}
+	queue.waiting[class] = queue.waiting[class][1:]
+	return item
+}
+
+// Dropped counts the messages of a class that were never sent.
+func (queue *Queue) Dropped(class Class) uint64 { return queue.dropped[class] }
