Add the decision core

Cause: nothing decided where a packet goes. Change: internal/core decides for one balancer as docs/DESIGN.md, "The chain", says: ingress, head, tail, records, pins, admission, refusals, expiry, planned stop, clean reports. internal/rendezvous ranks nodes for chains and watchers. Beyond the design: a packet that reaches a node which is not the head in its own view is passed on once, and a node that enters a chain is handed the records; both close ways to two chains without a common record. Not yet: property tests and mutants.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -65,6 +65,8 @@
 	ReasonTupleReuse     Reason = "tuple-reuse"     // 5-tuple used again too soon after a move
 	ReasonUnknownPeer    Reason = "unknown-peer"    // relayed by or to a node not known
 	ReasonWrongService   Reason = "wrong-service"   // the last check before the write failed
+	ReasonViewsDiffer    Reason = "views-differ"    // two nodes each think the other the head
+	ReasonStray          Reason = "stray"           // a later packet of a flow whose opening was refused
 )
 
 // Decision is the effect on the packet of the event.
@@ -91,6 +93,8 @@
 	Messages []Outgoing
 	// HandoverDone is set when a planned stop has no record left to hand over.
 	HandoverDone bool
+	// Unsure is set while the core distrusts its view and waits for ContactRegained.
+	Unsure bool
 }
 
 // Member is one node as the membership sees it.
@@ -109,7 +113,9 @@
 	Peer      *PeerEvent
 	Tick      bool // at least every TickInterval
 	Leave     bool // planned stop begins
-	// Contact tells whether this node has lately exchanged placements with a peer.
+	// Contact tells whether this node has lately exchanged placements with a
+	// peer. ContactRegained is valid only after an exchange that began after
+	// the contact was lost or Effects.Unsure was first set.
 	Contact ContactChange
 }
 
@@ -147,6 +153,9 @@
 	PauseLimit time.Duration
 	// PinBytesPerSecond bounds the pins and confirmations sent.
 	PinBytesPerSecond int
+	// HandoverBytesPerSecond bounds the records handed over. While there are
+	// any to hand over, no pins or confirmations are sent.
+	HandoverBytesPerSecond int
 	// RetryAfter is the base of the time to come back given with a refusal.
 	RetryAfter time.Duration
 }
@@ -154,13 +163,14 @@
 // DefaultSettings gives the defaults for a node.
 func DefaultSettings(self lb.NodeID, zone lb.Zone) Settings {
 	return Settings{
-		Self:              self,
-		Zone:              zone,
-		OpeningHold:       60 * time.Second,
-		IdleTimeout:       300 * time.Second,
-		PinLifetime:       60 * time.Second,
-		PauseLimit:        time.Second,
-		PinBytesPerSecond: 3000,
-		RetryAfter:        500 * time.Millisecond,
+		Self:                   self,
+		Zone:                   zone,
+		OpeningHold:            60 * time.Second,
+		IdleTimeout:            300 * time.Second,
+		PinLifetime:            60 * time.Second,
+		PauseLimit:             time.Second,
+		PinBytesPerSecond:      3000,
+		HandoverBytesPerSecond: 3000,
+		RetryAfter:             500 * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,131 @@
+package core
+
+import (
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Core decides for one balancer. It is not safe for concurrent use: one
+// goroutine at a time calls its methods.
+type Core struct {
+	settings Settings
+	off      rules
+	now      time.Duration
+	stamp    stamp
+	started  bool
+
+	self    *node
+	nodes   map[lb.NodeID]*node
+	byHash  map[lb.NodeHash]*node
+	members memberList
+
+	services  map[lb.ServiceName]*service
+	ordered   []*service // by name, so that walks are deterministic
+	frontends map[frontendKey]*service
+
+	sure      bool          // the view may be trusted
+	sureSince time.Duration // when it last became so
+	leaving   bool
+	// leftChains: leaving, and all buckets are queued to be handed over.
+	leftChains bool
+
+	hints    hintQueue
+	handover handover
+	sweeper  sweeper
+	clean    cleanReporter
+	stats    Stats
+}
+
+// stampUnit is the unit of times in records.
+const stampUnit = 10 * time.Millisecond
+
+// New gives a core that knows of no other member and no service.
+func New(settings Settings) *Core {
+	core := &Core{
+		settings:  settings,
+		nodes:     make(map[lb.NodeID]*node),
+		byHash:    make(map[lb.NodeHash]*node),
+		services:  make(map[lb.ServiceName]*service),
+		frontends: make(map[frontendKey]*service),
+		sure:      true,
+	}
+	core.self = core.node(settings.Self)
+	core.self.Zone = settings.Zone
+	core.hints.limit = newLimiter(settings.PinBytesPerSecond, settings.PinBytesPerSecond)
+	core.handover.limit = newLimiter(settings.HandoverBytesPerSecond, max(settings.HandoverBytesPerSecond, batchBytes))
+	return core
+}
+
+// Step takes one event at the time now, counted from any fixed origin not
+// after it, and fills effects. Times must not go back.
+func (core *Core) Step(now time.Duration, event *Event, effects *Effects) {
+	effects.reset()
+	core.setTime(now)
+	switch {
+	case event.Packet != nil:
+		core.packet(event.Packet, &effects.Decision)
+		core.count(&effects.Decision)
+	case event.Placement != nil:
+		core.adopt(event.Placement)
+	case event.Members != nil:
+		core.setMembers(event.Members)
+	case event.Peer != nil:
+		core.peer(event.Peer, effects)
+	case event.Leave:
+		core.leave()
+	}
+	core.setContact(event.Contact)
+	if event.Tick {
+		core.tick(effects)
+	}
+	effects.Unsure = !core.sure
+	effects.HandoverDone = core.leaving && core.handover.idle()
+}
+
+func (effects *Effects) reset() {
+	effects.Decision = Decision{}
+	clear(effects.Messages)
+	effects.Messages = effects.Messages[:0]
+	effects.HandoverDone = false
+	effects.Unsure = false
+}
+
+// setTime notices a pause of this process: its view may be old by now.
+func (core *Core) setTime(now time.Duration) {
+	paused := core.started && now-core.now > core.settings.PauseLimit
+	core.started = true
+	core.now = now
+	core.stamp = toStamp(now)
+	if paused && !core.off.noUnsureAfterPause {
+		core.stats.Pauses++
+		core.distrust()
+	}
+}
+
+func toStamp(now time.Duration) stamp { return stamp(now / stampUnit) }
+
+// distrust makes the node unsure of its view, unless it has no peers to ask.
+func (core *Core) distrust() {
+	core.sure = core.members.alone()
+	core.sureSince = core.now
+}
+
+func (core *Core) setContact(change ContactChange) {
+	switch change {
+	case ContactLost:
+		core.distrust()
+	case ContactRegained:
+		if !core.sure {
+			core.sure = true
+			core.sureSince = core.now
+		}
+	}
+}
+
+func (core *Core) tick(effects *Effects) {
+	core.sweeper.run(core)
+	core.handover.run(core, effects)
+	core.hints.flush(core, effects)
+	core.clean.run(core, effects)
+}
--- /dev/null
+++ b/internal/core/handover.go
@@ -0,0 +1,238 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+const (
+	// recordsPerBatch bounds the flows of one Records so that it fits a datagram.
+	recordsPerBatch = 40
+	// batchBytes is the size of a full Records.
+	batchBytes = messageBytes + recordsPerBatch*flowBytes
+	// resendAfter is the time after which an unacknowledged Records is repeated.
+	resendAfter = 500 * time.Millisecond
+)
+
+// handover sends records to nodes that enter chains, repeated until
+// acknowledged, within a byte budget.
+type handover struct {
+	limit    limiter
+	sequence uint64
+	targets  []*target // by node ID
+}
+
+// target is one node that is given records.
+type target struct {
+	to *node
+	// buckets are still to be read.
+	buckets []bucketRef
+	// flows are read and wait to be sent.
+	flows []pendingFlow
+	// batches are sent and wait for their acknowledgement.
+	batches []*batch
+}
+
+type bucketRef struct {
+	service *service
+	index   uint16
+}
+
+// pendingFlow is a record to hand over, with what a batch has in common.
+type pendingFlow struct {
+	class  batchClass
+	record message.FlowRecord
+}
+
+// batchClass is what all records of one batch share.
+type batchClass struct {
+	service     *service
+	unconfirmed bool
+	idleMinutes uint32
+}
+
+// batch is one Records on its way.
+type batch struct {
+	content message.Records
+	sentAt  time.Duration
+}
+
+// idle tells whether nothing waits to be handed over or acknowledged.
+func (handover *handover) idle() bool { return len(handover.targets) == 0 }
+
+func (handover *handover) target(to *node) *target {
+	position, found := slices.BinarySearchFunc(handover.targets, to, func(known *target, to *node) int {
+		return cmp.Compare(known.to.ID, to.ID)
+	})
+	if !found {
+		handover.targets = slices.Insert(handover.targets, position, &target{to: to})
+	}
+	return handover.targets[position]
+}
+
+// add queues the records of a bucket for a node.
+func (handover *handover) add(service *service, index uint16, to *node) {
+	if service.buckets[index].records.len() == 0 {
+		return
+	}
+	entry := handover.target(to)
+	entry.buckets = append(entry.buckets, bucketRef{service, index})
+}
+
+// correct tells the head that its record differs from the tail's.
+func (handover *handover) correct(service *service, head *node, entry *record) {
+	entries := handover.target(head)
+	entries.flows = append(entries.flows, pendingFlow{
+		class:  batchClass{service: service},
+		record: flowRecord(entry),
+	})
+}
+
+func flowRecord(entry *record) message.FlowRecord {
+	content := message.FlowRecord{Flow: entry.flow, Backend: entry.backend, OpeningID: entry.openingID}
+	if entry.refused() {
+		content.Backend = 0
+	}
+	return content
+}
+
+// dropAbsent forgets targets that are no longer members.
+func (handover *handover) dropAbsent() {
+	handover.targets = slices.DeleteFunc(handover.targets, func(entry *target) bool { return !entry.to.member })
+}
+
+// acknowledge ends a batch.
+func (handover *handover) acknowledge(from *node, sequence uint64) {
+	for _, entry := range handover.targets {
+		if entry.to == from {
+			entry.batches = slices.DeleteFunc(entry.batches, func(sent *batch) bool {
+				return sent.content.Sequence == sequence
+			})
+		}
+	}
+	handover.dropFinished()
+}
+
+func (handover *handover) dropFinished() {
+	handover.targets = slices.DeleteFunc(handover.targets, (*target).finished)
+}
+
+func (entry *target) finished() bool {
+	return len(entry.buckets) == 0 && len(entry.flows) == 0 && len(entry.batches) == 0
+}
+
+// run repeats what is due and sends more, as the byte budget allows.
+func (handover *handover) run(core *Core, effects *Effects) {
+	for _, entry := range handover.targets {
+		handover.resend(core, effects, entry)
+	}
+	for _, entry := range handover.targets {
+		handover.sendMore(core, effects, entry)
+	}
+	handover.dropFinished()
+}
+
+func (handover *handover) resend(core *Core, effects *Effects, entry *target) {
+	for _, sent := range entry.batches {
+		if core.now-sent.sentAt < resendAfter {
+			continue
+		}
+		if !handover.limit.take(core.now, sent.bytes()) {
+			return
+		}
+		sent.sentAt = core.now
+		core.stats.HandoverResent++
+		effects.send(entry.to, sent.content)
+	}
+}
+
+func (sent *batch) bytes() int { return messageBytes + len(sent.content.Flows)*flowBytes }
+
+func (handover *handover) sendMore(core *Core, effects *Effects, entry *target) {
+	for {
+		entry.readBuckets(core)
+		if len(entry.flows) == 0 {
+			return
+		}
+		next := entry.nextBatch()
+		if !handover.limit.take(core.now, next.bytes()) {
+			return
+		}
+		entry.flows = slices.Delete(entry.flows, 0, len(next.content.Flows))
+		handover.sequence++
+		next.content.Sequence = handover.sequence
+		next.sentAt = core.now
+		entry.batches = append(entry.batches, next)
+		core.stats.HandoverSent += uint64(len(next.content.Flows))
+		effects.send(entry.to, next.content)
+	}
+}
+
+// readBuckets takes records from the next buckets until there is a batch.
+func (entry *target) readBuckets(core *Core) {
+	for len(entry.flows) < recordsPerBatch && len(entry.buckets) > 0 {
+		next := entry.buckets[0]
+		entry.buckets = entry.buckets[1:]
+		before := len(entry.flows)
+		entry.readBucket(core, next)
+		slices.SortStableFunc(entry.flows[before:], func(a, b pendingFlow) int { return compareClass(a.class, b.class) })
+	}
+}
+
+func compareClass(a, b batchClass) int {
+	if a.unconfirmed != b.unconfirmed {
+		if b.unconfirmed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.idleMinutes, b.idleMinutes)
+}
+
+func (entry *target) readBucket(core *Core, next bucketRef) {
+	bucket := &next.service.buckets[next.index]
+	for slot := range bucket.records.slots {
+		found := &bucket.records.slots[slot]
+		if found.flags != 0 && core.matters(next.service, next.index, found) {
+			entry.flows = append(entry.flows, pendingFlow{class: core.classOf(next.service, bucket, found), record: flowRecord(found)})
+		}
+	}
+}
+
+func (core *Core) classOf(service *service, bucket *bucket, entry *record) batchClass {
+	return batchClass{
+		service:     service,
+		unconfirmed: !core.confirmed(bucket, entry),
+		idleMinutes: uint32(core.age(entry) / time.Minute),
+	}
+}
+
+// nextBatch makes a Records of the first flows that are of one class.
+func (entry *target) nextBatch() *batch {
+	class := entry.flows[0].class
+	content := message.Records{
+		Service:     class.service.name,
+		Unconfirmed: class.unconfirmed,
+		IdleSeconds: class.idleMinutes * 60,
+	}
+	for index := range entry.flows {
+		if entry.flows[index].class != class || len(content.Flows) == recordsPerBatch {
+			break
+		}
+		content.Flows = append(content.Flows, entry.flows[index].record)
+	}
+	return &batch{content: content}
+}
+
+// matters tells whether the next chain needs the record: without it the flow
+// would go by the table.
+func (core *Core) matters(service *service, index uint16, entry *record) bool {
+	table := service.table
+	if entry.refused() || entry.backend != table.Base(index) || table.InMotion(index) {
+		return true
+	}
+	return table.HasHistory(index) && core.age(entry) <= core.settings.OpeningHold
+}
--- /dev/null
+++ b/internal/core/packet.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// turn is the handling of one packet.
+type turn struct {
+	core     *Core
+	packet   *Packet
+	decision *Decision
+	service  *service
+	bucket   *bucket
+	index    uint16 // of the bucket
+	flow     lb.FlowID
+	key      frontendKey
+}
+
+// proposal is what a head proposes to a tail: a back end, or refusal.
+type proposal struct {
+	backend lb.BackendID
+	refuse  bool
+	known   bool // from a record that a tail confirmed
+}
+
+// packet decides on one packet.
+func (core *Core) packet(packet *Packet, decision *Decision) {
+	current := turn{core: core, packet: packet, decision: decision}
+	current.key = frontendKey{packet.Key.Destination, packet.Key.DestinationPort, packet.Key.Protocol}
+	current.service = core.frontends[current.key]
+	if current.service == nil {
+		current.drop(ReasonUnknownService)
+		return
+	}
+	current.flow = packet.Key.ID()
+	current.index = current.flow.Bucket()
+	current.bucket = &current.service.buckets[current.index]
+	decision.Service = current.service.name
+	switch packet.Relay.Hop {
+	case lb.HopIngress:
+		current.ingress()
+	case lb.HopHead:
+		current.relayedToHead()
+	case lb.HopTail:
+		current.tail()
+	default:
+		current.drop(ReasonUnknownPeer)
+	}
+}
+
+func (current *turn) opening() bool { return current.packet.Kind == PacketOpening }
+
+func (current *turn) drop(reason Reason) {
+	current.decision.Action = ActionDrop
+	current.decision.Reason = reason
+}
+
+// relay sends the packet on to another balancer.
+func (current *turn) relay(peer *node, relay lb.Relay) {
+	current.decision.Action = ActionRelay
+	current.decision.Peer = peer.ID
+	current.decision.Relay = relay
+}
+
+// forward sends the packet to a back end, after a last check that both the
+// packet's front end and the back end belong to the service.
+func (current *turn) forward(id lb.BackendID) {
+	current.decision.Backend = id
+	if current.core.off.noLastServiceCheck {
+		backend, _ := current.service.table.Backend(id)
+		current.decision.Action = ActionForward
+		current.decision.Host = backend.Host
+		return
+	}
+	if !current.ownFrontend() {
+		current.drop(ReasonWrongService)
+		return
+	}
+	backend, found := current.service.table.Backend(id)
+	switch {
+	case id == lb.NoBackend:
+		current.refuse(lb.MayHaveRun, ReasonNoBackend)
+	case found && backend.State != lb.BackendFailed:
+		current.decision.Action = ActionForward
+		current.decision.Host = backend.Host
+	case found || id < current.service.table.Document().NextBackendID:
+		current.refuse(lb.MayHaveRun, ReasonBackendFailed)
+	default: // of a newer placement than this node has
+		current.drop(ReasonWrongService)
+	}
+}
+
+// ownFrontend tells whether the service in force has the packet's front end.
+func (current *turn) ownFrontend() bool {
+	for index := range current.service.frontendKeys {
+		if current.service.frontendKeys[index] == current.key {
+			return true
+		}
+	}
+	return false
+}
+
+// takesNewFlows tells whether a back end may be given a flow afresh.
+func (current *turn) takesNewFlows(id lb.BackendID) bool {
+	backend, found := current.service.table.Backend(id)
+	return found && backend.State != lb.BackendFailed
+}
+
+// active tells whether the back end takes new flows by its own state.
+func (current *turn) active(id lb.BackendID) bool {
+	backend, found := current.service.table.Backend(id)
+	return found && backend.State == lb.BackendActive
+}
--- /dev/null
+++ b/internal/core/peer.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// peer takes a message from another node. Messages of other concerns
+// (membership, gossip) are not the core's and are ignored.
+func (core *Core) peer(event *PeerEvent, effects *Effects) {
+	from := core.nodes[event.From]
+	switch content := event.Message.(type) {
+	case message.Pins:
+		core.takePins(from, &content)
+	case message.Records:
+		if core.takeRecords(from, &content) {
+			acknowledgement := message.RecordsAck{Sequence: content.Sequence}
+			effects.Messages = append(effects.Messages, Outgoing{To: event.From, Message: acknowledgement})
+		}
+	case message.RecordsAck:
+		if from != nil {
+			core.handover.acknowledge(from, content.Sequence)
+		}
+	}
+}
+
+// takePins keeps pins, and lets the present tail's confirmations correct records.
+func (core *Core) takePins(from *node, content *message.Pins) {
+	service := core.services[content.Service]
+	if service == nil || from == nil {
+		return
+	}
+	for _, flow := range content.Flows {
+		bucket := &service.buckets[flow.Flow.Bucket()]
+		if content.Confirm {
+			core.takeConfirmation(service, bucket, from, flow)
+			continue
+		}
+		if flow.Backend == lb.NoBackend {
+			continue
+		}
+		if bucket.pins == nil {
+			bucket.pins = &flowTable{}
+		}
+		pin := bucket.pins.put(flow.Flow)
+		pin.backend = flow.Backend
+		pin.lastSeen = core.stamp
+	}
+}
+
+func (core *Core) takeConfirmation(service *service, bucket *bucket, from *node, flow message.FlowRecord) {
+	if from == bucket.chain.tail {
+		core.merge(service, bucket, flow, incoming{confirmed: true, fromTail: true})
+	}
+}
+
+// takeRecords keeps records that a node hands over, and tells whether it could:
+// those of a service not known here yet are not acknowledged, so they come again.
+func (core *Core) takeRecords(from *node, content *message.Records) bool {
+	service := core.services[content.Service]
+	if service == nil {
+		return false
+	}
+	idle := time.Duration(content.IdleSeconds) * time.Second
+	for _, flow := range content.Flows {
+		bucket := &service.buckets[flow.Flow.Bucket()]
+		core.merge(service, bucket, flow, incoming{
+			confirmed: !content.Unconfirmed,
+			fromTail:  from != nil && from == bucket.chain.tail,
+			idle:      idle,
+		})
+	}
+	return true
+}
+
+// incoming says how certain a record from another node is.
+type incoming struct {
+	confirmed bool // a tail answered with it
+	fromTail  bool // the sender is the present tail
+	idle      time.Duration
+}
+
+// merge takes a record from another node, unless this node's own is more certain.
+func (core *Core) merge(service *service, bucket *bucket, flow message.FlowRecord, origin incoming) {
+	entry := bucket.records.get(flow.Flow)
+	if entry != nil && !core.replaces(bucket, entry, origin) {
+		return
+	}
+	seen := max(0, core.now-origin.idle)
+	if entry == nil {
+		entry = bucket.records.put(flow.Flow)
+		entry.lastSeen = toStamp(seen)
+	}
+	entry.lastSeen = max(entry.lastSeen, toStamp(seen))
+	entry.backend = flow.Backend
+	entry.openingID = flow.OpeningID
+	entry.flags = recordUsed
+	if flow.Backend == lb.NoBackend {
+		entry.flags |= recordRefused
+	}
+	if origin.confirmed {
+		entry.flags |= recordConfirmed
+		entry.confirmedAt = core.stamp
+	}
+	core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
+}
+
+// replaces tells whether the incoming record replaces this node's own.
+func (core *Core) replaces(bucket *bucket, entry *record, origin incoming) bool {
+	if !origin.confirmed {
+		return false
+	}
+	return origin.fromTail || !core.confirmed(bucket, entry)
+}
--- /dev/null
+++ b/internal/core/records.go
@@ -0,0 +1,175 @@
+package core
+
+import (
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// stamp is a time in units of stampUnit since the core's time zero; it wraps
+// after 497 days.
+type stamp uint32
+
+// recordFlags are the marks of a record. A slot with no mark is free.
+type recordFlags uint8
+
+const (
+	recordUsed recordFlags = 1 << iota
+	// recordConfirmed: a tail answered with this record.
+	recordConfirmed
+	// recordRefused: the opening was refused; the record is its tombstone.
+	recordRefused
+	// recordNotRun: the refusal's verdict was NotRun.
+	recordNotRun
+)
+
+// record places one flow on one back end (24 bytes).
+type record struct {
+	flow        lb.FlowID
+	openingID   uint32
+	lastSeen    stamp
+	confirmedAt stamp
+	backend     lb.BackendID
+	flags       recordFlags
+}
+
+func (entry *record) refused() bool { return entry.flags&recordRefused != 0 }
+
+// recordBytes is the size of a record in memory.
+const recordBytes = 24
+
+// smallestTable is the number of slots of a table with one record.
+const smallestTable = 4
+
+// flowTable is a hash table of records with open addressing and linear
+// probing. It holds no pointers, so the garbage collector does not scan it.
+// The zero value is empty.
+type flowTable struct {
+	slots []record
+	count int
+}
+
+// index gives the first slot to look at. The bucket is flow modulo
+// lb.BucketCount, so all bits are mixed again.
+func (table *flowTable) index(flow lb.FlowID) int {
+	const golden = 0x9e3779b97f4a7c15
+	mixed := uint64(flow) * golden
+	return int(mixed>>32) & (len(table.slots) - 1)
+}
+
+// get finds the record of the flow; nil if there is none. The pointer is valid
+// until the next put or remove.
+func (table *flowTable) get(flow lb.FlowID) *record {
+	if table == nil || table.count == 0 {
+		return nil
+	}
+	mask := len(table.slots) - 1
+	for slot := table.index(flow); ; slot = (slot + 1) & mask {
+		entry := &table.slots[slot]
+		if entry.flags == 0 {
+			return nil
+		}
+		if entry.flow == flow {
+			return entry
+		}
+	}
+}
+
+// put gives the record of the flow, a new one if there was none.
+func (table *flowTable) put(flow lb.FlowID) *record {
+	if entry := table.get(flow); entry != nil {
+		return entry
+	}
+	if 4*(table.count+1) > 3*len(table.slots) {
+		table.resize(max(smallestTable, 2*len(table.slots)))
+	}
+	table.count++
+	entry := table.freeSlot(flow)
+	*entry = record{flow: flow, flags: recordUsed}
+	return entry
+}
+
+func (table *flowTable) freeSlot(flow lb.FlowID) *record {
+	mask := len(table.slots) - 1
+	slot := table.index(flow)
+	for table.slots[slot].flags != 0 {
+		slot = (slot + 1) & mask
+	}
+	return &table.slots[slot]
+}
+
+func (table *flowTable) resize(size int) {
+	old := table.slots
+	table.slots = make([]record, size)
+	for index := range old {
+		if old[index].flags != 0 {
+			*table.freeSlot(old[index].flow) = old[index]
+		}
+	}
+}
+
+// removeAt frees a slot and moves the records after it that belong before it
+// (Knuth, The Art of Computer Programming, volume 3, section 6.4, algorithm R).
+func (table *flowTable) removeAt(slot int) {
+	mask := len(table.slots) - 1
+	table.count--
+	for next := (slot + 1) & mask; ; next = (next + 1) & mask {
+		entry := &table.slots[next]
+		if entry.flags == 0 {
+			break
+		}
+		distance := (next - table.index(entry.flow)) & mask
+		if distance >= (next-slot)&mask {
+			table.slots[slot] = *entry
+			slot = next
+		}
+	}
+	table.slots[slot] = record{}
+}
+
+// sweep removes the records that are over and gives the number of slots looked
+// at. A table that has become nearly empty is made smaller.
+func (table *flowTable) sweep(over func(*record) bool) int {
+	if table == nil {
+		return 0
+	}
+	looked := len(table.slots)
+	for slot := 0; slot < len(table.slots); {
+		entry := &table.slots[slot]
+		if entry.flags != 0 && over(entry) {
+			table.removeAt(slot)
+			continue // another record may have moved here
+		}
+		slot++
+	}
+	table.shrink()
+	return looked
+}
+
+func (table *flowTable) shrink() {
+	if table.count == 0 {
+		table.slots = nil
+		return
+	}
+	size := len(table.slots)
+	for size > smallestTable && 4*table.count < size {
+		size /= 2
+	}
+	if size < len(table.slots) {
+		table.resize(size)
+	}
+}
+
+// len counts the records.
+func (table *flowTable) len() int {
+	if table == nil {
+		return 0
+	}
+	return table.count
+}
+
+// bytes gives the memory held by the slots.
+func (table *flowTable) bytes() int {
+	if table == nil {
+		return 0
+	}
+	return len(table.slots) * recordBytes
+}
--- /dev/null
+++ b/internal/core/rules.go
@@ -0,0 +1,30 @@
+package core
+
+// rules switches single rules of the protocol off, so that tests can show that
+// the properties do not hold without them. The zero value has all rules on;
+// only tests set any. The names are those of docs/PROOFS.md and of spec/.
+type rules struct {
+	// noTailRecordWins: the tail takes the head's proposal even where it has a record.
+	noTailRecordWins bool
+	// noRecordBeforeForward: the tail forwards without recording the proposal.
+	noRecordBeforeForward bool
+	// noVouchBeforeNotRun: every refusal is called NotRun.
+	noVouchBeforeNotRun bool
+	// noRefusalRecord: refusals leave no tombstone.
+	noRefusalRecord bool
+	// noMonotoneVersion: placements are adopted whatever their version.
+	noMonotoneVersion bool
+	// noHandoverBeforeLeave: a leaving node hands over nothing.
+	noHandoverBeforeLeave bool
+	// noHandoverToJoined: a node that enters a chain is given nothing.
+	noHandoverToJoined bool
+	// noUnsureAfterPause: a node trusts its view after a pause.
+	noUnsureAfterPause bool
+	// noLastServiceCheck: the back end is not looked up again before the write.
+	noLastServiceCheck bool
+	// noRecordsInHistory: records in buckets with history end like others.
+	noRecordsInHistory bool
+	// noOpeningThroughChain: openings in buckets without motion and history
+	// are forwarded by the ingress.
+	noOpeningThroughChain bool
+}
--- /dev/null
+++ b/internal/core/tail.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// tail handles a packet that the head relayed with its proposal. The tail's
+// record wins over the proposal, unless it is unconfirmed and the proposal is not.
+func (current *turn) tail() {
+	relay := &current.packet.Relay
+	proposed := proposal{backend: relay.Proposal, refuse: relay.Refuse, known: relay.Known}
+	if current.opening() {
+		current.tailOpening(proposed)
+		return
+	}
+	current.tailLater(proposed)
+}
+
+// tailOpening handles an opening.
+func (current *turn) tailOpening(proposed proposal) {
+	entry := current.bucket.records.get(current.flow)
+	switch {
+	case entry == nil || current.core.off.noTailRecordWins:
+	case entry.openingID == current.packet.OpeningID:
+		proposed = current.prevailing(entry, proposed)
+	case entry.refused() || entry.backend == proposed.backend:
+	case current.active(entry.backend):
+		proposed = proposal{backend: entry.backend}
+	case current.maybePinned(entry):
+		current.refuse(lb.MayHaveRun, ReasonTupleReuse)
+		return
+	}
+	current.answer(proposed)
+}
+
+// tailLater handles a packet after the opening, or a UDP packet.
+func (current *turn) tailLater(proposed proposal) {
+	entry := current.bucket.records.get(current.flow)
+	if entry != nil && !current.core.off.noTailRecordWins {
+		proposed = current.prevailing(entry, proposed)
+	}
+	if proposed.refuse {
+		current.drop(ReasonStray)
+		return
+	}
+	current.answer(proposed)
+}
+
+// prevailing gives the record, or the proposal where that is the more certain.
+func (current *turn) prevailing(entry *record, proposed proposal) proposal {
+	recorded := current.proposalOf(entry)
+	if proposed.known && !recorded.known {
+		return proposed
+	}
+	return recorded
+}
+
+// answer records the tail's answer, tells the head of it, and carries it out.
+func (current *turn) answer(answer proposal) {
+	core, relay := current.core, &current.packet.Relay
+	current.conclude(answer, relay.Vouched)
+	head := current.bucket.chain.head
+	if head == nil || head == core.self {
+		return
+	}
+	entry := current.bucket.records.get(current.flow)
+	if entry == nil {
+		return
+	}
+	if answer.backend != relay.Proposal || answer.refuse != relay.Refuse {
+		core.handover.correct(current.service, head, entry)
+		return
+	}
+	if stateless(current.service.table, current.index) {
+		return // no later packet will ask the head
+	}
+	core.hints.add(core, hint{
+		to: head, service: current.service, confirm: true,
+		flow: entry.flow, backend: entry.backend, openingID: entry.openingID,
+	})
+}
+
+// conclude records the final answer and carries it out: on the tail, or on a
+// head without a tail.
+func (current *turn) conclude(answer proposal, vouched bool) {
+	verdict := lb.MayHaveRun
+	if answer.refuse && (vouched || current.core.vouches(current.service, current.bucket)) {
+		verdict = lb.NotRun
+	}
+	if answer.refuse && !current.opening() {
+		current.drop(ReasonStray)
+		return
+	}
+	current.keep(answer, true)
+	if answer.refuse {
+		current.refuse(verdict, current.refusalReason())
+		return
+	}
+	current.forward(answer.backend)
+}
+
+// keep records an answer. An opening replaces the opening id of the record;
+// later packets leave it as it is.
+func (current *turn) keep(answer proposal, confirmed bool) {
+	core := current.core
+	if core.off.noRecordBeforeForward || answer.refuse && core.off.noRefusalRecord {
+		return
+	}
+	entry := current.bucket.records.put(current.flow)
+	entry.backend = answer.backend
+	entry.lastSeen = core.stamp
+	entry.flags = recordUsed
+	if answer.refuse {
+		entry.flags |= recordRefused
+	}
+	if confirmed {
+		entry.flags |= recordConfirmed
+		entry.confirmedAt = core.stamp
+	}
+	if current.opening() {
+		entry.openingID = current.packet.OpeningID
+	}
+	core.handover.recorded(core, current.service, current.index, entry)
+}
+
+// confirmed tells whether a tail is known to have answered with the record
+// since this node last entered the chain or lost trust in its view.
+func (core *Core) confirmed(bucket *bucket, entry *record) bool {
+	if entry.flags&recordConfirmed == 0 {
+		return false
+	}
+	return entry.confirmedAt >= max(bucket.memberStamp, toStamp(core.sureSince))
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,118 @@
+// Package rendezvous ranks nodes by rendezvous (highest random weight) hashing
+// (Thaler and Ravishankar, IEEE/ACM Transactions on Networking 6(1), 1998).
+// Every node that knows the same nodes computes the same ranking, without
+// agreement: for the chains of buckets and for the watchers of the store.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// WatchersPerZone is the number of nodes in each zone that watch the store and
+// may publish placements.
+const WatchersPerZone = 2
+
+// watcherKey is the fixed key by which watchers are ranked.
+const watcherKey = "watchers"
+
+// Key is the hash of what is being placed on nodes.
+type Key uint64
+
+// Candidate is a node that may be chosen.
+type Candidate struct {
+	ID   lb.NodeID
+	Zone lb.Zone
+	Hash lb.NodeHash
+}
+
+// NewKey hashes a name.
+func NewKey(name string) Key { return Key(xxhash.Sum64String(name)) }
+
+// BucketKey gives the key of one bucket of a service whose name has the key service.
+func (service Key) BucketKey(bucket uint16) Key {
+	return Key(mix(uint64(service) + uint64(bucket)*0x9e3779b97f4a7c15))
+}
+
+// Score gives the node's weight for the key; the highest ranks first.
+func Score(key Key, node lb.NodeHash) uint64 { return mix(uint64(key) ^ uint64(node)) }
+
+// mix is the finalizer of splitmix64 (Steele, Lea and Flood, OOPSLA 2014).
+func mix(value uint64) uint64 {
+	value ^= value >> 30
+	value *= 0xbf58476d1ce4e5b9
+	value ^= value >> 27
+	value *= 0x94d049bb133111eb
+	return value ^ value>>31
+}
+
+// Before tells whether a ranks before b for the key. Equal scores are ranked by ID.
+func Before(key Key, a, b *Candidate) bool {
+	scoreA, scoreB := Score(key, a.Hash), Score(key, b.Hash)
+	if scoreA != scoreB {
+		return scoreA > scoreB
+	}
+	return a.ID < b.ID
+}
+
+// Chain gives the indexes of the head and the tail for the key: the first node,
+// and the first after it in another zone, or, with one zone, the second. An
+// absent one is -1.
+func Chain(key Key, nodes []Candidate) (head, tail int) {
+	head, tail = -1, -1
+	for index := range nodes {
+		if head < 0 || Before(key, &nodes[index], &nodes[head]) {
+			head = index
+		}
+	}
+	if head < 0 {
+		return head, tail
+	}
+	for index := range nodes {
+		if index != head && (tail < 0 || tailBefore(key, &nodes[head], &nodes[index], &nodes[tail])) {
+			tail = index
+		}
+	}
+	return head, tail
+}
+
+// tailBefore ranks a and b as tails after head: another zone first.
+func tailBefore(key Key, head, a, b *Candidate) bool {
+	otherA, otherB := a.Zone != head.Zone, b.Zone != head.Zone
+	if otherA != otherB {
+		return otherA
+	}
+	return Before(key, a, b)
+}
+
+// Watchers gives the nodes that watch the store: the first of each zone,
+// sorted by zone and rank. nodes is left as it is.
+func Watchers(nodes []Candidate) []Candidate {
+	key := NewKey(watcherKey)
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b Candidate) int {
+		if order := cmp.Compare(a.Zone, b.Zone); order != 0 {
+			return order
+		}
+		if Before(key, &a, &b) {
+			return -1
+		}
+		return 1
+	})
+	watchers := ranked[:0]
+	inZone := 0
+	for index, node := range ranked {
+		if index > 0 && node.Zone != watchers[len(watchers)-1].Zone {
+			inZone = 0
+		}
+		inZone++
+		if inZone <= WatchersPerZone {
+			watchers = append(watchers, node)
+		}
+	}
+	return watchers
+}
