--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -105,6 +105,7 @@
 	TypePing:       decodeAs[Ping],
 	TypePingAck:    decodeAs[PingAck],
 	TypePingReq:    decodeAs[PingReq],
+	TypeMembers:    decodeAs[Members],
 	TypeDigest:     decodeAs[Digest],
 	TypeWant:       decodeAs[Want],
 	TypePlacements: decodeAs[Placements],
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -20,6 +20,7 @@
 	TypePing       Type = "ping"
 	TypePingReq    Type = "ping_req"
 	TypePingAck    Type = "ping_ack"
+	TypeMembers    Type = "members"
 	TypeDigest     Type = "digest"
 	TypeWant       Type = "want"
 	TypePlacements Type = "placements"
@@ -94,19 +95,33 @@
 	Incarnation uint64      `json:"i"`
 }
 
-// Ping probes a member; PingAck answers it; PingReq asks a third node to probe.
+// Ping probes a member; PingAck answers it; PingReq asks a third node to
+// probe. A Ping of sequence zero only carries updates and is not answered.
 type Ping struct {
-	Sequence uint64         `json:"q"`
-	Updates  []MemberUpdate `json:"u,omitempty"`
+	Sequence    uint64         `json:"q"`
+	Incarnation uint64         `json:"i"` // the sender's own
+	Updates     []MemberUpdate `json:"u,omitempty"`
 	// Digest of the sender's placements, so that each probe is also anti-entropy.
 	Digest uint64 `json:"g,omitempty"`
+	// View is a hash of the members that the sender takes as alive.
+	View uint64 `json:"m,omitempty"`
+	// Full asks for all that the receiver knows of members, as Members.
+	Full bool `json:"f,omitempty"`
 }
 
 // PingAck answers a Ping.
 type PingAck struct {
-	Sequence uint64         `json:"q"`
-	Updates  []MemberUpdate `json:"u,omitempty"`
-	Digest   uint64         `json:"g,omitempty"`
+	Sequence    uint64         `json:"q"`
+	Incarnation uint64         `json:"i"` // the sender's own
+	Updates     []MemberUpdate `json:"u,omitempty"`
+	Digest      uint64         `json:"g,omitempty"`
+	View        uint64         `json:"m,omitempty"`
+}
+
+// Members is the sender's whole membership, for a node that joins or has
+// missed updates.
+type Members struct {
+	Updates []MemberUpdate `json:"u"`
 }
 
 // PingReq asks the receiver to probe Target on behalf of the sender.
@@ -201,6 +216,9 @@
 // MessageType names the message on the wire.
 func (PingReq) MessageType() Type { return TypePingReq }
 
+// MessageType names the message on the wire.
+func (Members) MessageType() Type { return TypeMembers }
+
 // MessageType names the message on the wire.
 func (Digest) MessageType() Type { return TypeDigest }
 
--- a/internal/message/validate.go
+++ b/internal/message/validate.go
@@ -12,6 +12,7 @@
 const (
 	MaxNameBytes  = 128
 	MaxUpdates    = 64
+	MaxMembers    = 8192
 	MaxFlows      = 4096
 	MaxGroups     = 256
 	MaxVersions   = 8192
@@ -34,9 +35,11 @@
 	case Clean:
 		return TypeClean, validateClean(message)
 	case Ping:
-		return TypePing, validateUpdates(TypePing, message.Updates)
+		return TypePing, validateUpdates(TypePing, message.Updates, MaxUpdates)
 	case PingAck:
-		return TypePingAck, validateUpdates(TypePingAck, message.Updates)
+		return TypePingAck, validateUpdates(TypePingAck, message.Updates, MaxUpdates)
+	case Members:
+		return TypeMembers, validateUpdates(TypeMembers, message.Updates, MaxMembers)
 	case PingReq:
 		return TypePingReq, validatePingReq(message)
 	case Digest:
@@ -86,11 +89,11 @@
 	if err := checkName(TypePingReq, "t", string(message.Target)); err != nil {
 		return err
 	}
-	return validateUpdates(TypePingReq, message.Updates)
+	return validateUpdates(TypePingReq, message.Updates, MaxUpdates)
 }
 
-func validateUpdates(kind Type, updates []MemberUpdate) error {
-	if err := checkCount(kind, "u", len(updates), MaxUpdates); err != nil {
+func validateUpdates(kind Type, updates []MemberUpdate, limit int) error {
+	if err := checkCount(kind, "u", len(updates), limit); err != nil {
 		return err
 	}
 	for index := range updates {
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -22,7 +22,7 @@
 	// ClassHint only saves hops; it is dropped when bytes are short.
 	ClassHint
 	// ClassBulk is a line too long for the burst, as in the snapshot of a
-	// starting node; it has a budget of its own.
+	// starting node (placements, members); it has a budget of its own.
 	ClassBulk
 	classCount
 )
