--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config_test
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +95,18 @@
 	is.True(err != nil)
 	is.Equal(err.Error(), `settings file "/no/such/file.yaml": open /no/such/file.yaml: no such file or directory`)
 }
+
+func TestSampleSettings(t *testing.T) {
+	is := is.New(t)
+	settings, err := config.Load("../../deploy/robinpulley.yaml", config.Overrides{})
+	is.NoErr(err)
+	is.Equal(string(settings.Node), "balancer-1")
+	text, err := os.ReadFile("../../deploy/robinpulley.yaml")
+	is.NoErr(err)
+	for _, path := range config.FieldNames() {
+		name := path[strings.LastIndex(path, ".")+1:]
+		if !strings.Contains(string(text), name+":") {
+			t.Errorf("the sample settings lack %s", path)
+		}
+	}
+}
