--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -14,7 +14,10 @@
 
 // commands are the subcommands of robinlab.
 type commands struct {
-	Store storeCommand `cmd:"" help:"Run the key-value service and machine list."`
+	Store  storeCommand  `cmd:"" help:"Run the key-value service and machine list."`
+	Fabric fabricCommand `cmd:"" help:"Run the fabric that sprays packets over the balancers."`
+	Host   hostCommand   `cmd:"" help:"Run one back-end host."`
+	Caller callerCommand `cmd:"" help:"Run the callers of one service."`
 }
 
 func main() {
--- a/cmd/robinlab/standins.go
+++ b/cmd/robinlab/standins.go
@@ -2,14 +2,22 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"robinpulley.example/robinpulley/internal/lab/callersim"
+	"robinpulley.example/robinpulley/internal/lab/fabricsim"
+	"robinpulley.example/robinpulley/internal/lab/hostsim"
 	"robinpulley.example/robinpulley/internal/lab/storesim"
+	"robinpulley.example/robinpulley/internal/lab/wire"
+	"robinpulley.example/robinpulley/internal/lb"
 )
 
 // headerTimeout bounds how long a client may take to send a request's header.
@@ -53,3 +61,189 @@
 	}
 	return serveHTTP(ctx, logger, command.Listen, storesim.NewServer(faults, command.Seed))
 }
+
+// tickInterval is the time between two ticks of hosts and callers.
+const tickInterval = 5 * time.Millisecond
+
+// listenUDP opens a socket that is closed when the context ends.
+func listenUDP(ctx context.Context, address string) (*net.UDPConn, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %q", address)
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(parsed))
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %q", address)
+	}
+	_ = socket.SetReadBuffer(socketBuffer) // the system may give less
+	go func() {
+		<-ctx.Done()
+		_ = socket.Close()
+	}()
+	return socket, nil
+}
+
+// socketBuffer is the receive buffer of a UDP socket, in bytes.
+const socketBuffer = 4 << 20
+
+// every calls step with the time until the context ends.
+func every(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			step(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fabricCommand runs the fabric.
+type fabricCommand struct {
+	Listen     string         `help:"UDP address for packets and refusals." default:"127.0.0.1:6081"`
+	Admin      string         `help:"HTTP address for counters and faults." default:"127.0.0.1:6082"`
+	Machines   string         `help:"URL of the machine list." required:""`
+	Seed       uint64         `help:"Seed of every random choice." default:"1"`
+	Loss       int            `help:"Packets lost, in thousandths."`
+	Duplicate  int            `help:"Packets sent twice, in thousandths."`
+	Reorder    int            `help:"Packets held back, in thousandths."`
+	ReorderUs  int            `help:"How long they are held back, in microseconds." default:"2000"`
+	LeavingMs  int            `help:"How long a leaving balancer still gets packets, in milliseconds." default:"1000"`
+	DelayUs    map[string]int `help:"Delay to the balancers of a zone, in microseconds: ZONE=N." mapsep:","`
+	PollMillis int            `help:"Time between reads of the machine list, in milliseconds." default:"200"`
+}
+
+// Run sprays until the process is told to stop.
+func (command *fabricCommand) Run(ctx context.Context, logger *zerolog.Logger) error {
+	socket, err := listenUDP(ctx, command.Listen)
+	if err != nil {
+		return err
+	}
+	faults := fabricsim.Faults{
+		Loss:          command.Loss,
+		Duplicate:     command.Duplicate,
+		Reorder:       command.Reorder,
+		ReorderMicros: command.ReorderUs,
+		LeavingMillis: command.LeavingMs,
+		DelayMicros:   map[lb.Zone]int{},
+	}
+	for zone, delay := range command.DelayUs {
+		faults.DelayMicros[lb.Zone(zone)] = delay
+	}
+	fabric := fabricsim.New(faults, command.Seed, wire.SocketSender(socket))
+	go wire.Serve(socket, fabric.Receive)
+	go every(ctx, time.Duration(command.PollMillis)*time.Millisecond, func(now time.Time) {
+		machines, err := fetchMachines(ctx, command.Machines)
+		if err != nil {
+			logger.Warn().Err(err).Msg("machine list not read")
+			return
+		}
+		fabric.SetMachines(now, machines)
+	})
+	return serveHTTP(ctx, logger, command.Admin, fabric.Handler())
+}
+
+func fetchMachines(ctx context.Context, url string) ([]storesim.Machine, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "machine list %q", url)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "machine list %q", url)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var machines []storesim.Machine
+	err = json.NewDecoder(response.Body).Decode(&machines)
+	return machines, errors.Wrapf(err, "machine list %q", url)
+}
+
+// hostCommand runs one back-end host.
+type hostCommand struct {
+	Name      string   `help:"Name in answers." required:""`
+	Service   string   `help:"Service in answers." required:""`
+	Frontends []string `help:"Virtual addresses that it serves." required:""`
+	Listen    string   `help:"UDP address for Geneve." required:""`
+	Admin     string   `help:"HTTP address for health, report and faults." required:""`
+	Slots     int      `help:"Requests served at once." default:"2"`
+	Queue     int      `help:"Requests waiting at most." default:"64"`
+	Conns     int      `help:"Flows at most." default:"2000"`
+	RequestMs int      `help:"Time of one request in a slot, in milliseconds." default:"5"`
+	ColdMs    int      `help:"Cold start, in milliseconds." default:"0"`
+	PushMs    int      `help:"Time between pushes on a feed, in milliseconds." default:"200"`
+	Seed      uint64   `help:"Seed of sequence numbers." default:"1"`
+}
+
+// Run serves until the process is told to stop.
+func (command *hostCommand) Run(ctx context.Context, logger *zerolog.Logger) error {
+	socket, err := listenUDP(ctx, command.Listen)
+	if err != nil {
+		return err
+	}
+	settings := hostsim.Settings{
+		Name: command.Name, Service: command.Service,
+		Slots: command.Slots, Queue: command.Queue, Conns: command.Conns,
+		ServiceTime: time.Duration(command.RequestMs) * time.Millisecond,
+		ColdStart:   time.Duration(command.ColdMs) * time.Millisecond,
+		PushEvery:   time.Duration(command.PushMs) * time.Millisecond,
+		Seed:        command.Seed,
+	}
+	for _, text := range command.Frontends {
+		frontend, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errors.Wrapf(err, "frontend %q", text)
+		}
+		settings.Frontends = append(settings.Frontends, frontend)
+	}
+	host := hostsim.New(time.Now(), settings, wire.SocketSender(socket))
+	go wire.Serve(socket, func(datagram []byte) { host.Receive(time.Now(), datagram) })
+	go every(ctx, tickInterval, host.Tick)
+	return serveHTTP(ctx, logger, command.Admin, host.Handler())
+}
+
+// callerCommand runs the callers of one service.
+type callerCommand struct {
+	Name        string        `help:"Begins each request id." default:"c"`
+	Service     string        `help:"Service that must answer." required:""`
+	Frontend    string        `help:"Virtual address of the service." required:""`
+	Fabric      string        `help:"UDP address of the fabric." required:""`
+	Listen      string        `help:"UDP address on 127.0.0.1 for answers." required:""`
+	Admin       string        `help:"HTTP address for the report." required:""`
+	Feeds       int           `help:"Feeds kept open."`
+	UDPFlows    int           `help:"UDP flows kept open." name:"udp-flows"`
+	TapRate     float64       `help:"Taps a second."`
+	UploadRate  float64       `help:"Uploads a second."`
+	UploadBytes int           `help:"Size of an upload in bytes." default:"50000"`
+	StallLimit  time.Duration `help:"An open flow without progress for this long is broken." default:"5s"`
+	OpenLimit   time.Duration `help:"An opening is given up after this long." default:"5s"`
+	Seed        uint64        `help:"Seed of every random choice." default:"1"`
+}
+
+// Run calls until the process is told to stop, then prints its report as one JSON line.
+func (command *callerCommand) Run(ctx context.Context, logger *zerolog.Logger) error {
+	frontend, err := netip.ParseAddrPort(command.Frontend)
+	if err != nil {
+		return errors.Wrapf(err, "frontend %q", command.Frontend)
+	}
+	fabric, err := netip.ParseAddrPort(command.Fabric)
+	if err != nil {
+		return errors.Wrapf(err, "fabric %q", command.Fabric)
+	}
+	socket, err := listenUDP(ctx, command.Listen)
+	if err != nil {
+		return err
+	}
+	caller := callersim.New(callersim.Settings{
+		Name: command.Name, Service: command.Service, Frontend: frontend, Fabric: fabric,
+		Port:  uint16(socket.LocalAddr().(*net.UDPAddr).Port),
+		Feeds: command.Feeds, UDPFlows: command.UDPFlows,
+		TapRate: command.TapRate, UploadRate: command.UploadRate, UploadBytes: command.UploadBytes,
+		StallLimit: command.StallLimit, OpenLimit: command.OpenLimit, Seed: command.Seed,
+	}, wire.SocketSender(socket))
+	go wire.Serve(socket, func(datagram []byte) { caller.Receive(time.Now(), datagram) })
+	go every(ctx, tickInterval, caller.Tick)
+	err = serveHTTP(ctx, logger, command.Admin, caller.Handler())
+	return errors.CombineErrors(err, json.NewEncoder(os.Stdout).Encode(caller.Report()))
+}
--- /dev/null
+++ b/internal/lab/stream/stream.go
@@ -0,0 +1,271 @@
+// Package stream is a small TCP endpoint for the stand-ins: opening with data
+// (as in TCP Fast Open, RFC 7413), cumulative acknowledgements, retransmission
+// with a fixed timer and in-order delivery. It has no congestion control.
+package stream
+
+import (
+	"net/netip"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lab/wire"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/packet"
+)
+
+// Limits of an endpoint.
+const (
+	MaxPayload       = 1000 // bytes in one segment
+	maxInFlight      = 32   // segments
+	retransmitDelay  = 200 * time.Millisecond
+	maxRetransmitted = 4 // segments sent again at once
+)
+
+// State is the state of an endpoint.
+type State uint8
+
+// The states of an endpoint.
+const (
+	Opening State = iota
+	Established
+	Reset // by the other end
+)
+
+// Endpoint is one end of a flow. Its methods give segments to Output.
+type Endpoint struct {
+	Local  netip.AddrPort
+	Remote netip.AddrPort
+	State  State
+	// Progress is when the other end last acknowledged or sent something new.
+	Progress time.Time
+
+	unacked  uint32 // sequence number of the first byte of pending
+	pending  []byte // not yet acknowledged
+	sent     int    // bytes of pending sent before
+	opening  bool   // our SYN is not acknowledged
+	closing  bool   // FIN follows pending
+	finSent  bool
+	finAcked bool
+
+	next      uint32 // next sequence number expected
+	early     map[uint32]packet.Segment
+	remoteFIN bool
+
+	active       bool // this end opened the flow
+	retransmitAt time.Time
+	output       []wire.Segment
+}
+
+// Dial opens a flow; data up to MaxPayload travels on the opening.
+func Dial(now time.Time, local, remote netip.AddrPort, initial uint32, data []byte) *Endpoint {
+	endpoint := newEndpoint(now, local, remote, initial)
+	endpoint.active = true
+	endpoint.pending = append(endpoint.pending, data...)
+	endpoint.sent = len(data)
+	endpoint.sendOpening(now)
+	return endpoint
+}
+
+// Accept answers an opening and delivers the data on it.
+func Accept(now time.Time, opening *wire.Segment, initial uint32) (*Endpoint, []byte) {
+	endpoint := newEndpoint(now, opening.Destination, opening.Source, initial)
+	endpoint.State = Established
+	endpoint.next = opening.Sequence + opening.Length()
+	endpoint.sendOpening(now)
+	return endpoint, opening.Payload
+}
+
+func newEndpoint(now time.Time, local, remote netip.AddrPort, initial uint32) *Endpoint {
+	return &Endpoint{
+		Local:    local,
+		Remote:   remote,
+		Progress: now,
+		unacked:  initial + 1,
+		opening:  true,
+		early:    map[uint32]packet.Segment{},
+	}
+}
+
+// Output gives the segments to send and forgets them.
+func (endpoint *Endpoint) Output() []wire.Segment {
+	output := endpoint.output
+	endpoint.output = nil
+	return output
+}
+
+// Send queues data behind what was sent before.
+func (endpoint *Endpoint) Send(now time.Time, data []byte) {
+	endpoint.pending = append(endpoint.pending, data...)
+	endpoint.flush(now)
+}
+
+// Close ends this direction after the data queued.
+func (endpoint *Endpoint) Close(now time.Time) {
+	endpoint.closing = true
+	endpoint.flush(now)
+}
+
+// Abort gives up the flow and tells the other end.
+func (endpoint *Endpoint) Abort() {
+	endpoint.emit(packet.FlagRST|packet.FlagACK, endpoint.unacked, nil)
+}
+
+// Idle tells whether everything sent is acknowledged.
+func (endpoint *Endpoint) Idle() bool {
+	return !endpoint.opening && len(endpoint.pending) == 0 && (!endpoint.closing || endpoint.finAcked)
+}
+
+// RemoteClosed tells whether the other end has sent all and closed.
+func (endpoint *Endpoint) RemoteClosed() bool { return endpoint.remoteFIN }
+
+// Finished tells whether both directions are closed and acknowledged.
+func (endpoint *Endpoint) Finished() bool { return endpoint.remoteFIN && endpoint.finAcked }
+
+// Receive takes one segment and gives the data that is now in order.
+func (endpoint *Endpoint) Receive(now time.Time, segment *packet.Segment) []byte {
+	if segment.Flags.Has(packet.FlagRST) {
+		endpoint.State = Reset
+		return nil
+	}
+	if segment.Flags.Has(packet.FlagSYN) && !endpoint.opening {
+		endpoint.acknowledge() // a retransmitted SYN, or SYN with ACK
+		return nil
+	}
+	if segment.Flags.Has(packet.FlagSYN) && endpoint.active {
+		if segment.Acknowledgement == endpoint.unacked-1 {
+			return nil
+		}
+		endpoint.State = Established
+		endpoint.next = segment.Sequence + 1
+	} else if segment.Flags.Has(packet.FlagSYN) {
+		endpoint.sendOpening(now) // our SYN with ACK was lost
+		return nil
+	}
+	if endpoint.State == Opening {
+		return nil
+	}
+	if segment.Flags.Has(packet.FlagACK) {
+		endpoint.acknowledged(now, segment.Acknowledgement)
+	}
+	var delivered []byte
+	if segment.Length() > 0 {
+		delivered = endpoint.accept(now, *segment)
+		endpoint.acknowledge()
+	}
+	endpoint.flush(now)
+	return delivered
+}
+
+// Tick retransmits what has waited too long.
+func (endpoint *Endpoint) Tick(now time.Time) {
+	if endpoint.State == Reset || endpoint.Idle() || now.Before(endpoint.retransmitAt) {
+		return
+	}
+	if endpoint.opening {
+		endpoint.sendOpening(now)
+		return
+	}
+	endpoint.retransmitAt = now.Add(retransmitDelay)
+	for i := 0; i < maxRetransmitted && i*MaxPayload < endpoint.sent; i++ {
+		endpoint.sendData(i*MaxPayload, endpoint.sent)
+	}
+	if endpoint.finSent && endpoint.sent <= maxRetransmitted*MaxPayload {
+		endpoint.sendFIN()
+	}
+}
+
+func (endpoint *Endpoint) sendOpening(now time.Time) {
+	endpoint.retransmitAt = now.Add(retransmitDelay)
+	if endpoint.active {
+		endpoint.emit(packet.FlagSYN, endpoint.unacked-1, endpoint.pending[:endpoint.sent])
+		return
+	}
+	endpoint.emit(packet.FlagSYN|packet.FlagACK, endpoint.unacked-1, nil)
+}
+
+// flush sends what is queued and fits the window.
+func (endpoint *Endpoint) flush(now time.Time) {
+	if endpoint.opening || endpoint.State != Established {
+		return
+	}
+	for endpoint.sent < len(endpoint.pending) && endpoint.sent < maxInFlight*MaxPayload {
+		endpoint.retransmitAt = now.Add(retransmitDelay)
+		endpoint.sent += endpoint.sendData(endpoint.sent, len(endpoint.pending))
+	}
+	if endpoint.closing && !endpoint.finSent && !endpoint.finAcked && endpoint.sent == len(endpoint.pending) {
+		endpoint.finSent = true
+		endpoint.retransmitAt = now.Add(retransmitDelay)
+		endpoint.sendFIN()
+	}
+}
+
+func (endpoint *Endpoint) sendData(from, end int) int {
+	data := endpoint.pending[from:min(from+MaxPayload, end)]
+	endpoint.emit(packet.FlagACK|packet.FlagPSH, endpoint.unacked+uint32(from), data)
+	return len(data)
+}
+
+func (endpoint *Endpoint) sendFIN() {
+	endpoint.emit(packet.FlagACK|packet.FlagFIN, endpoint.unacked+uint32(len(endpoint.pending)), nil)
+}
+
+func (endpoint *Endpoint) acknowledge() {
+	endpoint.emit(packet.FlagACK, endpoint.unacked+uint32(endpoint.sent), nil)
+}
+
+func (endpoint *Endpoint) emit(flags packet.TCPFlags, sequence uint32, data []byte) {
+	segment := wire.Segment{Source: endpoint.Local, Destination: endpoint.Remote, Protocol: lb.TCP}
+	segment.Flags = flags
+	segment.Sequence = sequence
+	segment.Acknowledgement = endpoint.next
+	segment.Payload = append([]byte(nil), data...)
+	endpoint.output = append(endpoint.output, segment)
+}
+
+// acknowledged takes a cumulative acknowledgement.
+func (endpoint *Endpoint) acknowledged(now time.Time, upTo uint32) {
+	advance := int(int32(upTo - endpoint.unacked))
+	limit := endpoint.sent
+	if endpoint.finSent {
+		limit++
+	}
+	if advance < 0 || advance > limit {
+		return
+	}
+	if endpoint.opening || advance > 0 {
+		endpoint.Progress = now
+		endpoint.retransmitAt = now.Add(retransmitDelay)
+	}
+	endpoint.opening = false
+	if endpoint.finSent && advance > len(endpoint.pending) {
+		endpoint.finAcked = true
+	}
+	bytes := min(advance, len(endpoint.pending))
+	endpoint.pending = endpoint.pending[bytes:]
+	endpoint.sent -= bytes
+	endpoint.unacked += uint32(bytes)
+	if endpoint.finAcked {
+		endpoint.unacked = upTo
+		endpoint.finSent = false
+	}
+}
+
+// accept keeps a segment and gives the data that is now in order.
+func (endpoint *Endpoint) accept(now time.Time, segment packet.Segment) []byte {
+	if int32(segment.Sequence-endpoint.next) >= 0 && !segment.Flags.Has(packet.FlagSYN) {
+		endpoint.early[segment.Sequence] = segment
+	}
+	var delivered []byte
+	for {
+		following, found := endpoint.early[endpoint.next]
+		if !found {
+			return delivered
+		}
+		delete(endpoint.early, endpoint.next)
+		endpoint.next += following.Length()
+		endpoint.Progress = now
+		delivered = append(delivered, following.Payload...)
+		if following.Flags.Has(packet.FlagFIN) {
+			endpoint.remoteFIN = true
+		}
+	}
+}
