--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -19,6 +19,8 @@
 	frozen   time.Duration // until when it is paused
 	view     int           // version of the membership it has
 	bytes    uint64        // control bytes sent
+	// resyncing: it distrusts its view and is being given what its peers have.
+	resyncing bool
 }
 
 // fabricDrain is how long a planned stop waits, after its hand-over, for
@@ -59,6 +61,29 @@
 	if run.effects.HandoverDone && node.leaving {
 		run.leaveLater(index)
 	}
+	if run.effects.Unsure && !node.resyncing {
+		node.resyncing = true
+		run.act(run.lag(), func() { run.resync(index) })
+	}
+}
+
+// resync gives a node that distrusts its view what its peers have.
+func (run *run) resync(index int32) {
+	node := run.nodes[index]
+	if !node.alive {
+		return
+	}
+	if node.frozen > run.queue.Now() {
+		run.queue.Add(node.frozen, event{kind: eventAction, action: func() { run.resync(index) }})
+		return
+	}
+	run.adoptMembers(index)
+	for _, service := range run.services {
+		run.adopt(index, service.document)
+	}
+	run.stepEvent.Contact = core.ContactRegained
+	run.step(index)
+	node.resyncing = false
 }
 
 func (run *run) sendMessage(from int32, outgoing core.Outgoing) {
