--- /dev/null
+++ b/internal/store/wire.go
@@ -0,0 +1,186 @@
+package store
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// integer is a 64-bit integer of the gateway: a string in JSON (proto3 JSON mapping).
+type integer int64
+
+// MarshalJSON writes the integer as a string.
+func (value integer) MarshalJSON() ([]byte, error) {
+	return []byte(strconv.Quote(strconv.FormatInt(int64(value), 10))), nil
+}
+
+// UnmarshalJSON reads the integer from a string or a number.
+func (value *integer) UnmarshalJSON(text []byte) error {
+	parsed, err := strconv.ParseInt(string(bytes.Trim(text, `"`)), 10, 64)
+	*value = integer(parsed)
+	return err
+}
+
+// Paths of the gateway.
+const (
+	pathRange     = "/v3/kv/range"
+	pathTxn       = "/v3/kv/txn"
+	pathGrant     = "/v3/lease/grant"
+	pathKeepAlive = "/v3/lease/keepalive"
+	pathRevoke    = "/v3/lease/revoke"
+	pathWatch     = "/v3/watch"
+)
+
+type wireHeader struct {
+	Revision integer `json:"revision"`
+}
+
+type wireKeyValue struct {
+	Key            []byte  `json:"key"`
+	Value          []byte  `json:"value"`
+	CreateRevision integer `json:"create_revision"`
+	ModRevision    integer `json:"mod_revision"`
+	Version        integer `json:"version"`
+	Lease          integer `json:"lease"`
+}
+
+func (kv *wireKeyValue) keyValue(revision int64) KeyValue {
+	return KeyValue{
+		Key:            string(kv.Key),
+		Value:          kv.Value,
+		CreateRevision: int64(kv.CreateRevision),
+		ModRevision:    int64(kv.ModRevision),
+		Version:        int64(kv.Version),
+		Lease:          LeaseID(kv.Lease),
+		ReadRevision:   revision,
+	}
+}
+
+type rangeRequest struct {
+	Key      []byte  `json:"key"`
+	RangeEnd []byte  `json:"range_end,omitempty"`
+	Limit    integer `json:"limit,omitempty"`
+}
+
+type rangeResponse struct {
+	Header    wireHeader     `json:"header"`
+	KeyValues []wireKeyValue `json:"kvs"`
+	More      bool           `json:"more"`
+}
+
+type putRequest struct {
+	Key   []byte  `json:"key"`
+	Value []byte  `json:"value"`
+	Lease integer `json:"lease,omitempty"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// Targets and results of conditions.
+const (
+	targetCreate = "CREATE"
+	targetMod    = "MOD"
+	resultEqual  = "EQUAL"
+)
+
+type compare struct {
+	Result         string   `json:"result"`
+	Target         string   `json:"target"`
+	Key            []byte   `json:"key"`
+	CreateRevision *integer `json:"create_revision,omitempty"`
+	ModRevision    *integer `json:"mod_revision,omitempty"`
+}
+
+type requestOp struct {
+	Range  *rangeRequest  `json:"request_range,omitempty"`
+	Put    *putRequest    `json:"request_put,omitempty"`
+	Delete *deleteRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare,omitempty"`
+	Success []requestOp `json:"success,omitempty"`
+	Failure []requestOp `json:"failure,omitempty"`
+}
+
+type responseOp struct {
+	Range *rangeResponse `json:"response_range"`
+}
+
+type txnResponse struct {
+	Header    wireHeader   `json:"header"`
+	Succeeded bool         `json:"succeeded"`
+	Responses []responseOp `json:"responses"`
+}
+
+type leaseRequest struct {
+	ID  integer `json:"ID,omitempty"`
+	TTL integer `json:"TTL,omitempty"`
+}
+
+type leaseResponse struct {
+	ID  integer `json:"ID"`
+	TTL integer `json:"TTL"`
+}
+
+type keepAliveResponse struct {
+	Result leaseResponse `json:"result"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchCreate struct {
+	Key            []byte  `json:"key"`
+	RangeEnd       []byte  `json:"range_end,omitempty"`
+	StartRevision  integer `json:"start_revision,omitempty"`
+	ProgressNotify bool    `json:"progress_notify,omitempty"`
+}
+
+const eventDelete = "DELETE"
+
+type wireEvent struct {
+	Type     string       `json:"type"` // "" or "PUT", or "DELETE"
+	KeyValue wireKeyValue `json:"kv"`
+}
+
+type watchResponse struct {
+	Header          wireHeader  `json:"header"`
+	Created         bool        `json:"created"`
+	Canceled        bool        `json:"canceled"`
+	CompactRevision integer     `json:"compact_revision"`
+	Events          []wireEvent `json:"events"`
+}
+
+// watchMessage is one message of a watch stream; Error ends the stream.
+type watchMessage struct {
+	Result watchResponse `json:"result"`
+	Error  *gatewayError `json:"error"`
+}
+
+// Codes of gRPC that are told apart.
+const (
+	codeResourceExhausted = 8
+	codeOutOfRange        = 11
+	codeUnavailable       = 14
+)
+
+type gatewayError struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// rangeEnd gives the end of the range of keys that begin with prefix: the
+// prefix with its last byte raised, as etcd's clients do.
+func rangeEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for index := len(end) - 1; index >= 0; index-- {
+		if end[index] < 0xff {
+			end[index]++
+			return end[:index+1]
+		}
+	}
+	return []byte{0} // all keys
+}
