--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -118,8 +118,12 @@
 	var names []string
 	for field := range structure.Fields() {
 		name := prefix + field.Tag.Get("yaml")
-		if field.Type.Kind() == reflect.Struct {
-			names = append(names, fieldNames(name+".", field.Type)...)
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			names = append(names, fieldNames(name+".", inner)...)
 			continue
 		}
 		names = append(names, name)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -24,6 +24,7 @@
 	EventFailed            Event = "failed"
 	EventPlacementAdopted  Event = "placement_adopted"
 	EventPlacementRejected Event = "placement_rejected"
+	EventDocumentRejected  Event = "document_rejected"
 	EventMemberChanged     Event = "member_changed"
 	EventContactChanged    Event = "contact_changed"
 	EventWatcherChanged    Event = "watcher_changed"
@@ -40,7 +41,7 @@
 	return []Event{
 		EventStarting, EventReady, EventNotReady, EventStopping, EventHandedOver, EventStopped,
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted, EventPlacementRejected,
-		EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
+		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
 		EventStoreWriteFailed, EventMachinesFailed, EventMessageRejected, EventFaultInjected,
 	}
 }
@@ -53,6 +54,7 @@
 	FieldService  = "service"
 	FieldVersion  = "version"
 	FieldPeer     = "peer"
+	FieldPeerZone = "peer_zone"
 	FieldState    = "state"
 	FieldReason   = "reason"
 	FieldAddress  = "address"
