Add the controller that publishes placements, and the weight policy

Cause: an accepted change must be in force within seconds and never revert, with any number of publishers, lost answers and a store that may lose data.

Change: internal/controller is a deterministic core: the store's documents, write results, members, reports of what is in force, of clean buckets and of load come in as events; writes, read-backs and the zone's report go out as effects. Safety rests on compare-and-swap and on never writing over a placement that reflects a later configuration than this node has seen; the order of publishers only saves writes. internal/weight turns reports and data path evidence into bounded weight steps.

Tests: go test -race ./internal/controller ./internal/weight passes.

--- /dev/null
+++ b/internal/controller/load.go
@@ -0,0 +1,202 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/placement"
+	"robinpulley.example/robinpulley/internal/weight"
+)
+
+// compareTargets orders targets by name and host.
+func compareTargets(a, b placement.Target) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), a.Host.Compare(b.Host))
+}
+
+// takeLoad takes in reports of health and load, and reconsiders the services
+// of back ends that do not answer.
+func (c *Controller) takeLoad(load *message.Load) {
+	for _, reported := range load.Backends {
+		services := c.serving[reported.Backend]
+		if len(services) == 0 {
+			continue
+		}
+		backend := c.backends[reported.Backend]
+		if backend == nil {
+			backend = new(weight.Backend)
+			c.backends[reported.Backend] = backend
+		}
+		backend.Observe(c.now, load.Zone, reported, &c.settings.Weights)
+		failing := backend.Unanswered(c.now, &c.settings.Weights)
+		for s := range services {
+			if failing {
+				c.reconsider(s)
+			} else {
+				c.background.put(s, max(c.now, s.weighedAt+c.settings.WeightInterval))
+			}
+		}
+	}
+}
+
+// failing gives the back ends that take flows and do not answer, up to the
+// number that may be marked as failed together.
+func (c *Controller) failing(s *service) []lb.BackendID {
+	if s.stored == nil || s.stored.Deleted || len(s.wanted.backends) == 0 {
+		return nil
+	}
+	room := weight.MaxFailed(len(s.wanted.backends)) - len(s.failures)
+	var ids []lb.BackendID
+	for _, wanted := range s.wanted.backends {
+		backend := c.backends[wanted.name]
+		if room <= len(ids) || backend == nil || !backend.Unanswered(c.now, &c.settings.Weights) {
+			continue
+		}
+		placed, found := findPlaced(s.stored, wanted)
+		if found && placed.State == lb.BackendActive && currentWeight(s.stored, placed.ID) != 0 {
+			ids = append(ids, placed.ID)
+		}
+	}
+	return ids
+}
+
+// mayReturn tells whether a failed back end may take flows again.
+func (c *Controller) mayReturn(s *service, placed lb.PlacedBackend) bool {
+	since := c.now
+	for _, known := range s.failures {
+		if known.id == placed.ID {
+			since = known.at
+		}
+	}
+	if c.now-since < c.settings.FailedHold {
+		return false
+	}
+	backend := c.backends[placed.Name]
+	if backend == nil {
+		return true
+	}
+	return !backend.Unanswered(c.now, &c.settings.Weights) && !backend.View(c.now, &c.settings.Weights).Unhealthy
+}
+
+// proposeWeights moves weights towards what health and load ask for: only at
+// the service's first publisher, by bounded steps, and within the budget of
+// moved buckets. It also looks again at failed back ends.
+func (c *Controller) proposeWeights(s *service) (proposal, bool) {
+	if s.stored.Deleted || c.rank(s) > 0 || !c.reflects(s) {
+		return proposal{}, false
+	}
+	due := s.weighedAt + c.settings.WeightInterval
+	if !c.needsWeighing(s) {
+		return proposal{}, false
+	}
+	if due > c.now {
+		return keep(s, KindWeights, due), true
+	}
+	s.weighedAt = c.now
+	targets, moved := c.affordableStep(s)
+	if targets == nil {
+		return keep(s, KindWeights, c.now+c.settings.WeightInterval), true
+	}
+	s.moveCredit -= moved * creditUnit
+	return keep(s, KindWeights, c.now, placement.Prepare(targets), commitUnlessMoving), true
+}
+
+// needsWeighing tells whether there is anything to weigh or to wait for.
+func (c *Controller) needsWeighing(s *service) bool {
+	if len(s.failures) != 0 {
+		return true
+	}
+	if len(s.wanted.backends) < 2 {
+		return false
+	}
+	for _, backend := range s.wanted.backends {
+		if c.backends[backend.name] != nil {
+			return true
+		}
+		placed, found := findPlaced(s.stored, backend)
+		if found && currentWeight(s.stored, placed.ID) < backend.weight {
+			return true
+		}
+	}
+	return false
+}
+
+// creditUnit is the credit of one moved bucket.
+const creditUnit = 1000
+
+// affordableStep gives the next weights and the number of buckets they move,
+// or nil when nothing is to change or the budget does not allow it yet. A step
+// that costs more than a minute's budget is made when the budget is whole, and
+// the budget then stays spent for longer.
+func (c *Controller) affordableStep(s *service) ([]placement.Target, int) {
+	c.accrueCredit(s)
+	targets := c.steppedTargets(s)
+	moved, changed := c.cost(s, targets)
+	if !changed {
+		return nil, 0
+	}
+	full := c.settings.MovedPerMinute * creditUnit
+	if moved*creditUnit > s.moveCredit && s.moveCredit < full {
+		return nil, 0
+	}
+	return targets, moved
+}
+
+// accrueCredit adds the budget of the time since it was last added.
+func (c *Controller) accrueCredit(s *service) {
+	full := c.settings.MovedPerMinute * creditUnit
+	elapsed := c.now - s.creditedAt
+	s.creditedAt = c.now
+	s.moveCredit = min(s.moveCredit+int(elapsed*time.Duration(full)/time.Minute), full)
+}
+
+// steppedTargets gives the current targets with the next weights.
+func (c *Controller) steppedTargets(s *service) []placement.Target {
+	targets := placement.Targets(s.stored, s.stored.Current)
+	shares := make([]weight.Share, len(targets))
+	operator := make([]uint16, len(targets))
+	for index, target := range targets {
+		operator[index] = s.operatorWeight(target)
+		shares[index].Factor = factorOf(target.Weight, operator[index])
+		if backend := c.backends[target.Name]; backend != nil {
+			shares[index].View = backend.View(c.now, &c.settings.Weights)
+		}
+	}
+	for index, factor := range weight.Step(shares, &c.settings.Weights) {
+		if factor != shares[index].Factor {
+			targets[index].Weight = scale(operator[index], factor)
+		}
+	}
+	return targets
+}
+
+// operatorWeight gives the operator's weight of a target, or its present one
+// when the operator's is not known.
+func (s *service) operatorWeight(target placement.Target) uint16 {
+	index := slices.IndexFunc(s.wanted.backends, func(backend wantedBackend) bool {
+		return backend.name == target.Name
+	})
+	if index < 0 {
+		return target.Weight
+	}
+	return s.wanted.backends[index].weight
+}
+
+// factorOf gives a weight's part of the operator's, in thousandths.
+func factorOf(present, operator uint16) uint16 {
+	return uint16(min(max(uint32(present)*weight.FullFactor/uint32(operator), 1), weight.FullFactor))
+}
+
+// cost counts the buckets that the targets would move.
+func (c *Controller) cost(s *service, targets []placement.Target) (moved int, changed bool) {
+	if slices.Equal(targets, placement.Targets(s.stored, s.stored.Current)) {
+		return 0, false
+	}
+	next, err := placement.Next(s.stored, placement.Stamp{WriteID: "estimate"}, placement.Prepare(targets))
+	if err != nil || !isPrepared(next) {
+		return 0, false
+	}
+	return placement.Moved(next, next.Current, len(next.Generations)-1), true
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/maglev"
 )
 
 // Targets gives the back ends of a generation, sorted by name. The index must
@@ -19,3 +20,12 @@
 	slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.Name, b.Name) })
 	return targets
 }
+
+// Moved counts the buckets on which two of the document's generations disagree.
+func Moved(document *lb.Placement, first, second int) int {
+	marks := disagreement([]*maglev.Table{
+		generationTable(document, document.Generations[first].Backends),
+		generationTable(document, document.Generations[second].Backends),
+	})
+	return marks.Count()
+}
--- /dev/null
+++ b/internal/weight/weight_test.go
@@ -0,0 +1,125 @@
+package weight_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/weight"
+)
+
+const fresh = weight.FullFactor
+
+func healthy(load uint32) weight.View { return weight.View{Freshness: fresh, Load: load} }
+
+func unhealthy() weight.View { return weight.View{Freshness: fresh, Unhealthy: true, Load: 100} }
+
+func repeat(shares []weight.Share, times int, settings *weight.Settings) []weight.Share {
+	for range times {
+		for index, factor := range weight.Step(shares, settings) {
+			shares[index].Factor = factor
+		}
+	}
+	return shares
+}
+
+func TestUnhealthyReportLeadsToTheFloorInBoundedSteps(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	shares := []weight.Share{{1000, healthy(100)}, {1000, healthy(100)}, {1000, unhealthy()}}
+	is.Equal(weight.Step(shares, &settings), []uint16{1000, 1000, 900})
+	shares = repeat(shares, 50, &settings)
+	is.Equal(shares[2].Factor, settings.UnhealthyFloor)
+}
+
+func TestMostUnhealthyKeepsServingAll(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	shares := []weight.Share{{1000, healthy(100)}, {1000, unhealthy()}, {1000, unhealthy()}}
+	shares = repeat(shares, 50, &settings)
+	for _, share := range shares {
+		is.Equal(share.Factor, uint16(1000))
+	}
+}
+
+func TestSlowStartReachesFullFactor(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	shares := []weight.Share{{1000, healthy(500)}, {settings.SlowStart, healthy(50)}}
+	is.Equal(weight.Step(shares, &settings)[1], settings.SlowStart+settings.MaxStep)
+	unprobed := repeat([]weight.Share{{1000, weight.View{}}, {settings.SlowStart, weight.View{}}}, 9, &settings)
+	is.Equal(unprobed[1].Factor, uint16(1000))
+}
+
+func TestLoadFollowsTheMeanDownToItsFloor(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	shares := []weight.Share{{1000, healthy(100)}, {1000, healthy(105)}, {1000, healthy(900)}}
+	next := weight.Step(shares, &settings)
+	is.Equal(next[2], uint16(900))
+	shares = repeat(shares, 50, &settings)
+	is.Equal(shares[2].Factor, settings.LoadFloor)
+}
+
+func TestOldReportsCountLessAndEnd(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	var backend weight.Backend
+	backend.Observe(0, "a", message.BackendLoad{Healthy: false, Load: 900}, &settings)
+	backend.Observe(settings.MaxAge/2, "b", message.BackendLoad{Healthy: true, Load: 100}, &settings)
+	view := backend.View(settings.MaxAge/2, &settings)
+	is.True(!view.Unhealthy) // the fresher report counts more
+	is.True(view.Load < 500)
+	backend.Observe(settings.MaxAge/2, "b", message.BackendLoad{Healthy: false, AgeMillis: 60000}, &settings)
+	is.True(!backend.View(settings.MaxAge/2, &settings).Unhealthy) // older than the zone's last
+	is.Equal(backend.View(settings.MaxAge*2, &settings), weight.View{})
+}
+
+// TestEvidenceOverrulesReports: a host that calls itself healthy but leaves openings unanswered has failed.
+func TestEvidenceOverrulesReports(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	var silent, lying weight.Backend
+	for second := range 5 {
+		now := time.Duration(second) * time.Second
+		silent.Observe(now, "a", message.BackendLoad{Healthy: true, Openings: 4, UnansweredOpenings: 4}, &settings)
+		lying.Observe(now, "a", message.BackendLoad{Healthy: false, Openings: 40, UnansweredOpenings: 1}, &settings)
+	}
+	is.True(silent.Unanswered(5*time.Second, &settings))
+	is.True(!lying.Unanswered(5*time.Second, &settings))
+	is.True(!silent.Unanswered(5*time.Minute, &settings)) // evidence fades
+	silent.Forgive()
+	is.True(!silent.Unanswered(5*time.Second, &settings))
+}
+
+func TestStepsAreBounded(t *testing.T) {
+	settings := weight.DefaultSettings()
+	rapid.Check(t, func(t *rapid.T) {
+		shares := make([]weight.Share, rapid.IntRange(1, 14).Draw(t, "count"))
+		for index := range shares {
+			shares[index] = weight.Share{
+				Factor: uint16(rapid.IntRange(1, 1000).Draw(t, "factor")),
+				View: weight.View{
+					Freshness: uint32(rapid.IntRange(0, 1000).Draw(t, "freshness")),
+					Unhealthy: rapid.Bool().Draw(t, "unhealthy"),
+					Load:      uint32(rapid.IntRange(0, 65535).Draw(t, "load")),
+				},
+			}
+		}
+		for index, factor := range weight.Step(shares, &settings) {
+			present := shares[index].Factor
+			if factor < 1 || factor > weight.FullFactor {
+				t.Fatalf("factor %d", factor)
+			}
+			if way := int(factor) - int(present); way > int(settings.MaxStep) || way < -int(settings.MaxStep) {
+				t.Fatalf("factor %d after %d", factor, present)
+			}
+			if factor < present && factor < settings.UnhealthyFloor {
+				t.Fatalf("factor %d after %d is below the floor", factor, present)
+			}
+		}
+	})
+}
