--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -40,7 +40,7 @@
 		AdminAddress:         checker.address("admin_address", raw.AdminAddress),
 		FabricReplyAddresses: checker.addresses("fabric_reply_addresses", raw.FabricReplyAddresses),
 		StoreEndpoints:       checker.endpoints("store_endpoints", raw.StoreEndpoints),
-		Seeds:                checker.seeds(raw.Seeds),
+		Seeds:                checker.addresses("seeds", raw.Seeds),
 		MachinesURL:          raw.MachinesURL,
 		LogLevel:             checker.logLevel("log_level", raw.LogLevel),
 		AllowFaultInjection:  raw.AllowFaultInjection,
@@ -118,25 +118,6 @@
 	return result
 }
 
-func (checker *checker) seeds(list []seedDocument) []Seed {
-	result := make([]Seed, len(list))
-	seen := map[string]bool{}
-	for index, raw := range list {
-		field := indexed("seeds", index)
-		result[index] = Seed{
-			Node:    lb.NodeID(checker.name(field+".node", raw.Node)),
-			Zone:    lb.Zone(checker.name(field+".zone", raw.Zone)),
-			Data:    checker.address(field+".data_address", raw.DataAddress),
-			Control: checker.address(field+".control_address", raw.ControlAddress),
-		}
-		if seen[raw.Node] {
-			checker.report(field+".node", raw.Node, "is a duplicate")
-		}
-		seen[raw.Node] = true
-	}
-	return result
-}
-
 func (checker *checker) endpoints(field string, values []string) []string {
 	if len(values) == 0 {
 		checker.report(field, "", "is missing")
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -15,22 +15,15 @@
 	FabricReplyAddresses []string `yaml:"fabric_reply_addresses"`
 	StoreEndpoints       []string `yaml:"store_endpoints"`
 	MachinesURL          string   `yaml:"machines_url"`
+	Seeds                []string `yaml:"seeds"`
 	LogLevel             string   `yaml:"log_level"`
 	AllowFaultInjection  bool     `yaml:"allow_fault_injection"`
 
-	Seeds   []seedDocument  `yaml:"seeds"`
 	Limits  limitsDocument  `yaml:"limits"`
 	Timings timingsDocument `yaml:"timings"`
 	Health  healthDocument  `yaml:"health"`
 }
 
-type seedDocument struct {
-	Node           string `yaml:"node"`
-	Zone           string `yaml:"zone"`
-	DataAddress    string `yaml:"data_address"`
-	ControlAddress string `yaml:"control_address"`
-}
-
 type limitsDocument struct {
 	ControlBytesPerSecond int `yaml:"control_bytes_per_second"`
 	PinBytesPerSecond     int `yaml:"pin_bytes_per_second"`
@@ -110,6 +103,7 @@
 	overrideText(&raw.LogLevel, flags.LogLevel)
 	overrideList(&raw.FabricReplyAddresses, flags.FabricReply)
 	overrideList(&raw.StoreEndpoints, flags.StoreEndpoints)
+	overrideList(&raw.Seeds, flags.Seeds)
 	if flags.AllowFaultInjection {
 		raw.AllowFaultInjection = true
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -30,8 +30,8 @@
 	StoreEndpoints []string
 	// MachinesURL is the platform's list of live and leaving machines; empty: none.
 	MachinesURL string
-	// Seeds are peers to ask first, besides those of the machine list.
-	Seeds []Seed
+	// Seeds are control addresses of peers to ask first.
+	Seeds []netip.AddrPort
 
 	LogLevel            string
 	AllowFaultInjection bool
@@ -41,14 +41,6 @@
 	Health  Health
 }
 
-// Seed is a peer known beforehand.
-type Seed struct {
-	Node    lb.NodeID
-	Zone    lb.Zone
-	Control netip.AddrPort
-	Data    netip.AddrPort
-}
-
 // Limits bound what the balancer sends.
 type Limits struct {
 	// ControlBytesPerSecond bounds all messages to peers.
@@ -96,6 +88,7 @@
 	FabricReply         []string
 	StoreEndpoints      []string
 	MachinesURL         string
+	Seeds               []string
 	LogLevel            string
 	AllowFaultInjection bool
 }
