Wire the balancer: core, data plane, membership, publisher and store

One engine owns the deterministic parts under one lock; the store's watch, its requests, the machine list and the admin endpoint run beside it.

--- /dev/null
+++ b/cmd/robinpulley/commands.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/node"
+)
+
+// runCommand runs a balancer. Its flags override the settings file.
+type runCommand struct {
+	Config              string   `help:"Settings file (YAML)." type:"path" placeholder:"FILE"`
+	Node                string   `help:"Name of this node." placeholder:"NAME"`
+	Zone                string   `help:"Zone of this node." placeholder:"ZONE"`
+	Region              string   `help:"Region of this node." placeholder:"REGION"`
+	DataAddress         string   `help:"IP and port for Geneve over UDP." placeholder:"IP:PORT"`
+	ControlAddress      string   `help:"IP and port for peers, UDP and TCP." placeholder:"IP:PORT"`
+	AdminAddress        string   `help:"IP and port for metrics and health." placeholder:"IP:PORT"`
+	FabricReply         []string `help:"Fabric endpoints that take refusals." placeholder:"IP:PORT"`
+	StoreEndpoint       []string `help:"Base URLs of the store." placeholder:"URL"`
+	MachinesURL         string   `help:"URL of the platform's machine list." placeholder:"URL"`
+	Seed                []string `help:"Control addresses of peers." placeholder:"IP:PORT"`
+	LogLevel            string   `help:"debug, info, warn or error." placeholder:"LEVEL"`
+	AllowFaultInjection bool     `help:"Accept faults on the admin address; for tests only."`
+}
+
+func (command *runCommand) overrides() config.Overrides {
+	return config.Overrides{
+		Node:                command.Node,
+		Zone:                command.Zone,
+		Region:              command.Region,
+		DataAddress:         command.DataAddress,
+		ControlAddress:      command.ControlAddress,
+		AdminAddress:        command.AdminAddress,
+		FabricReply:         command.FabricReply,
+		StoreEndpoints:      command.StoreEndpoint,
+		MachinesURL:         command.MachinesURL,
+		Seeds:               command.Seed,
+		LogLevel:            command.LogLevel,
+		AllowFaultInjection: command.AllowFaultInjection,
+	}
+}
+
+// Run runs the balancer: the first signal begins a planned stop, the second
+// ends it at once.
+func (command *runCommand) Run() error {
+	settings, err := config.Load(command.Config, command.overrides())
+	if err != nil {
+		return err
+	}
+	logger, err := logging.New(os.Stdout, settings.LogLevel, string(settings.Node), string(settings.Zone))
+	if err != nil {
+		return err
+	}
+	balancer, err := node.New(settings, logger)
+	if err != nil {
+		return err
+	}
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		balancer.Stop()
+		<-signals
+		cancel()
+	}()
+	return balancer.Run(running)
+}
+
+// checkCommand checks a settings file.
+type checkCommand struct {
+	File string `arg:"" help:"Settings file (YAML)." type:"path"`
+}
+
+// Run prints the problems of the file, or that there are none.
+func (command *checkCommand) Run() error {
+	if _, err := config.Load(command.File, config.Overrides{}); err != nil {
+		return err
+	}
+	fmt.Printf("%s: no problems\n", command.File)
+	return nil
+}
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// Run prints the version that the Go toolchain recorded in the binary.
+func (*versionCommand) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	fmt.Println("robinpulley", version)
+	return nil
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -38,7 +38,7 @@
 		DataAddress:          checker.address("data_address", raw.DataAddress),
 		ControlAddress:       checker.address("control_address", raw.ControlAddress),
 		AdminAddress:         checker.address("admin_address", raw.AdminAddress),
-		FabricReplyAddresses: checker.addresses("fabric_reply_addresses", raw.FabricReplyAddresses),
+		FabricReplyAddresses: checker.required("fabric_reply_addresses", raw.FabricReplyAddresses),
 		StoreEndpoints:       checker.endpoints("store_endpoints", raw.StoreEndpoints),
 		Seeds:                checker.addresses("seeds", raw.Seeds),
 		MachinesURL:          raw.MachinesURL,
@@ -118,6 +118,14 @@
 	return result
 }
 
+// required checks a list of addresses that may not be empty.
+func (checker *checker) required(field string, values []string) []netip.AddrPort {
+	if len(values) == 0 {
+		checker.report(field, "", "is missing")
+	}
+	return checker.addresses(field, values)
+}
+
 func (checker *checker) endpoints(field string, values []string) []string {
 	if len(values) == 0 {
 		checker.report(field, "", "is missing")
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -23,7 +23,6 @@
 	// AdminAddress serves metrics, health and debugging over HTTP.
 	AdminAddress netip.AddrPort
 	// FabricReplyAddresses are the fabric's endpoints that take refusals.
-	// Empty: a refusal goes back to where the packet came from.
 	FabricReplyAddresses []netip.AddrPort
 
 	// StoreEndpoints are base URLs of the store's JSON gateway.
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/member"
+)
+
+// adminHeaderTimeout bounds how long a client may take for its request header.
+const adminHeaderTimeout = 5 * time.Second
+
+// serveAdmin serves metrics, health and debugging until the node is closed.
+func (node *Node) serveAdmin() {
+	node.admin = &http.Server{Handler: node.adminRoutes(), ReadHeaderTimeout: adminHeaderTimeout}
+	node.background.Go(func() {
+		err := node.admin.Serve(node.adminListener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
+		}
+	})
+}
+
+func (node *Node) adminRoutes() *http.ServeMux {
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /healthz", func(response http.ResponseWriter, _ *http.Request) {
+		response.WriteHeader(http.StatusOK)
+	})
+	routes.HandleFunc("GET /readyz", node.serveReady)
+	routes.Handle("GET /metrics", promhttp.HandlerFor(node.registry(), promhttp.HandlerOpts{}))
+	if node.settings.AllowFaultInjection {
+		routes.HandleFunc("POST /debug/cut", node.serveCut)
+	}
+	routes.HandleFunc("GET /debug/state", node.serveState)
+	return routes
+}
+
+// registry holds the metrics of this node and of its process.
+func (node *Node) registry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collector{node},
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+// serveReady answers 200 when the node may be sent packets. Before it has
+// placements, and from the beginning of its planned stop, it answers 503.
+func (node *Node) serveReady(response http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-node.stopping:
+		http.Error(response, "stopping", http.StatusServiceUnavailable)
+		return
+	default:
+	}
+	if !node.ready.Load() {
+		http.Error(response, "no placements yet", http.StatusServiceUnavailable)
+		return
+	}
+	response.WriteHeader(http.StatusOK)
+}
+
+// DebugState is what /debug/state shows.
+type DebugState struct {
+	Node    lb.NodeID                     `json:"node"`
+	Zone    lb.Zone                       `json:"zone"`
+	Ready   bool                          `json:"ready"`
+	Core    core.State                    `json:"core"`
+	Members []member.Member               `json:"members"`
+	Version map[lb.ServiceName]lb.Version `json:"versions"`
+}
+
+// State gives what the node knows, for debugging.
+func (node *Node) State() DebugState {
+	state := node.engine.state()
+	state.Node = node.settings.Node
+	state.Zone = node.settings.Zone
+	state.Ready = node.ready.Load()
+	state.Members = node.directory.list()
+	return state
+}
+
+func (node *Node) serveState(response http.ResponseWriter, _ *http.Request) {
+	response.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(response)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(node.State()) // a caller that has gone needs no answer
+}
+
+// state fills in what the engine knows.
+func (engine *engine) state() DebugState {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	versions := make(map[lb.ServiceName]lb.Version, len(engine.placements))
+	for name, placement := range engine.placements {
+		versions[name] = placement.Version
+	}
+	return DebugState{Core: engine.core.State(), Version: versions}
+}
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/member"
+)
+
+// buildEngine makes the deterministic parts from the settings.
+func (node *Node) buildEngine() error {
+	started := time.Now()
+	settings := node.settings
+	incarnation := uint64(started.UnixMilli())
+	membership, err := member.New(memberSettings(settings, incarnation))
+	if err != nil {
+		return err
+	}
+	node.engine = &engine{
+		settings:       settings,
+		logger:         node.logger,
+		clock:          func() time.Duration { return time.Since(started) },
+		transmit:       node.transmit,
+		directory:      &node.directory,
+		core:           core.New(coreSettings(settings)),
+		member:         membership,
+		controller:     controller.New(controllerSettings(settings, incarnation)),
+		work:           newStoreQueue(),
+		placements:     map[lb.ServiceName]*lb.Placement{},
+		watcherChanged: make(chan struct{}, 1),
+	}
+	return nil
+}
+
+// coreSettings turns the settings of the node into those of the core.
+func coreSettings(settings *config.Settings) core.Settings {
+	result := core.DefaultSettings(settings.Node, settings.Zone)
+	result.OpeningHold = settings.Timings.OpeningHold
+	result.IdleTimeout = settings.Timings.IdleTimeout
+	result.PinLifetime = settings.Timings.PinLifetime
+	result.PauseLimit = settings.Timings.PauseLimit
+	result.RetryAfter = settings.Timings.RetryAfter
+	result.PinBytesPerSecond = settings.Limits.PinBytesPerSecond
+	result.HandoverBytesPerSecond = settings.Limits.PinBytesPerSecond
+	return result
+}
+
+// memberSettings turns the settings of the node into those of the membership.
+func memberSettings(settings *config.Settings, incarnation uint64) member.Settings {
+	self := member.Machine{
+		ID:      settings.Node,
+		Zone:    settings.Zone,
+		Control: settings.ControlAddress,
+		Data:    settings.DataAddress,
+	}
+	return member.DefaultSettings(self, incarnation, incarnation)
+}
+
+// controllerSettings turns the settings of the node into those of the publisher.
+func controllerSettings(settings *config.Settings, incarnation uint64) controller.Settings {
+	result := controller.DefaultSettings(settings.Node, settings.Zone, strconv.FormatUint(incarnation, 36))
+	result.IdleTimeout = settings.Timings.IdleTimeout
+	result.PrepareLimit = settings.Timings.PrepareLimit
+	return result
+}
--- /dev/null
+++ b/internal/node/engine.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/member"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// engine owns the deterministic parts of a node. One lock guards them all:
+// every input takes it, steps the parts it concerns and carries out their
+// effects, none of which blocks.
+type engine struct {
+	settings  *config.Settings
+	logger    zerolog.Logger
+	clock     func() time.Duration // since the start of the process, monotonic
+	transmit  transmitter
+	directory *directory
+
+	mutex sync.Mutex
+	last  time.Duration // of the last step
+	// local holds messages of this node to itself, taken at the end of each input.
+	local []message.Message
+
+	core        *core.Core
+	coreEffects core.Effects
+	handedOver  bool
+
+	member        *member.Core
+	memberEffects member.Effects
+
+	controller        *controller.Controller
+	controllerEffects controller.Effects
+	work              *storeQueue
+	storeUp           bool
+
+	// placements holds the highest version known of each service.
+	placements map[lb.ServiceName]*lb.Placement
+
+	watcher        bool          // this node watches the store
+	watcherChanged chan struct{} // has one element after a change
+}
+
+// now gives the time of a step: it never goes back.
+func (engine *engine) now() time.Duration {
+	engine.last = max(engine.last, engine.clock())
+	return engine.last
+}
+
+// input runs one input under the lock, and what it made this node tell itself.
+func (engine *engine) input(run func()) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	run()
+	engine.takeLocal()
+}
+
+func (engine *engine) takeLocal() {
+	for len(engine.local) > 0 {
+		next := engine.local[0]
+		engine.local = engine.local[1:]
+		engine.route(incoming{from: engine.settings.Node, address: engine.settings.ControlAddress, message: next})
+	}
+}
+
+// decide is asked for each packet by the data plane.
+func (engine *engine) decide(packet *core.Packet) core.Decision {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.coreStep(&core.Event{Packet: packet})
+	return engine.coreEffects.Decision
+}
+
+// coreStep gives one event to the core and sends the messages it asks for.
+func (engine *engine) coreStep(event *core.Event) {
+	engine.core.Step(engine.now(), event, &engine.coreEffects)
+	for _, outgoing := range engine.coreEffects.Messages {
+		engine.send(outgoing.To, outgoing.Message)
+	}
+	engine.handedOver = engine.coreEffects.HandoverDone
+}
+
+// tick drives everything that is due without input.
+func (engine *engine) tick(circuitClosed bool) {
+	engine.input(func() {
+		engine.memberStep(&member.Event{})
+		engine.coreStep(&core.Event{Tick: true})
+		engine.noteStore(circuitClosed)
+		engine.controllerStep(&controller.Event{Tick: true})
+	})
+}
+
+// receive takes one message from a peer.
+func (engine *engine) receive(from incoming) {
+	engine.input(func() { engine.route(from) })
+}
+
+// leave begins the planned stop.
+func (engine *engine) leave() {
+	engine.input(func() {
+		engine.memberStep(&member.Event{Leave: true})
+		engine.coreStep(&core.Event{Leave: true})
+	})
+}
+
+// end tells the others that this node ends now.
+func (engine *engine) end() {
+	engine.input(func() { engine.memberStep(&member.Event{Stop: true}) })
+}
+
+// handoverDone tells whether every record has been handed over.
+func (engine *engine) handoverDone() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.handedOver
+}
+
+// adopt takes a placement from the store or a peer; a version that is not
+// higher than the known one is ignored.
+func (engine *engine) adopt(placement *lb.Placement) {
+	known := engine.placements[placement.Service]
+	if known != nil && known.Version >= placement.Version {
+		return
+	}
+	engine.placements[placement.Service] = placement
+	engine.coreStep(&core.Event{Placement: placement})
+	engine.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventPlacementAdopted)).
+		Str(logging.FieldService, string(placement.Service)).
+		Uint64(logging.FieldVersion, uint64(placement.Version)).
+		Send()
+}
--- /dev/null
+++ b/internal/node/machinelist.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/machines"
+	"robinpulley.example/robinpulley/internal/member"
+)
+
+// Reading of the machine list.
+const (
+	machinesInterval = 2 * time.Second
+	machinesTimeout  = time.Second
+)
+
+// followMachines reads the platform's machine list until ctx ends.
+func (node *Node) followMachines(ctx context.Context) {
+	client := &http.Client{Timeout: machinesTimeout}
+	ticker := time.NewTicker(machinesInterval)
+	defer ticker.Stop()
+	for {
+		node.readMachines(ctx, client)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (node *Node) readMachines(ctx context.Context, client *http.Client) {
+	list, err := machines.Fetch(ctx, client, node.settings.MachinesURL)
+	if err != nil {
+		node.logger.Warn().Err(err).Str(logging.FieldEvent, string(logging.EventMachinesFailed)).Send()
+		return
+	}
+	node.takeMachines(list)
+}
+
+func (node *Node) takeMachines(list []machines.Machine) {
+	known := memberMachines(list)
+	node.cuts.learn(known)
+	node.engine.setMachines(known)
+}
+
+// memberMachines gives the platform's machines in the form of the membership.
+// It leaves out machines on their way out.
+func memberMachines(list []machines.Machine) []member.Machine {
+	result := make([]member.Machine, 0, len(list))
+	for _, machine := range list {
+		if machine.Leaving {
+			continue
+		}
+		result = append(result, member.Machine{
+			ID: machine.Node, Zone: machine.Zone, Control: machine.Control, Data: machine.Data,
+		})
+	}
+	return result
+}
--- /dev/null
+++ b/internal/node/membership.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/member"
+	"robinpulley.example/robinpulley/internal/rendezvous"
+)
+
+// memberStep gives one event to the membership, and a changed view to the rest.
+func (engine *engine) memberStep(event *member.Event) {
+	engine.member.Step(engine.now(), event, &engine.memberEffects)
+	for _, outgoing := range engine.memberEffects.Messages {
+		engine.transmit(outgoing.Address, outgoing.Message)
+	}
+	if engine.memberEffects.Changed {
+		engine.takeMembers(engine.member.Members(nil))
+	}
+}
+
+// takeMembers tells every part of a new view.
+func (engine *engine) takeMembers(members []member.Member) {
+	engine.logMembers(members)
+	engine.directory.set(members)
+	list := coreMembers(members)
+	engine.coreStep(&core.Event{Members: list})
+	engine.controllerStep(&controller.Event{Members: list})
+	engine.setWatcher(isWatcher(engine.settings.Node, members))
+}
+
+// coreMembers gives the members in the form of the core.
+func coreMembers(members []member.Member) []core.Member {
+	list := make([]core.Member, len(members))
+	for index, entry := range members {
+		list[index] = core.Member{ID: entry.ID, Zone: entry.Zone, Leaving: entry.Leaving}
+	}
+	return list
+}
+
+// isWatcher tells whether self is one of the nodes that watch the store.
+func isWatcher(self lb.NodeID, members []member.Member) bool {
+	var staying []rendezvous.Candidate
+	for _, entry := range members {
+		if !entry.Leaving {
+			staying = append(staying, rendezvous.Candidate{ID: entry.ID, Zone: entry.Zone, Hash: entry.ID.Hash()})
+		}
+	}
+	for _, watcher := range rendezvous.Watchers(staying) {
+		if watcher.ID == self {
+			return true
+		}
+	}
+	return false
+}
+
+func (engine *engine) setWatcher(watcher bool) {
+	if engine.watcher == watcher {
+		return
+	}
+	engine.watcher = watcher
+	select {
+	case engine.watcherChanged <- struct{}{}:
+	default: // a change is to be seen already
+	}
+}
+
+// isWatcher tells whether this node is to watch the store.
+func (engine *engine) isWatcher() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.watcher
+}
+
+// setMachines takes the platform's list of machines.
+func (engine *engine) setMachines(list []member.Machine) {
+	engine.input(func() { engine.memberStep(&member.Event{Machines: list}) })
+}
+
+// logMembers logs who came, went or changed its state.
+func (engine *engine) logMembers(members []member.Member) {
+	present := make(map[lb.NodeID]bool, len(members))
+	for _, entry := range members {
+		present[entry.ID] = true
+		known, found := engine.directory.member(entry.ID)
+		if !found || known.Leaving != entry.Leaving {
+			engine.logMember(&entry, stateOf(&entry))
+		}
+	}
+	for _, entry := range engine.directory.list() {
+		if !present[entry.ID] {
+			engine.logMember(&entry, "gone")
+		}
+	}
+}
+
+// stateOf names the state of a member in logs and metrics.
+func stateOf(entry *member.Member) string {
+	if entry.Leaving {
+		return "leaving"
+	}
+	return "alive"
+}
+
+func (engine *engine) logMember(entry *member.Member, state string) {
+	engine.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventMemberChanged)).
+		Str(logging.FieldPeer, string(entry.ID)).
+		Str(logging.FieldPeerZone, string(entry.Zone)).
+		Str(logging.FieldState, state).
+		Send()
+}
--- /dev/null
+++ b/internal/node/messages.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"net/netip"
+
+	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/member"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// transmitter sends a message to a control address without blocking.
+type transmitter func(to netip.AddrPort, outgoing message.Message)
+
+// incoming is one message from a peer, or from this node to itself.
+type incoming struct {
+	from    lb.NodeID
+	address netip.AddrPort // invalid when it came by TCP from an unknown sender
+	message message.Message
+}
+
+// route gives a message to the part that it concerns.
+func (engine *engine) route(incoming incoming) {
+	switch body := incoming.message.(type) {
+	case message.Ping, message.PingAck, message.PingReq, message.Members:
+		engine.memberStep(&member.Event{Peer: &member.PeerEvent{
+			From: incoming.from, Address: incoming.address, Message: body,
+		}})
+	case message.Clean:
+		engine.controllerStep(&controller.Event{Clean: &controller.CleanReport{From: incoming.from, Clean: body}})
+	case message.Load:
+		engine.controllerStep(&controller.Event{Load: &body})
+	case message.InForce:
+		engine.controllerStep(&controller.Event{InForce: &body})
+	default: // Pins, Records, RecordsAck
+		engine.coreStep(&core.Event{Peer: &core.PeerEvent{From: incoming.from, Message: body}})
+	}
+}
+
+// send passes a message to a node, which may be this one.
+func (engine *engine) send(to lb.NodeID, outgoing message.Message) {
+	if to == engine.settings.Node {
+		engine.local = append(engine.local, outgoing)
+		return
+	}
+	address, found := engine.member.Resolve(to)
+	if found {
+		engine.transmit(address, outgoing)
+	}
+}
--- /dev/null
+++ b/internal/node/plane.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"net/netip"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"robinpulley.example/robinpulley/internal/dataplane"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/packet"
+)
+
+// planeOptions gives the data plane what it needs of this node.
+func (node *Node) planeOptions() dataplane.Options {
+	return dataplane.Options{
+		Listen:      node.settings.DataAddress,
+		Decide:      node.engine.decide,
+		PeerAddress: node.peerAddress,
+		ReplyTo:     node.settings.FabricReplyAddresses,
+	}
+}
+
+// peerAddress gives the Geneve endpoint of a member that is not cut off.
+func (node *Node) peerAddress(id lb.NodeID) (netip.AddrPort, bool) {
+	address, found := node.directory.data(id)
+	return address, found && !node.cuts.blocks(address)
+}
+
+// fabricPackets counts the packets that the fabric has sent to this node.
+func (node *Node) fabricPackets() uint64 { return node.plane.Counters().FromFabric }
+
+// The metrics of the data plane.
+var (
+	metricReceived = newMetric(prometheus.CounterValue, "received_packets_total",
+		"Well-formed packets received, by source (fabric, peer).", "source")
+	metricReceivedBytes = newMetric(prometheus.CounterValue, "received_bytes_total",
+		"Bytes of datagrams received on the data address.")
+	metricSent = newMetric(prometheus.CounterValue, "sent_packets_total",
+		"Packets handed to the socket, by action (forward, relay, refuse).", "action")
+	metricMalformed = newMetric(prometheus.CounterValue, "malformed_packets_total",
+		"Datagrams dropped because they are malformed, by cause.", "cause")
+	metricUnsent = newMetric(prometheus.CounterValue, "unsent_packets_total",
+		"Packets that could not be sent, by cause (unanswered, unknown_peer, unsendable, loop).", "cause")
+	metricSocketErrors = newMetric(prometheus.CounterValue, "socket_errors_total",
+		"Errors of the data socket, by direction (read, write).", "direction")
+)
+
+func (output sampler) plane(node *Node) {
+	counters := node.plane.Counters()
+	output.count(metricReceived, counters.FromFabric, "fabric")
+	output.count(metricReceived, counters.FromPeers, "peer")
+	output.count(metricReceivedBytes, counters.ReceivedBytes)
+	output.count(metricSent, counters.Forwarded, "forward")
+	output.count(metricSent, counters.Relayed, "relay")
+	output.count(metricSent, counters.Refused, "refuse")
+	for cause, count := range counters.Malformed {
+		if count > 0 {
+			output.count(metricMalformed, count, packet.Cause(cause).String())
+		}
+	}
+	output.count(metricUnsent, counters.Unanswered, "unanswered")
+	output.count(metricUnsent, counters.UnknownPeer, "unknown_peer")
+	output.count(metricUnsent, counters.Unsendable, "unsendable")
+	output.count(metricUnsent, counters.Loops, "loop")
+	output.count(metricSocketErrors, counters.ReadErrors, "read")
+	output.count(metricSocketErrors, counters.WriteErrors, "write")
+}
--- /dev/null
+++ b/internal/node/publish.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/catalog"
+	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/store"
+)
+
+// storeWork is one request of the publisher to the store. One field is set.
+type storeWork struct {
+	write  *controller.Write
+	read   lb.ServiceName
+	status *catalog.ZoneStatus
+}
+
+// storeQueue holds the publisher's requests. The publisher bounds the writes
+// and reads outstanding; of the zone's reports only the latest is kept.
+type storeQueue struct {
+	mutex sync.Mutex
+	queue []storeWork
+	wake  chan struct{} // has one element when there may be work
+}
+
+func newStoreQueue() *storeQueue { return &storeQueue{wake: make(chan struct{}, 1)} }
+
+// add never blocks.
+func (queue *storeQueue) add(work storeWork) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	if work.status != nil {
+		queue.queue = slices.DeleteFunc(queue.queue, func(old storeWork) bool { return old.status != nil })
+	}
+	queue.queue = append(queue.queue, work)
+	select {
+	case queue.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take gives all work that waits.
+func (queue *storeQueue) take() []storeWork {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	taken := queue.queue
+	queue.queue = nil
+	return taken
+}
+
+// Limits of the publisher's requests to the store.
+const (
+	storeRequests    = 16              // at a time, as many as the publisher has outstanding
+	storeWorkTimeout = 8 * time.Second // below the publisher's WriteTimeout
+)
+
+// workStore carries out the publisher's requests until ctx ends.
+func (node *Node) workStore(ctx context.Context) {
+	slots := make(chan struct{}, storeRequests)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-node.engine.work.wake:
+		}
+		for _, work := range node.engine.work.take() {
+			slots <- struct{}{}
+			node.background.Go(func() {
+				defer func() { <-slots }()
+				node.do(ctx, work)
+			})
+		}
+	}
+}
+
+func (node *Node) do(ctx context.Context, work storeWork) {
+	ctx, cancel := context.WithTimeout(ctx, storeWorkTimeout)
+	defer cancel()
+	switch {
+	case work.write != nil:
+		node.engine.publisherInput(&controller.Event{Result: node.write(ctx, work.write)})
+	case work.status != nil:
+		node.writeStatus(ctx, work.status)
+	default:
+		node.engine.publisherInput(&controller.Event{ReadBack: node.readBack(ctx, work.read)})
+	}
+}
+
+// write publishes one placement by compare-and-swap.
+func (node *Node) write(ctx context.Context, write *controller.Write) *controller.WriteResult {
+	placement := write.Placement
+	result := &controller.WriteResult{Service: placement.Service, WriteID: placement.WriteID, Outcome: controller.WriteNotRun}
+	value, err := json.Marshal(placement)
+	if err != nil {
+		node.logStoreWrite(err, catalog.PlacementKey(placement.Service))
+		return result
+	}
+	expected := store.KeyValue{
+		Key:          catalog.PlacementKey(placement.Service),
+		ModRevision:  write.ExpectedModRevision,
+		ReadRevision: write.ExpectedModRevision,
+	}
+	revision, err := node.store.CompareAndSwap(ctx, &expected, value, placement.WriteID, 0)
+	result.Outcome = writeOutcome(err)
+	result.ModRevision = revision
+	if err != nil {
+		node.logStoreWrite(err, expected.Key)
+	}
+	return result
+}
+
+// writeOutcome tells what an error of the store says about a write.
+func writeOutcome(err error) controller.WriteOutcome {
+	var failure *store.Error
+	switch {
+	case err == nil:
+		return controller.WriteDone
+	case errors.Is(err, store.ErrConflict):
+		return controller.WriteConflict
+	case errors.As(err, &failure) && failure.Verdict == lb.NotRun:
+		return controller.WriteNotRun
+	}
+	return controller.WriteUnknown
+}
+
+// readBack reads one placement.
+func (node *Node) readBack(ctx context.Context, service lb.ServiceName) *controller.ReadBack {
+	kv, err := node.store.Get(ctx, catalog.PlacementKey(service))
+	if err != nil {
+		return &controller.ReadBack{Service: service, Failed: true}
+	}
+	return &controller.ReadBack{Service: service, Document: documentOf(&kv, false)}
+}
+
+// writeStatus writes the zone's report by compare-and-swap on what was last
+// seen. A lost race is not repeated: the next report is due soon.
+func (node *Node) writeStatus(ctx context.Context, status *catalog.ZoneStatus) {
+	key := catalog.StatusKey(status.Zone)
+	value, err := catalog.EncodeZoneStatus(status)
+	if err != nil {
+		node.logStoreWrite(err, key)
+		return
+	}
+	current, err := node.store.Get(ctx, key)
+	if err == nil {
+		writeID := fmt.Sprintf("%s/%s/%d", status.Writer, status.Zone, status.UnixMillis)
+		_, err = node.store.CompareAndSwap(ctx, &current, value, writeID, 0)
+	}
+	if err != nil {
+		node.logStoreWrite(err, key)
+	}
+}
+
+func (node *Node) logStoreWrite(err error, key string) {
+	node.logger.Warn().Err(err).
+		Str(logging.FieldEvent, string(logging.EventStoreWriteFailed)).
+		Str(logging.FieldKey, key).
+		Send()
+}
--- /dev/null
+++ b/internal/node/storewatch.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"context"
+
+	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/store"
+)
+
+// storePrefix covers the services, back ends and placements, so that one
+// watch gives their changes in the order of the store's revisions.
+const storePrefix = "/robinpulley/"
+
+// watchStore passes what is in the store to the publisher while this node is
+// one of the watchers, until ctx ends.
+func (node *Node) watchStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-node.engine.watcherChanged:
+		}
+		if !node.engine.isWatcher() {
+			continue
+		}
+		node.logWatcher(true)
+		node.watchWhileWatcher(ctx)
+		node.logWatcher(false)
+	}
+}
+
+// watchWhileWatcher returns when this node is no longer a watcher.
+func (node *Node) watchWhileWatcher(ctx context.Context) {
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	batches := node.store.Watch(watching, storePrefix, 0)
+	for {
+		select {
+		case batch, open := <-batches:
+			if !open {
+				return
+			}
+			node.engine.documents(documentsOf(batch))
+			if batch.Reset {
+				node.markReady(readyFromStore)
+			}
+		case <-node.engine.watcherChanged:
+			if !node.engine.isWatcher() {
+				return
+			}
+		}
+	}
+}
+
+// documentsOf turns a batch of the watch into an event of the publisher.
+func documentsOf(batch store.Batch) *controller.Documents {
+	documents := &controller.Documents{
+		Complete: batch.Reset,
+		Revision: batch.Revision,
+		Changes:  make([]controller.Document, len(batch.Events)),
+	}
+	for index := range batch.Events {
+		documents.Changes[index] = documentOf(&batch.Events[index].KeyValue, batch.Events[index].Deleted)
+	}
+	return documents
+}
+
+func documentOf(kv *store.KeyValue, deleted bool) controller.Document {
+	return controller.Document{Key: kv.Key, Value: kv.Value, ModRevision: kv.ModRevision, Deleted: deleted}
+}
+
+func (node *Node) logWatcher(watching bool) {
+	state := "watching"
+	if !watching {
+		state = "not_watching"
+	}
+	node.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventWatcherChanged)).
+		Str(logging.FieldState, state).
+		Send()
+}
