Add the membership core (SWIM by zone)

Ring, random and cross-zone probes, suspicion refuted by incarnation, a zone given up as a whole when follow-up probes fail too, and deaths told late to those who came back. TestRefutationByIncarnation fails with the rule switched off, as it must.

--- /dev/null
+++ b/internal/member/fleet_test.go
@@ -0,0 +1,241 @@
+package member_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/member"
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/sim"
+	"robinpulley.example/robinpulley/internal/transport"
+)
+
+// fleet runs the membership of many nodes in virtual time.
+type fleet struct {
+	t        testing.TB
+	queue    sim.Queue[delivery]
+	network  sim.Network
+	nodes    []*node
+	byID     map[lb.NodeID]*node
+	machines []member.Machine
+	delays   []time.Duration
+	line     []byte
+	change   func(*member.Settings)
+}
+
+type node struct {
+	machine  member.Machine
+	core     *member.Core
+	effects  member.Effects
+	down     bool
+	paused   bool
+	waiting  []delivery // what a paused node finds when it wakes
+	bytes    int
+	largest  int
+	rejoined int
+	view     map[lb.NodeID]member.Member
+	run      int // a restart makes old ticks stale
+}
+
+// delivery is a message, or a tick when message is nil.
+type delivery struct {
+	to, from *node
+	message  message.Message
+	run      int
+}
+
+const clockStart = 1_800_000_000_000 // milliseconds; node runs get incarnations from here
+
+func newFleet(t testing.TB, size, zones int, change func(*member.Settings)) *fleet {
+	fleet := &fleet{t: t, byID: make(map[lb.NodeID]*node), change: change}
+	fleet.network = sim.Network{Within: 250 * time.Microsecond, Between: 1500 * time.Microsecond, Jitter: 200 * time.Microsecond, Loss: 0.01}
+	fleet.network.Start(sim.NewRandom(11))
+	for index := range size {
+		fleet.machines = append(fleet.machines, member.Machine{
+			ID:      lb.NodeID(fmt.Sprintf("node-%04d", index)),
+			Zone:    lb.Zone(fmt.Sprintf("zone-%d", index%zones)),
+			Control: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(index >> 8), byte(index)}), 4700),
+			Data:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(index >> 8), byte(index)}), 6081),
+		})
+	}
+	for _, machine := range fleet.machines {
+		fleet.add(machine, fleet.machines)
+	}
+	return fleet
+}
+
+// add starts a node, or another run of one.
+func (fleet *fleet) add(machine member.Machine, listed []member.Machine) *node {
+	added := fleet.byID[machine.ID]
+	if added == nil {
+		added = &node{machine: machine}
+		fleet.byID[machine.ID] = added
+		fleet.nodes = append(fleet.nodes, added)
+	}
+	added.down, added.run = false, added.run+1
+	incarnation := uint64(clockStart + fleet.queue.Now().Milliseconds())
+	settings := member.DefaultSettings(machine, incarnation, uint64(added.run))
+	if fleet.change != nil {
+		fleet.change(&settings)
+	}
+	core, err := member.New(settings)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	added.core = core
+	fleet.step(added, &member.Event{Machines: listed})
+	fleet.queue.After(0, delivery{to: added, run: added.run})
+	return added
+}
+
+func (fleet *fleet) step(at *node, event *member.Event) {
+	at.core.Step(fleet.queue.Now(), event, &at.effects)
+	if at.effects.Changed {
+		at.view = make(map[lb.NodeID]member.Member)
+		for _, member := range at.core.Members(nil) {
+			at.view[member.ID] = member
+		}
+	}
+	if at.effects.Rejoined {
+		at.rejoined++
+	}
+	for _, outgoing := range at.effects.Messages {
+		line, err := message.Encode(fleet.line[:0], at.machine.ID, outgoing.Message)
+		if err != nil {
+			fleet.t.Fatal(err)
+		}
+		fleet.line = line
+		at.bytes += transport.Cost(len(line))
+		if outgoing.Message.MessageType() != message.TypeMembers {
+			at.largest = max(at.largest, len(line))
+		}
+		to := fleet.byID[outgoing.To]
+		if to == nil {
+			continue
+		}
+		fleet.delays = fleet.network.Delays(at.machine.Zone, to.machine.Zone, fleet.delays)
+		for _, delay := range fleet.delays {
+			fleet.queue.After(delay, delivery{to: to, from: at, message: outgoing.Message})
+		}
+	}
+}
+
+func (fleet *fleet) deliver(next delivery) {
+	at := next.to
+	switch {
+	case at.down || (next.message == nil && next.run != at.run):
+	case next.message == nil && at.paused:
+		at.waiting = append(at.waiting, next)
+	case at.paused:
+		at.waiting = append(at.waiting, next)
+	case next.message == nil:
+		fleet.step(at, &member.Event{})
+		fleet.queue.After(member.TickInterval, next)
+	default:
+		fleet.step(at, &member.Event{Peer: &member.PeerEvent{
+			From:    next.from.machine.ID,
+			Address: next.from.machine.Control,
+			Message: next.message,
+		}})
+	}
+}
+
+// wake lets a paused node find all that came meanwhile.
+func (fleet *fleet) wake(at *node) {
+	at.paused = false
+	for _, next := range at.waiting {
+		fleet.queue.After(0, next)
+	}
+	at.waiting = nil
+}
+
+// runFor goes on for a time.
+func (fleet *fleet) runFor(duration time.Duration) {
+	until := fleet.queue.Now() + duration
+	fleet.runUntil(duration, func() bool { return fleet.queue.Now() >= until })
+}
+
+// runUntil goes on until the condition holds, looked at every 10 ms, and gives
+// the time it took; false when it took longer than limit.
+func (fleet *fleet) runUntil(limit time.Duration, condition func() bool) (time.Duration, bool) {
+	begun := fleet.queue.Now()
+	look := begun
+	for {
+		if fleet.queue.Now() >= look {
+			if condition() {
+				return fleet.queue.Now() - begun, true
+			}
+			look = fleet.queue.Now() + 10*time.Millisecond
+		}
+		if fleet.queue.Now() > begun+limit {
+			return limit, false
+		}
+		next, ok := fleet.queue.Next()
+		if !ok {
+			return fleet.queue.Now() - begun, condition()
+		}
+		fleet.deliver(next)
+	}
+}
+
+// viewedBy tells whether every running node but self has the node in (or not in) its view.
+func (fleet *fleet) viewedBy(id lb.NodeID, present bool, viewers func(*node) bool) bool {
+	for _, viewer := range fleet.nodes {
+		if viewer.down || viewer.paused || viewer.machine.ID == id || (viewers != nil && !viewers(viewer)) {
+			continue
+		}
+		if _, found := viewer.view[id]; found != present {
+			return false
+		}
+	}
+	return true
+}
+
+// agreed tells whether every running node sees exactly the running nodes.
+func (fleet *fleet) agreed() bool {
+	running := 0
+	for _, node := range fleet.nodes {
+		if !node.down {
+			running++
+		}
+	}
+	for _, node := range fleet.nodes {
+		if node.down {
+			continue
+		}
+		if len(node.view) != running {
+			return false
+		}
+		for id := range node.view {
+			if fleet.byID[id].down {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// resetBytes starts a measurement of traffic.
+func (fleet *fleet) resetBytes() {
+	for _, node := range fleet.nodes {
+		node.bytes = 0
+	}
+}
+
+// bytesPerSecond gives the mean and the highest over the running nodes.
+func (fleet *fleet) bytesPerSecond(duration time.Duration) (mean, highest float64) {
+	running := 0.0
+	for _, node := range fleet.nodes {
+		if node.down {
+			continue
+		}
+		running++
+		rate := float64(node.bytes) / duration.Seconds()
+		mean += rate
+		highest = max(highest, rate)
+	}
+	return mean / running, highest
+}
--- /dev/null
+++ b/internal/member/join.go
@@ -0,0 +1,177 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// viewPatience is how long views may differ before a peer's is asked for.
+const viewPatience = 5 * time.Second
+
+// stopFanout is the number of nodes told that this one ends.
+const stopFanout = 6
+
+// setMachines takes the platform's list. It lags, so it neither adds nor
+// removes members later on; but a node that knows nobody presumes all listed
+// machines alive until a peer or the probes tell better.
+func (core *Core) setMachines(machines []Machine) {
+	core.machines = slices.DeleteFunc(slices.Clone(machines), func(machine Machine) bool {
+		return machine.ID == core.settings.Self.ID || machine.ID == "" || machine.Zone == "" ||
+			!machine.Control.IsValid() || !machine.Data.IsValid()
+	})
+	slices.SortFunc(core.machines, func(left, right Machine) int { return cmp.Compare(left.ID, right.ID) })
+	clear(core.listed)
+	for index := range core.machines {
+		core.listed[core.machines[index].ID] = index
+	}
+	if core.joined || len(core.entries) > 0 {
+		return
+	}
+	for index := range core.machines {
+		core.add(core.machines[index], message.MemberAlive, 0)
+	}
+}
+
+// attemptMachines reaches out to listed machines: to a random one for its
+// whole membership until this node has joined, later to those that are not
+// members, in turn.
+func (core *Core) attemptMachines(effects *Effects) {
+	count := len(core.machines)
+	if count == 0 {
+		return
+	}
+	if !core.joined {
+		core.attemptOne(&core.machines[core.random.IntN(count)], true, effects)
+		return
+	}
+	for range count {
+		core.attempt = (core.attempt + 1) % count
+		candidate := &core.machines[core.attempt]
+		if known := core.entries[candidate.ID]; known == nil || !known.live() {
+			core.attemptOne(candidate, false, effects)
+			return
+		}
+	}
+}
+
+func (core *Core) attemptOne(machine *Machine, full bool, effects *Effects) {
+	core.sequence++
+	updates := append([]message.MemberUpdate{core.selfUpdate()}, core.updatesFor(machine.ID)...)
+	core.send(effects, machine, message.Ping{
+		Sequence:    core.sequence,
+		Incarnation: core.incarnation,
+		Updates:     updates,
+		Digest:      core.digest,
+		View:        core.viewHash,
+		Full:        full,
+	})
+}
+
+// allUpdates describes all entries and self, sorted by name.
+func (core *Core) allUpdates() []message.MemberUpdate {
+	updates := make([]message.MemberUpdate, 0, len(core.entries)+1)
+	updates = append(updates, core.selfUpdate())
+	for _, entry := range core.entries {
+		updates = append(updates, entry.update())
+	}
+	slices.SortFunc(updates, func(left, right message.MemberUpdate) int { return cmp.Compare(left.Node, right.Node) })
+	if len(updates) > message.MaxMembers {
+		updates = updates[:message.MaxMembers]
+	}
+	return updates
+}
+
+// merge takes a peer's whole membership, without passing it on: others have it
+// or ask for it as well. On joining, machines that this node
+// only presumed alive and the peer does not know are dropped.
+func (core *Core) merge(updates []message.MemberUpdate) {
+	for index := range updates {
+		core.apply(&updates[index])
+	}
+	if core.joined {
+		return
+	}
+	core.joined = true
+	mentioned := make(map[lb.NodeID]bool, len(updates))
+	for index := range updates {
+		mentioned[updates[index].Node] = true
+	}
+	for index := range core.machines {
+		known := core.entries[core.machines[index].ID]
+		if known != nil && known.incarnation == 0 && !mentioned[known.machine.ID] {
+			core.forget(known)
+		}
+	}
+}
+
+// compareView asks a peer for its membership when views have differed for long.
+func (core *Core) compareView(event *PeerEvent, view uint64, effects *Effects) {
+	if view == core.viewHash || view == 0 {
+		core.viewSince = 0
+		return
+	}
+	if core.viewSince == 0 {
+		core.viewSince = core.now
+	}
+	if core.now-core.viewSince < viewPatience || core.now < core.nextSync {
+		return
+	}
+	if sender, ok := core.sender(event); ok {
+		core.nextSync = core.now + core.settings.SyncInterval
+		core.viewSince = 0
+		core.attemptOne(&sender, true, effects)
+	}
+}
+
+// forget drops an entry altogether.
+func (core *Core) forget(known *entry) {
+	if known.live() {
+		core.change(known, message.MemberDead, known.incarnation)
+	}
+	delete(core.entries, known.machine.ID)
+}
+
+// reap forgets those long dead, or long unreachable with their zone, that the
+// platform no longer lists.
+func (core *Core) reap() {
+	for id, known := range core.entries {
+		if _, listed := core.listed[id]; listed {
+			continue
+		}
+		long := !known.live() && core.now >= known.deadline
+		lost := known.zone.unreachable && core.now-known.zone.since >= core.settings.DeadRetention
+		if long || lost {
+			core.forget(known)
+		}
+	}
+}
+
+// leave announces the planned stop.
+func (core *Core) leave(effects *Effects) {
+	if core.leaving {
+		return
+	}
+	core.viewHash ^= viewHashOf(core.settings.Self.ID, false) ^ viewHashOf(core.settings.Self.ID, true)
+	core.leaving = true
+	core.changed = true
+	core.spread(core.selfUpdate())
+	core.spreadRumours(effects)
+}
+
+// stop tells a few nodes that this one is gone, and falls silent.
+func (core *Core) stop(effects *Effects) {
+	if core.stopped {
+		return
+	}
+	core.stopped = true
+	gone := message.MemberUpdate{Node: core.settings.Self.ID, State: message.MemberDead, Incarnation: core.incarnation}
+	for range stopFanout {
+		if target := core.rumourTarget(); target != nil {
+			core.send(effects, &target.machine, message.Ping{Incarnation: core.incarnation, Updates: []message.MemberUpdate{gone}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/member/rules_test.go
@@ -0,0 +1,85 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/member"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// accuse has one node say that another, which is well, is suspect, and tells
+// whether all still see it after a while.
+func accuse(t *testing.T, refutes bool) bool {
+	fleet := settled(t, 24, 3)
+	victim := fleet.nodes[7]
+	if !refutes {
+		victim.core.IgnoreRefutes()
+	}
+	fleet.step(fleet.nodes[1], &member.Event{Peer: &member.PeerEvent{
+		From:    fleet.nodes[2].machine.ID,
+		Address: fleet.nodes[2].machine.Control,
+		Message: message.Ping{Sequence: 1, Updates: []message.MemberUpdate{
+			{Node: victim.machine.ID, State: message.MemberSuspect, Incarnation: victim.core.Incarnation()},
+		}},
+	}})
+	for range 100 {
+		fleet.runFor(100 * time.Millisecond)
+		if !fleet.viewedBy(victim.machine.ID, true, nil) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestRefutationByIncarnation: a node wrongly suspected stays in all views. The
+// mutant that does not refute falls out.
+func TestRefutationByIncarnation(t *testing.T) {
+	is := is.New(t)
+	is.True(accuse(t, true))
+	is.True(!accuse(t, false)) // rule off
+}
+
+// TestOldUpdatesChangeNothing: what an old view says of a newer run is no news.
+func TestOldUpdatesChangeNothing(t *testing.T) {
+	is := is.New(t)
+	fleet := settled(t, 6, 3)
+	viewer, other := fleet.nodes[0], fleet.nodes[1]
+	old := other.core.Incarnation() - 1
+	for _, state := range []message.MemberState{message.MemberSuspect, message.MemberDead, message.MemberLeaving} {
+		fleet.step(viewer, &member.Event{Peer: &member.PeerEvent{
+			From:    fleet.nodes[2].machine.ID,
+			Address: fleet.nodes[2].machine.Control,
+			Message: message.Ping{Updates: []message.MemberUpdate{{
+				Node: other.machine.ID, Zone: other.machine.Zone, Control: other.machine.Control.String(),
+				Data: other.machine.Data.String(), State: state, Incarnation: old,
+			}}},
+		}})
+	}
+	fleet.runFor(5 * time.Second)
+	is.True(fleet.agreed())
+	is.True(!viewer.view[other.machine.ID].Leaving)
+	is.Equal(other.core.Incarnation(), old+1) // nothing to refute
+}
+
+// TestRumoursKeepToTheirBytes: many nodes restarted at once make much news; the
+// extra messages stay within their rate.
+func TestRumoursKeepToTheirBytes(t *testing.T) {
+	is := is.New(t)
+	fleet := settled(t, 96, 3)
+	fleet.runFor(5 * time.Second)
+	fleet.resetBytes()
+	const span = 20 * time.Second
+	for _, node := range fleet.nodes[:24] {
+		fleet.step(node, &member.Event{Leave: true})
+	}
+	fleet.runFor(span)
+	_, highest := fleet.bytesPerSecond(span)
+	t.Logf("highest rate %.0f bytes/s", highest)
+	is.True(highest < 4096)
+	for _, node := range fleet.nodes {
+		is.True(node.largest <= 1000)
+	}
+}
--- /dev/null
+++ b/internal/member/zone.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// zone is what this node knows of one zone. A zone that is cut off is not
+// suspected node by node: when a probe fails and nothing has been heard from
+// the zone since, two more of its nodes are probed at once; when they fail too
+// the whole zone is unreachable, in this node's view only, until it is heard again.
+type zone struct {
+	name lb.Zone
+	live []*entry // live entries sorted by hash, self not included
+	// heard is when a message last came straight from a node of the zone.
+	heard time.Duration
+	// doubts are failed probes that wait for the verdict on the zone.
+	doubts      []doubt
+	unreachable bool
+	since       time.Duration // start of unreachable
+}
+
+type doubt struct {
+	target  lb.NodeID
+	started time.Duration
+}
+
+// followUpProbes is the number of further nodes probed before a zone is given up.
+const followUpProbes = 2
+
+// zoneOf gives the zone of a name, adding it when it is new.
+func (core *Core) zoneOf(name lb.Zone) *zone {
+	index, found := slices.BinarySearchFunc(core.zones, name, func(zone *zone, name lb.Zone) int {
+		return cmp.Compare(zone.name, name)
+	})
+	if !found {
+		core.zones = slices.Insert(core.zones, index, &zone{name: name, heard: core.now})
+	}
+	return core.zones[index]
+}
+
+func compareHash(left, right *entry) int {
+	return cmp.Or(cmp.Compare(left.hash, right.hash), cmp.Compare(left.machine.ID, right.machine.ID))
+}
+
+func (zone *zone) insert(added *entry) {
+	index, found := slices.BinarySearchFunc(zone.live, added, compareHash)
+	if !found {
+		zone.live = slices.Insert(zone.live, index, added)
+	}
+}
+
+func (zone *zone) remove(removed *entry) {
+	if index, found := slices.BinarySearchFunc(zone.live, removed, compareHash); found {
+		zone.live = slices.Delete(zone.live, index, index+1)
+	}
+}
+
+// successor gives the first live entry after a hash on the ring that is not
+// suspect, or the first one after it when all are.
+func (zone *zone) successor(hash lb.NodeHash) *entry {
+	count := len(zone.live)
+	if count == 0 {
+		return nil
+	}
+	start, _ := slices.BinarySearchFunc(zone.live, hash, func(entry *entry, hash lb.NodeHash) int {
+		return cmp.Compare(entry.hash, hash)
+	})
+	for offset := range count {
+		if next := zone.live[(start+offset)%count]; !next.suspect() {
+			return next
+		}
+	}
+	return zone.live[start%count]
+}
+
+// hear notes a message straight from a node of the zone: the zone is there, so
+// those in doubt are suspect on their own.
+func (core *Core) hear(zone *zone, from lb.NodeID) {
+	zone.heard = core.now
+	if zone.unreachable {
+		zone.unreachable = false
+		core.changed = true
+		core.rejoined = true
+	}
+	for _, doubt := range zone.doubts {
+		if target := core.entries[doubt.target]; target != nil && doubt.target != from {
+			core.suspect(target)
+		}
+	}
+	zone.doubts = zone.doubts[:0]
+}
+
+// probeFailed takes the verdict of one probe that got no answer in any way.
+func (core *Core) probeFailed(failed *probe, effects *Effects) {
+	target := core.entries[failed.target]
+	if target == nil || !target.live() || target.suspect() {
+		return
+	}
+	zone := target.zone
+	switch {
+	case zone.unreachable:
+		return
+	case zone.heard > failed.started || len(zone.live) < 2:
+		core.suspect(target)
+		return
+	}
+	zone.doubts = append(zone.doubts, doubt{target: failed.target, started: failed.started})
+	if !failed.followUp && !core.followingUp(zone) {
+		core.followUp(zone, effects)
+	}
+	if !core.followingUp(zone) {
+		zone.doubts = zone.doubts[:0]
+		zone.unreachable = true
+		zone.since = core.now
+		core.changed = true
+	}
+}
+
+// followUp probes nodes of a zone that are not in doubt yet.
+func (core *Core) followUp(zone *zone, effects *Effects) {
+	offset := core.random.IntN(len(zone.live))
+	started := 0
+	for index := range zone.live {
+		candidate := zone.live[(offset+index)%len(zone.live)]
+		if zone.doubted(candidate.machine.ID) || candidate.suspect() {
+			continue
+		}
+		core.startProbe(candidate, true, effects)
+		started++
+		if started == followUpProbes {
+			return
+		}
+	}
+}
+
+func (zone *zone) doubted(id lb.NodeID) bool {
+	return slices.ContainsFunc(zone.doubts, func(doubt doubt) bool { return doubt.target == id })
+}
+
+func (core *Core) followingUp(zone *zone) bool {
+	return slices.ContainsFunc(core.probes, func(probe probe) bool {
+		return probe.followUp && probe.zone == zone && !probe.done
+	})
+}
