--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -73,12 +73,12 @@
 
 // DebugState is what /debug/state shows.
 type DebugState struct {
-	Node    lb.NodeID                     `json:"node"`
-	Zone    lb.Zone                       `json:"zone"`
-	Ready   bool                          `json:"ready"`
-	Core    core.State                    `json:"core"`
-	Members []member.Member               `json:"members"`
-	Version map[lb.ServiceName]lb.Version `json:"versions"`
+	Node     lb.NodeID                     `json:"node"`
+	Zone     lb.Zone                       `json:"zone"`
+	Ready    bool                          `json:"ready"`
+	Core     core.State                    `json:"core"`
+	Members  []member.Member               `json:"members"`
+	Versions map[lb.ServiceName]lb.Version `json:"versions"`
 }
 
 // State gives what the node knows, for debugging.
@@ -106,5 +106,5 @@
 	for name, placement := range engine.placements {
 		versions[name] = placement.Version
 	}
-	return DebugState{Core: engine.core.State(), Version: versions}
+	return DebugState{Core: engine.core.State(), Versions: versions}
 }
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,202 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/catalog"
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/lab/storesim"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/node"
+	"robinpulley.example/robinpulley/internal/store"
+)
+
+// fleet is a store and the nodes of a test, in one process over loopback.
+type fleet struct {
+	t      *testing.T
+	store  *storesim.Server
+	url    string
+	client *store.Client
+	seeds  []string
+	nodes  []*member
+}
+
+// member is one running node of a fleet.
+type member struct {
+	*node.Node
+	name lb.NodeID
+	done chan error // gets the result of Run
+	// cancel ends Run at once.
+	cancel context.CancelFunc
+}
+
+func newFleet(t *testing.T) *fleet {
+	is := is.New(t)
+	simulator := storesim.NewServer(storesim.Faults{}, 1)
+	server := httptest.NewServer(simulator)
+	t.Cleanup(server.Close)
+	settings := store.DefaultSettings([]string{server.URL}, 1)
+	client, err := store.New(settings)
+	is.NoErr(err)
+	return &fleet{t: t, store: simulator, url: server.URL, client: client}
+}
+
+// freeAddress gives a loopback address whose port is free for UDP and TCP.
+func freeAddress(t *testing.T) string {
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		datagrams, err := net.ListenPacket("udp", address)
+		listener.Close()
+		if err == nil {
+			datagrams.Close()
+			return address
+		}
+	}
+}
+
+// start runs a node that knows the nodes before it as seeds.
+func (fleet *fleet) start(name, zone string) *member {
+	is := is.New(fleet.t)
+	control := freeAddress(fleet.t)
+	settings, err := config.Load("", config.Overrides{
+		Node: name, Zone: zone, Seeds: fleet.seeds, StoreEndpoints: []string{fleet.url},
+		DataAddress: freeAddress(fleet.t), ControlAddress: control, AdminAddress: freeAddress(fleet.t),
+		FabricReply: []string{"127.0.0.1:9"},
+	})
+	is.NoErr(err)
+	settings.Timings.DrainGrace = time.Millisecond
+	built, err := node.New(settings, zerolog.New(io.Discard))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &member{Node: built, name: lb.NodeID(name), done: make(chan error, 1), cancel: cancel}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		started.done <- built.Run(ctx)
+	}()
+	fleet.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	fleet.seeds = append(fleet.seeds, control)
+	fleet.nodes = append(fleet.nodes, started)
+	return started
+}
+
+// eventually waits for a condition; the limit only ends a test that hangs.
+func (fleet *fleet) eventually(what string, condition func() bool) {
+	fleet.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			for _, member := range fleet.nodes {
+				fleet.t.Logf("%+v", member.State())
+			}
+			fleet.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// put writes one document of the operators.
+func (fleet *fleet) put(key string, document []byte, writeID string) {
+	is := is.New(fleet.t)
+	current, err := fleet.client.Get(fleet.t.Context(), key)
+	is.NoErr(err)
+	_, err = fleet.client.CompareAndSwap(fleet.t.Context(), &current, document, writeID, 0)
+	is.NoErr(err)
+}
+
+func (fleet *fleet) putBackend(name, host, writeID string, drain bool) {
+	is := is.New(fleet.t)
+	backend := catalog.Backend{
+		Name: lb.BackendName(name), Host: netip.MustParseAddrPort(host), Zone: "za",
+		Labels: map[string]string{"app": "wallet"}, Drain: drain, WriteID: writeID,
+	}
+	document, err := catalog.EncodeBackend(&backend)
+	is.NoErr(err)
+	fleet.put(catalog.BackendKey(backend.Name), document, writeID)
+}
+
+func (fleet *fleet) putService(name, frontend string) {
+	is := is.New(fleet.t)
+	service := catalog.Service{
+		Name:      lb.ServiceName(name),
+		Frontends: []lb.Frontend{{Address: netip.MustParseAddrPort(frontend), Protocol: lb.TCP}},
+		Selector:  "app=wallet",
+		WriteID:   "service-1",
+	}
+	document, err := catalog.EncodeService(&service)
+	is.NoErr(err)
+	fleet.put(catalog.ServiceKey(service.Name), document, service.WriteID)
+}
+
+// agree tells whether all nodes have the same version of the service, at least
+// the given one.
+func (fleet *fleet) agree(service lb.ServiceName, atLeast lb.Version) bool {
+	first := fleet.nodes[0].State().Versions[service]
+	for _, member := range fleet.nodes {
+		if member.State().Versions[service] != first {
+			return false
+		}
+	}
+	return first >= atLeast
+}
+
+// everyoneKnows tells whether every node has the given number of members.
+func (fleet *fleet) everyoneKnows(count int) bool {
+	for _, member := range fleet.nodes {
+		if len(member.State().Members) != count {
+			return false
+		}
+	}
+	return true
+}
+
+func TestConfigurationReachesAllNodes(t *testing.T) {
+	fleet := newFleet(t)
+	fleet.start("a", "za")
+	fleet.start("b", "zb")
+	fleet.start("c", "zc")
+	fleet.eventually("three members everywhere", func() bool { return fleet.everyoneKnows(3) })
+	fleet.putBackend("h1", "127.0.0.1:10001", "h1-1", false)
+	fleet.putBackend("h2", "127.0.0.1:10002", "h2-1", false)
+	fleet.putService("wallet", "192.0.2.10:443")
+	fleet.eventually("first placement everywhere", func() bool { return fleet.agree("wallet", 1) })
+	before := fleet.nodes[0].State().Versions["wallet"]
+	fleet.putBackend("h2", "127.0.0.1:10002", "h2-2", true)
+	fleet.eventually("drain everywhere", func() bool { return fleet.agree("wallet", before+1) })
+}
+
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t)
+	fleet.start("a", "za")
+	leaving := fleet.start("b", "zb")
+	fleet.eventually("two members everywhere", func() bool { return fleet.everyoneKnows(2) })
+	leaving.Stop()
+	is.NoErr(<-leaving.done)
+	fleet.eventually("the one that stopped is gone", func() bool { return len(fleet.nodes[0].State().Members) == 1 })
+}
+
+func TestContextEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t)
+	started := fleet.start("a", "za")
+	fleet.eventually("ready", func() bool { return started.State().Ready })
+	started.cancel()
+	is.Equal(<-started.done, node.ErrStoppedAtOnce)
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -38,6 +38,7 @@
 		}
 		quiet := time.Since(quietSince) >= node.settings.Timings.DrainGrace
 		if quiet && node.engine.handoverDone() {
+			node.engine.end()
 			node.logEvent(logging.EventStopped)
 			return nil
 		}
