Add the cluster of processes and the demo (in-force wait not yet reached)

Cause: the demo starts store, fabric, hosts, callers and balancers as processes. Measured: all processes start and become ready; the demo ends with exit code 1 because the zones do not report the set-up in force within its 90 s. Conclusion: to be found out next.

--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -18,6 +18,7 @@
 	Fabric fabricCommand `cmd:"" help:"Run the fabric that sprays packets over the balancers."`
 	Host   hostCommand   `cmd:"" help:"Run one back-end host."`
 	Caller callerCommand `cmd:"" help:"Run the callers of one service."`
+	Demo   demoCommand   `cmd:"" help:"Run the demo on real processes and print a table."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/lab/cluster/operator.go
@@ -0,0 +1,103 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/catalog"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/store"
+)
+
+// Operator changes the configuration in the store, as robinctl does.
+type Operator struct {
+	client *store.Client
+	writes atomic.Int64
+}
+
+func newOperator(storeURL string) (*Operator, error) {
+	settings := store.DefaultSettings([]string{storeURL}, 1)
+	settings.RequestsPerSecond = 1000
+	settings.Burst = 1000
+	client, err := store.New(settings)
+	return &Operator{client: client}, err
+}
+
+func (operator *Operator) writeID() string {
+	return fmt.Sprintf("lab-%d-%d", time.Now().UnixNano(), operator.writes.Add(1))
+}
+
+// PutBackend creates or replaces a back end and gives the revision of the change.
+func (operator *Operator) PutBackend(ctx context.Context, backend catalog.Backend) (int64, error) {
+	backend.WriteID = operator.writeID()
+	document, err := catalog.EncodeBackend(&backend)
+	if err != nil {
+		return 0, err
+	}
+	return operator.put(ctx, catalog.BackendKey(backend.Name), document, backend.WriteID)
+}
+
+// PutService creates a service.
+func (operator *Operator) PutService(ctx context.Context, service catalog.Service) (int64, error) {
+	service.WriteID = operator.writeID()
+	document, err := catalog.EncodeService(&service)
+	if err != nil {
+		return 0, err
+	}
+	key := catalog.ServiceKey(service.Name)
+	txn := store.Transaction{
+		WriteID:    service.WriteID,
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: document}},
+	}
+	for _, frontend := range service.Frontends {
+		name := []byte(service.Name)
+		txn.Puts = append(txn.Puts, store.Put{Key: catalog.FrontendKey(frontend), Value: name})
+	}
+	return operator.client.Commit(ctx, txn)
+}
+
+func (operator *Operator) put(ctx context.Context, key string, document []byte, writeID string) (int64, error) {
+	read, err := operator.client.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	return operator.client.CompareAndSwap(ctx, &read, document, writeID, 0)
+}
+
+// InForce waits until every zone reports the revision in force, and gives the
+// time that each zone took.
+func (operator *Operator) InForce(ctx context.Context, revision int64, zones []lb.Zone) (map[lb.Zone]time.Duration, error) {
+	began := time.Now()
+	took := map[lb.Zone]time.Duration{}
+	what := fmt.Sprintf("revision %d is in force in zones %v", revision, zones)
+	err := Until(ctx, what, func() (bool, error) {
+		listing, err := operator.client.List(ctx, catalog.StatusPrefix)
+		if err != nil {
+			return false, err
+		}
+		for i := range listing.KeyValues {
+			var status catalog.ZoneStatus
+			if err := json.Unmarshal(listing.KeyValues[i].Value, &status); err != nil {
+				return false, errors.Wrapf(err, "status %q", listing.KeyValues[i].Key)
+			}
+			zone := lb.Zone(strings.TrimPrefix(listing.KeyValues[i].Key, catalog.StatusPrefix))
+			if _, known := took[zone]; !known && status.ConfigRevision >= revision {
+				took[zone] = time.Since(began)
+			}
+		}
+		for _, zone := range zones {
+			if _, known := took[zone]; !known {
+				return false, nil
+			}
+		}
+		return true, nil
+	})
+	return took, err
+}
--- /dev/null
+++ b/internal/lab/cluster/process.go
@@ -0,0 +1,140 @@
+// Package cluster starts the stand-ins and real balancers as processes on
+// loopback, with free ports, and ends them by their process ids.
+package cluster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Times of the processes and of waiting on them.
+const (
+	pollInterval = 20 * time.Millisecond
+	endLimit     = 2 * time.Second // between SIGTERM and SIGKILL at the end of a run
+)
+
+// Process is one child process.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	done    chan struct{} // closed when it has ended
+}
+
+// startProcess runs a program, its output in DIRECTORY/NAME.log.
+func startProcess(directory, name, program string, arguments ...string) (*Process, error) {
+	log, err := os.Create(filepath.Join(directory, name+".log"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "log of %s", name)
+	}
+	defer func() { _ = log.Close() }() // the child has its own copy
+	command := exec.Command(program, arguments...)
+	command.Stdout = log
+	command.Stderr = log
+	command.SysProcAttr = attributes()
+	if err := command.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	process := &Process{Name: name, command: command, done: make(chan struct{})}
+	go func() {
+		_ = command.Wait() // its exit code is read from ProcessState
+		close(process.done)
+	}()
+	return process, nil
+}
+
+// Signal sends a signal to the process alone.
+func (process *Process) Signal(signal syscall.Signal) error {
+	return errors.Wrapf(process.command.Process.Signal(signal), "signal %s to %s", signal, process.Name)
+}
+
+// Ended tells whether the process has ended.
+func (process *Process) Ended() bool {
+	select {
+	case <-process.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait waits for the end of the process and gives its exit code.
+func (process *Process) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-process.done:
+		return process.command.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, errors.Wrapf(ctx.Err(), "wait for the end of %s", process.Name)
+	}
+}
+
+// end stops the process whatever its state.
+func (process *Process) end() {
+	if process.Ended() {
+		return
+	}
+	_ = process.command.Process.Signal(syscall.SIGCONT)
+	_ = process.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-process.done:
+	case <-time.After(endLimit):
+		_ = process.command.Process.Kill()
+		<-process.done
+	}
+}
+
+// freeAddress gives an address on loopback whose port is free for UDP and TCP.
+func freeAddress() (string, error) {
+	for range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", errors.Wrap(err, "find a free port")
+		}
+		address := listener.Addr().String()
+		socket, err := net.ListenPacket("udp", address)
+		_ = listener.Close()
+		if err == nil {
+			_ = socket.Close()
+			return address, nil
+		}
+	}
+	return "", errors.New("no port is free for both UDP and TCP")
+}
+
+// Until polls a condition until it holds. The error names what was waited for.
+func Until(ctx context.Context, what string, condition func() (bool, error)) error {
+	var last error
+	for {
+		holds, err := condition()
+		if holds && err == nil {
+			return nil
+		}
+		last = err
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return errors.CombineErrors(errors.Wrapf(ctx.Err(), "waiting until %s", what), last)
+		}
+	}
+}
+
+// ok tells whether the URL answers 200.
+func ok(ctx context.Context, url string) (bool, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false, err
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK, nil
+}
