Gossip placements, report zones, regain contact; add the operations page

Placements now reach all nodes by gossip, and only watchers watch the store. After a pause or lost contact the core trusts its view again when a peer that was asked since has the same digest. Publisher writes carry the epoch.

Tested over loopback (go test -race ./internal/node): join while the store is down, change after the outage, zone reports, admin endpoint, and that the operations page names every setting, metric and log event.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -165,10 +165,7 @@
 		checker.report("limits.pin_bytes_per_second", strconv.Itoa(raw.PinBytesPerSecond),
 			"exceeds limits.control_bytes_per_second, %d", raw.ControlBytesPerSecond)
 	}
-	return Limits{
-		ControlBytesPerSecond: raw.ControlBytesPerSecond,
-		PinBytesPerSecond:     raw.PinBytesPerSecond,
-	}
+	return Limits(raw)
 }
 
 func (checker *checker) positive(field string, value int) {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -14,35 +14,32 @@
 
 // The log events.
 const (
-	EventStarting          Event = "starting"
-	EventReady             Event = "ready"
-	EventNotReady          Event = "not_ready"
-	EventStopping          Event = "stopping"
-	EventHandedOver        Event = "handed_over"
-	EventStopped           Event = "stopped"
-	EventStoppedAtOnce     Event = "stopped_at_once"
-	EventFailed            Event = "failed"
-	EventPlacementAdopted  Event = "placement_adopted"
-	EventPlacementRejected Event = "placement_rejected"
-	EventDocumentRejected  Event = "document_rejected"
-	EventMemberChanged     Event = "member_changed"
-	EventContactChanged    Event = "contact_changed"
-	EventWatcherChanged    Event = "watcher_changed"
-	EventStoreUp           Event = "store_up"
-	EventStoreDown         Event = "store_down"
-	EventStoreWriteFailed  Event = "store_write_failed"
-	EventMachinesFailed    Event = "machines_failed"
-	EventMessageRejected   Event = "message_rejected"
-	EventFaultInjected     Event = "fault_injected"
+	EventStarting         Event = "starting"
+	EventReady            Event = "ready"
+	EventStopping         Event = "stopping"
+	EventHandedOver       Event = "handed_over"
+	EventStopped          Event = "stopped"
+	EventStoppedAtOnce    Event = "stopped_at_once"
+	EventFailed           Event = "failed"
+	EventPlacementAdopted Event = "placement_adopted"
+	EventDocumentRejected Event = "document_rejected"
+	EventMemberChanged    Event = "member_changed"
+	EventContactChanged   Event = "contact_changed"
+	EventWatcherChanged   Event = "watcher_changed"
+	EventStoreUp          Event = "store_up"
+	EventStoreDown        Event = "store_down"
+	EventStoreWriteFailed Event = "store_write_failed"
+	EventMachinesFailed   Event = "machines_failed"
+	EventFaultInjected    Event = "fault_injected"
 )
 
 // Events lists every log event.
 func Events() []Event {
 	return []Event{
-		EventStarting, EventReady, EventNotReady, EventStopping, EventHandedOver, EventStopped,
-		EventStoppedAtOnce, EventFailed, EventPlacementAdopted, EventPlacementRejected,
+		EventStarting, EventReady, EventStopping, EventHandedOver, EventStopped,
+		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
-		EventStoreWriteFailed, EventMachinesFailed, EventMessageRejected, EventFaultInjected,
+		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected,
 	}
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -73,12 +73,18 @@
 
 // DebugState is what /debug/state shows.
 type DebugState struct {
-	Node     lb.NodeID                     `json:"node"`
-	Zone     lb.Zone                       `json:"zone"`
-	Ready    bool                          `json:"ready"`
-	Core     core.State                    `json:"core"`
-	Members  []member.Member               `json:"members"`
-	Versions map[lb.ServiceName]lb.Version `json:"versions"`
+	Node    lb.NodeID `json:"node"`
+	Zone    lb.Zone   `json:"zone"`
+	Ready   bool      `json:"ready"`
+	Digest  uint64    `json:"digest"` // of all placements
+	Watcher bool      `json:"watcher"`
+	StoreUp bool      `json:"store_up"`
+	// Published is the configuration revision reflected by the placements
+	// that this node, as a publisher, has seen in the store.
+	Published int64                         `json:"published_revision"`
+	Core      core.State                    `json:"core"`
+	Members   []member.Member               `json:"members"`
+	Versions  map[lb.ServiceName]lb.Version `json:"versions"`
 }
 
 // State gives what the node knows, for debugging.
@@ -102,9 +108,16 @@
 func (engine *engine) state() DebugState {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	versions := make(map[lb.ServiceName]lb.Version, len(engine.placements))
-	for name, placement := range engine.placements {
-		versions[name] = placement.Version
+	state := DebugState{
+		Core:      engine.core.State(),
+		Digest:    engine.gossip.Digest(),
+		Watcher:   engine.watcher,
+		StoreUp:   engine.storeUp,
+		Published: engine.published,
+		Versions:  map[lb.ServiceName]lb.Version{},
 	}
-	return DebugState{Core: engine.core.State(), Versions: versions}
+	for _, service := range state.Core.Services {
+		state.Versions[service.Service] = service.Version
+	}
+	return state
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -1,13 +1,14 @@
 package node
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
-	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/member"
 )
 
@@ -20,6 +21,10 @@
 	if err != nil {
 		return err
 	}
+	spread, err := gossip.New(gossip.DefaultSettings(settings.Node, settings.Zone, incarnation))
+	if err != nil {
+		return err
+	}
 	node.engine = &engine{
 		settings:       settings,
 		logger:         node.logger,
@@ -30,7 +35,8 @@
 		member:         membership,
 		controller:     controller.New(controllerSettings(settings, incarnation)),
 		work:           newStoreQueue(),
-		placements:     map[lb.ServiceName]*lb.Placement{},
+		gossip:         spread,
+		check:          check{random: rand.New(rand.NewPCG(incarnation, uint64(settings.Node.Hash())))},
 		watcherChanged: make(chan struct{}, 1),
 	}
 	return nil
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -52,6 +52,11 @@
 	return found.Control, ok
 }
 
+// others gives all members but one, by ID.
+func (directory *directory) others(self lb.NodeID) []member.Member {
+	return slices.DeleteFunc(directory.list(), func(entry member.Member) bool { return entry.ID == self })
+}
+
 // list gives all members by ID.
 func (directory *directory) list() []member.Member {
 	return slices.SortedFunc(maps.Values(directory.all()), func(a, b member.Member) int {
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -9,8 +9,7 @@
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
-	"robinpulley.example/robinpulley/internal/lb"
-	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
 )
@@ -42,8 +41,14 @@
 	work              *storeQueue
 	storeUp           bool
 
-	// placements holds the highest version known of each service.
-	placements map[lb.ServiceName]*lb.Placement
+	gossip        *gossip.Core
+	gossipEffects gossip.Effects
+	synced        bool // has had all placements of a peer, or is alone
+	listed        bool // has had a list of the store
+
+	check     check
+	rejoined  bool // others had lost this node; distrust the view when it changes
+	published int64
 
 	watcher        bool          // this node watches the store
 	watcherChanged chan struct{} // has one element after a change
@@ -86,13 +91,16 @@
 		engine.send(outgoing.To, outgoing.Message)
 	}
 	engine.handedOver = engine.coreEffects.HandoverDone
+	engine.noteUnsure()
 }
 
 // tick drives everything that is due without input.
 func (engine *engine) tick(circuitClosed bool) {
 	engine.input(func() {
 		engine.memberStep(&member.Event{})
+		engine.gossipStep(&gossip.Event{})
 		engine.coreStep(&core.Event{Tick: true})
+		engine.askPeers()
 		engine.noteStore(circuitClosed)
 		engine.controllerStep(&controller.Event{Tick: true})
 	})
@@ -122,19 +130,3 @@
 	defer engine.mutex.Unlock()
 	return engine.handedOver
 }
-
-// adopt takes a placement from the store or a peer; a version that is not
-// higher than the known one is ignored.
-func (engine *engine) adopt(placement *lb.Placement) {
-	known := engine.placements[placement.Service]
-	if known != nil && known.Version >= placement.Version {
-		return
-	}
-	engine.placements[placement.Service] = placement
-	engine.coreStep(&core.Event{Placement: placement})
-	engine.logger.Info().
-		Str(logging.FieldEvent, string(logging.EventPlacementAdopted)).
-		Str(logging.FieldService, string(placement.Service)).
-		Uint64(logging.FieldVersion, uint64(placement.Version)).
-		Send()
-}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -3,6 +3,7 @@
 import (
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/member"
@@ -15,6 +16,10 @@
 	for _, outgoing := range engine.memberEffects.Messages {
 		engine.transmit(outgoing.Address, outgoing.Message)
 	}
+	if engine.memberEffects.Rejoined {
+		engine.rejoined = true
+		engine.distrust()
+	}
 	if engine.memberEffects.Changed {
 		engine.takeMembers(engine.member.Members(nil))
 	}
@@ -26,6 +31,11 @@
 	engine.directory.set(members)
 	list := coreMembers(members)
 	engine.coreStep(&core.Event{Members: list})
+	if engine.rejoined {
+		engine.rejoined = false
+		engine.distrust()
+	}
+	engine.gossipStep(&gossip.Event{Members: gossipMembers(members)})
 	engine.controllerStep(&controller.Event{Members: list})
 	engine.setWatcher(isWatcher(engine.settings.Node, members))
 }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -5,6 +5,7 @@
 
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
@@ -22,18 +23,20 @@
 
 // route gives a message to the part that it concerns.
 func (engine *engine) route(incoming incoming) {
+	engine.gossipStep(&gossip.Event{Peer: &gossip.PeerEvent{From: incoming.from, Message: incoming.message}})
 	switch body := incoming.message.(type) {
 	case message.Ping, message.PingAck, message.PingReq, message.Members:
 		engine.memberStep(&member.Event{Peer: &member.PeerEvent{
 			From: incoming.from, Address: incoming.address, Message: body,
 		}})
+		if answer, isAnswer := body.(message.PingAck); isAnswer {
+			engine.takeAnswer(incoming.from, &answer)
+		}
 	case message.Clean:
 		engine.controllerStep(&controller.Event{Clean: &controller.CleanReport{From: incoming.from, Clean: body}})
 	case message.Load:
 		engine.controllerStep(&controller.Event{Load: &body})
-	case message.InForce:
-		engine.controllerStep(&controller.Event{InForce: &body})
-	default: // Pins, Records, RecordsAck
+	case message.Pins, message.Records, message.RecordsAck:
 		engine.coreStep(&core.Event{Peer: &core.PeerEvent{From: incoming.from, Message: body}})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,6 +139,7 @@
 	node.background.Go(func() { node.watchStore(running) })
 	node.background.Go(func() { node.workStore(running) })
 	node.background.Go(func() { node.tickUntil(running) })
+	node.background.Go(func() { node.becomeReady(running) })
 	if len(node.settings.Seeds) > 0 {
 		node.background.Go(func() { node.askSeeds(running) })
 	}
@@ -175,16 +176,6 @@
 	}
 }
 
-// markReady notes that this node has placements, or knows that there are none.
-func (node *Node) markReady(source string) {
-	if node.ready.CompareAndSwap(false, true) {
-		node.logger.Info().
-			Str(logging.FieldEvent, string(logging.EventReady)).
-			Str(logging.FieldReason, source).
-			Send()
-	}
-}
-
 func (node *Node) logEvent(event logging.Event) {
 	node.logger.Info().Str(logging.FieldEvent, string(event)).Send()
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +40,7 @@
 	done chan error // gets the result of Run
 	// cancel ends Run at once.
 	cancel context.CancelFunc
+	admin  string // address
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -70,10 +74,10 @@
 // start runs a node that knows the nodes before it as seeds.
 func (fleet *fleet) start(name, zone string) *member {
 	is := is.New(fleet.t)
-	control := freeAddress(fleet.t)
+	control, admin := freeAddress(fleet.t), freeAddress(fleet.t)
 	settings, err := config.Load("", config.Overrides{
 		Node: name, Zone: zone, Seeds: fleet.seeds, StoreEndpoints: []string{fleet.url},
-		DataAddress: freeAddress(fleet.t), ControlAddress: control, AdminAddress: freeAddress(fleet.t),
+		DataAddress: freeAddress(fleet.t), ControlAddress: control, AdminAddress: admin,
 		FabricReply: []string{"127.0.0.1:9"},
 	})
 	is.NoErr(err)
@@ -81,7 +85,7 @@
 	built, err := node.New(settings, zerolog.New(io.Discard))
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &member{Node: built, name: lb.NodeID(name), done: make(chan error, 1), cancel: cancel}
+	started := &member{Node: built, name: lb.NodeID(name), done: make(chan error, 1), cancel: cancel, admin: admin}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -181,6 +185,82 @@
 	fleet.eventually("drain everywhere", func() bool { return fleet.agree("wallet", before+1) })
 }
 
+func TestJoinWhileStoreIsDown(t *testing.T) {
+	fleet := newFleet(t)
+	fleet.putBackend("h1", "127.0.0.1:10001", "h1-1", false)
+	fleet.putService("wallet", "192.0.2.10:443")
+	fleet.start("a", "za")
+	fleet.start("b", "zb")
+	fleet.eventually("first placement everywhere", func() bool { return fleet.agree("wallet", 1) })
+	fleet.store.SetFaults(storesim.Faults{Outage: true})
+	fleet.eventually("outage noticed", func() bool {
+		return !fleet.nodes[0].State().StoreUp && !fleet.nodes[1].State().StoreUp
+	})
+	joined := fleet.start("c", "zc")
+	fleet.eventually("snapshot from a peer", func() bool { return joined.State().Ready && fleet.agree("wallet", 1) })
+
+	fleet.store.SetFaults(storesim.Faults{})
+	before := joined.State().Versions["wallet"]
+	fleet.putBackend("h2", "127.0.0.1:10002", "h2-1", false)
+	fleet.eventually("change after the outage", func() bool { return fleet.agree("wallet", before+1) })
+}
+
+// TestZoneReportsChangeInForce checks what robinctl wait rests on.
+func TestZoneReportsChangeInForce(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t)
+	fleet.start("a", "za")
+	fleet.start("b", "zb")
+	fleet.eventually("two members everywhere", func() bool { return fleet.everyoneKnows(2) })
+	fleet.putBackend("h1", "127.0.0.1:10001", "h1-1", false)
+	fleet.putService("wallet", "192.0.2.10:443")
+	change, err := fleet.client.Get(t.Context(), catalog.ServiceKey("wallet"))
+	is.NoErr(err)
+	for _, zone := range []lb.Zone{"za", "zb"} {
+		fleet.eventually("change in force in zone "+string(zone), func() bool {
+			report, err := fleet.client.Get(t.Context(), catalog.StatusKey(zone))
+			if err != nil || !report.Exists() {
+				return false
+			}
+			status, err := catalog.DecodeZoneStatus(report.Key, report.Value)
+			is.NoErr(err)
+			return status.ConfigRevision >= change.ModRevision
+		})
+	}
+	is.True(fleet.agree("wallet", 1))
+}
+
+// get asks the admin endpoint and gives status and body.
+func (member *member) get(t *testing.T, path string) (int, string) {
+	is := is.New(t)
+	response, err := http.Get("http://" + member.admin + path)
+	is.NoErr(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, string(body)
+}
+
+func TestAdminEndpoint(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t)
+	started := fleet.start("a", "za")
+	fleet.eventually("ready", func() bool {
+		status, _ := started.get(t, "/readyz")
+		return status == http.StatusOK
+	})
+	status, _ := started.get(t, "/healthz")
+	is.Equal(status, http.StatusOK)
+	status, text := started.get(t, "/metrics") // 500 if a sample does not fit its description
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(text, "robinpulley_ready 1"))
+	status, text = started.get(t, "/debug/state")
+	is.Equal(status, http.StatusOK)
+	is.True(json.Valid([]byte(text)))
+	status, _ = started.get(t, "/debug/cut")
+	is.Equal(status, http.StatusNotFound) // fault injection is not allowed
+}
+
 func TestPlannedStop(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(t)
--- /dev/null
+++ b/internal/node/operations_test.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/logging"
+)
+
+// TestOperationsPageIsComplete checks that the page names every setting, log
+// event and metric, and no metric that is not there.
+func TestOperationsPageIsComplete(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../docs/operations-node.md")
+	is.NoErr(err)
+	page := string(text)
+	expect := func(kind, name string) {
+		if !strings.Contains(page, "`"+name+"`") {
+			t.Errorf("the operations page lacks the %s %s", kind, name)
+		}
+	}
+	for _, name := range config.FieldNames() {
+		expect("setting", name)
+	}
+	for _, event := range logging.Events() {
+		expect("log event", string(event))
+	}
+	known := map[string]bool{}
+	for _, metric := range metrics {
+		known[metric.name] = true
+		expect("metric", metric.name)
+	}
+	for _, word := range strings.Split(page, "`") {
+		if strings.HasPrefix(word, metricPrefix) && !known[word] {
+			t.Errorf("the operations page has the metric %s, which does not exist", word)
+		}
+	}
+}
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -22,6 +22,7 @@
 	write  *controller.Write
 	read   lb.ServiceName
 	status *catalog.ZoneStatus
+	epoch  string
 }
 
 // storeQueue holds the publisher's requests. The publisher bounds the writes
@@ -90,6 +91,8 @@
 		node.engine.publisherInput(&controller.Event{Result: node.write(ctx, work.write)})
 	case work.status != nil:
 		node.writeStatus(ctx, work.status)
+	case work.epoch != "":
+		node.overwrite(ctx, controller.EpochKey, []byte(work.epoch), work.epoch)
 	default:
 		node.engine.publisherInput(&controller.Event{ReadBack: node.readBack(ctx, work.read)})
 	}
@@ -104,16 +107,20 @@
 		node.logStoreWrite(err, catalog.PlacementKey(placement.Service))
 		return result
 	}
-	expected := store.KeyValue{
-		Key:          catalog.PlacementKey(placement.Service),
-		ModRevision:  write.ExpectedModRevision,
-		ReadRevision: write.ExpectedModRevision,
-	}
-	revision, err := node.store.CompareAndSwap(ctx, &expected, value, placement.WriteID, 0)
+	key := catalog.PlacementKey(placement.Service)
+	expected := write.ExpectedModRevision
+	revision, err := node.store.Commit(ctx, store.Transaction{
+		WriteID: placement.WriteID,
+		Conditions: []store.Condition{
+			{Key: key, Revision: expected, AsOf: expected},
+			{Key: controller.EpochKey, Revision: write.ExpectedEpoch, AsOf: write.ExpectedEpoch},
+		},
+		Puts: []store.Put{{Key: key, Value: value}},
+	})
 	result.Outcome = writeOutcome(err)
 	result.ModRevision = revision
 	if err != nil {
-		node.logStoreWrite(err, expected.Key)
+		node.logStoreWrite(err, key)
 	}
 	return result
 }
@@ -141,18 +148,25 @@
 	return &controller.ReadBack{Service: service, Document: documentOf(&kv, false)}
 }
 
-// writeStatus writes the zone's report by compare-and-swap on what was last
-// seen. A lost race is not repeated: the next report is due soon.
+// writeStatus writes the zone's report.
 func (node *Node) writeStatus(ctx context.Context, status *catalog.ZoneStatus) {
-	key := catalog.StatusKey(status.Zone)
-	value, err := catalog.EncodeZoneStatus(status)
+	report := *status
+	report.UnixMillis = time.Now().UnixMilli()
+	key := catalog.StatusKey(report.Zone)
+	value, err := catalog.EncodeZoneStatus(&report)
 	if err != nil {
 		node.logStoreWrite(err, key)
 		return
 	}
+	writeID := fmt.Sprintf("%s/%s/%d", report.Writer, report.Zone, report.UnixMillis)
+	node.overwrite(ctx, key, value, writeID)
+}
+
+// overwrite puts a value whatever is there. A lost race is not repeated: who
+// asked for the write asks again while it is needed.
+func (node *Node) overwrite(ctx context.Context, key string, value []byte, writeID string) {
 	current, err := node.store.Get(ctx, key)
 	if err == nil {
-		writeID := fmt.Sprintf("%s/%s/%d", status.Writer, status.Zone, status.UnixMillis)
 		_, err = node.store.CompareAndSwap(ctx, &current, value, writeID, 0)
 	}
 	if err != nil {
--- a/internal/node/publisher.go
+++ b/internal/node/publisher.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"slices"
+
 	"robinpulley.example/robinpulley/internal/controller"
+	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
@@ -25,14 +28,24 @@
 			Str(logging.FieldKey, problem.Key).
 			Send()
 	}
-	for _, placement := range effects.Placements {
-		engine.adopt(placement)
+	if effects.Epoch != "" {
+		engine.work.add(storeWork{epoch: effects.Epoch})
+	}
+	if len(effects.Placements) > 0 {
+		engine.gossipStep(&gossip.Event{Placements: slices.Clone(effects.Placements)})
+	}
+	if published := engine.controller.PublishedRevision(); published > engine.published {
+		engine.published = published
+		engine.gossipStep(&gossip.Event{ConfigRevision: published})
 	}
 }
 
 // documents takes what the watch of the store gave.
 func (engine *engine) documents(documents *controller.Documents) {
-	engine.publisherInput(&controller.Event{Documents: documents})
+	engine.input(func() {
+		engine.listed = engine.listed || documents.Complete
+		engine.controllerStep(&controller.Event{Documents: documents})
+	})
 }
 
 // publisherInput gives one event to the publisher.
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -19,6 +19,7 @@
 	defer ticker.Stop()
 	quietSince := time.Now()
 	packets := node.fabricPackets()
+	handedOver := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -36,8 +37,12 @@
 			packets = now
 			quietSince = time.Now()
 		}
+		if !handedOver && node.engine.handoverDone() {
+			handedOver = true
+			node.logEvent(logging.EventHandedOver)
+		}
 		quiet := time.Since(quietSince) >= node.settings.Timings.DrainGrace
-		if quiet && node.engine.handoverDone() {
+		if quiet && handedOver {
 			node.engine.end()
 			node.logEvent(logging.EventStopped)
 			return nil
--- a/internal/node/storewatch.go
+++ b/internal/node/storewatch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strings"
 
+	"robinpulley.example/robinpulley/internal/catalog"
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/store"
@@ -41,9 +43,8 @@
 			if !open {
 				return
 			}
-			node.engine.documents(documentsOf(batch))
-			if batch.Reset {
-				node.markReady(readyFromStore)
+			if documents := documentsOf(batch); documents != nil {
+				node.engine.documents(documents)
 			}
 		case <-node.engine.watcherChanged:
 			if !node.engine.isWatcher() {
@@ -53,19 +54,31 @@
 	}
 }
 
-// documentsOf turns a batch of the watch into an event of the publisher.
+// documentsOf turns a batch of the watch into an event of the publisher. It
+// gives nil where nothing that the publisher reads has changed: the reports
+// that the zones write must not count as changes.
 func documentsOf(batch store.Batch) *controller.Documents {
-	documents := &controller.Documents{
-		Complete: batch.Reset,
-		Revision: batch.Revision,
-		Changes:  make([]controller.Document, len(batch.Events)),
-	}
+	documents := &controller.Documents{Complete: batch.Reset, Revision: batch.Revision}
 	for index := range batch.Events {
-		documents.Changes[index] = documentOf(&batch.Events[index].KeyValue, batch.Events[index].Deleted)
+		event := &batch.Events[index]
+		if isPublisherKey(event.KeyValue.Key) {
+			documents.Changes = append(documents.Changes, documentOf(&event.KeyValue, event.Deleted))
+		}
+	}
+	if !documents.Complete && len(documents.Changes) == 0 {
+		return nil
 	}
 	return documents
 }
 
+// isPublisherKey tells whether the publisher reads documents of the key.
+func isPublisherKey(key string) bool {
+	return strings.HasPrefix(key, catalog.ServicePrefix) ||
+		strings.HasPrefix(key, catalog.BackendPrefix) ||
+		strings.HasPrefix(key, catalog.PlacementPrefix) ||
+		key == controller.EpochKey
+}
+
 func documentOf(kv *store.KeyValue, deleted bool) controller.Document {
 	return controller.Document{Key: kv.Key, Value: kv.Value, ModRevision: kv.ModRevision, Deleted: deleted}
 }
