Add robinctl

Commands for services, back ends, labels, selectors and drains, each one compare-and-swap on the document as it was read; status, wait, apply, export. A lost race names who changed what. Front ends are claimed by a key of their own in the same transaction, so that two operators cannot give one to two services.

--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net/netip"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,20 @@
 // document, so that two operators cannot give one front end to two services.
 const FrontendPrefix = "/robinpulley/frontends/"
 
+// LastChangeKey holds the operators' last change. It is written in the
+// transaction of every change, so that its revision is that of the last one,
+// deletions included.
+const LastChangeKey = "/robinpulley/last-change"
+
+// LastChange says who changed which document.
+type LastChange struct {
+	WriteID string   `json:"write_id"`
+	By      string   `json:"by"`
+	Action  string   `json:"action"` // e.g. "delete"
+	Key     string   `json:"key"`    // the document's key
+	Fields  []string `json:"fields,omitempty"`
+}
+
 // ServiceKey is the store key of a service's document.
 func ServiceKey(name lb.ServiceName) string { return ServicePrefix + string(name) }
 
@@ -87,6 +102,32 @@
 	return encode(StatusKey(status.Zone), status)
 }
 
+// DecodeLastChange reads the document under LastChangeKey.
+func DecodeLastChange(value []byte) (LastChange, error) {
+	var change LastChange
+	return change, decodeStrictly(LastChangeKey, value, &change)
+}
+
+// EncodeLastChange gives the document under LastChangeKey.
+func EncodeLastChange(change *LastChange) ([]byte, error) { return encode(LastChangeKey, change) }
+
+// ParseFrontend reads a front end written as tcp://192.0.2.1:443.
+func ParseFrontend(text string) (lb.Frontend, error) {
+	scheme, rest, found := strings.Cut(text, "://")
+	if !found {
+		return lb.Frontend{}, errors.Newf("front end %q: must be tcp://IP:PORT or udp://IP:PORT", text)
+	}
+	protocol, err := lb.ParseProtocol(scheme)
+	if err != nil {
+		return lb.Frontend{}, errors.Wrapf(err, "front end %q", text)
+	}
+	address, err := netip.ParseAddrPort(rest)
+	if err != nil {
+		return lb.Frontend{}, errors.Wrapf(err, "front end %q", text)
+	}
+	return lb.Frontend{Address: address, Protocol: protocol}, nil
+}
+
 func encode(key string, document any) ([]byte, error) {
 	value, err := json.Marshal(document)
 	return value, errors.Wrapf(err, "%s: encode", key)
--- /dev/null
+++ b/internal/operator/apply.go
@@ -0,0 +1,186 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+
+	"robinpulley.example/robinpulley/internal/catalog"
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Objects is a set of services and back ends, as in a file of apply and export.
+type Objects struct {
+	Services []catalog.Service `json:"services"`
+	Backends []catalog.Backend `json:"backends"`
+}
+
+// ReadObjects reads one or more YAML documents, each with the lists services
+// and backends, and validates every object. All errors are given at once.
+func ReadObjects(reader io.Reader) (Objects, error) {
+	var all Objects
+	decoder := yaml.NewDecoder(reader)
+	for {
+		var document any
+		err := decoder.Decode(&document)
+		if errors.Is(err, io.EOF) {
+			return all, all.validate()
+		}
+		if err != nil {
+			return Objects{}, badInput(err)
+		}
+		objects, err := toObjects(document)
+		if err != nil {
+			return Objects{}, badInput(err)
+		}
+		all.Services = append(all.Services, objects.Services...)
+		all.Backends = append(all.Backends, objects.Backends...)
+	}
+}
+
+// toObjects takes the way over JSON, whose field names the documents have.
+func toObjects(document any) (Objects, error) {
+	var objects Objects
+	if document == nil {
+		return objects, nil
+	}
+	text, err := json.Marshal(document)
+	if err != nil {
+		return objects, errors.Wrap(err, "keys must be texts")
+	}
+	strict := json.NewDecoder(bytes.NewReader(text))
+	strict.DisallowUnknownFields()
+	return objects, strict.Decode(&objects)
+}
+
+func (objects *Objects) validate() error {
+	var all error
+	services, backends := map[lb.ServiceName]bool{}, map[lb.BackendName]bool{}
+	frontends := map[lb.Frontend]lb.ServiceName{}
+	for index := range objects.Services {
+		service := &objects.Services[index]
+		all = errors.Join(all, service.Validate())
+		if services[service.Name] {
+			all = errors.Join(all, errors.Newf("service %q is given twice", service.Name))
+		}
+		services[service.Name] = true
+		for _, frontend := range service.Frontends {
+			if owner, taken := frontends[frontend]; taken && owner != service.Name {
+				all = errors.Join(all, errors.Newf("front end %s is given to services %q and %q", frontend, owner, service.Name))
+			}
+			frontends[frontend] = service.Name
+		}
+	}
+	for index := range objects.Backends {
+		backend := &objects.Backends[index]
+		all = errors.Join(all, backend.Validate())
+		if backends[backend.Name] {
+			all = errors.Join(all, errors.Newf("back end %q is given twice", backend.Name))
+		}
+		backends[backend.Name] = true
+	}
+	if all == nil {
+		return nil
+	}
+	return badInput(all)
+}
+
+// Apply makes the objects as given, back ends first, each by its own
+// compare-and-swap; others are left alone. It ends at the first error and
+// gives what was done before. Applying again changes only what differs.
+func (operator *Operator) Apply(ctx context.Context, objects Objects) ([]Change, error) {
+	if err := objects.validate(); err != nil {
+		return nil, err
+	}
+	var changes []Change
+	for _, backend := range objects.Backends {
+		change, err := replace(ctx, operator, backendKind, string(backend.Name), backend)
+		if err != nil {
+			return changes, errors.Wrapf(err, "back end %q", backend.Name)
+		}
+		changes = append(changes, change)
+	}
+	for _, service := range objects.Services {
+		change, err := replace(ctx, operator, serviceKind, string(service.Name), service)
+		if err != nil {
+			return changes, errors.Wrapf(err, "service %q", service.Name)
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+// replace puts the document in place of whatever is there, valid or not.
+func replace[Document any](ctx context.Context, operator *Operator, kind *kind[Document], name string, document Document) (Change, error) {
+	read, err := operator.client.Get(ctx, kind.key(name))
+	if err != nil {
+		return Change{}, err
+	}
+	old := stored[Document]{read: read}
+	if read.Exists() {
+		if valid, err := kind.decode(read.Key, read.Value); err == nil {
+			old.document = valid
+		}
+	}
+	return write(ctx, operator, kind, name, old, &document)
+}
+
+// Export reads all valid objects, sorted by name, without write ids; invalid ones are an error.
+func (operator *Operator) Export(ctx context.Context) (Objects, error) {
+	configuration, err := operator.readConfiguration(ctx)
+	if err != nil {
+		return Objects{}, err
+	}
+	objects := Objects{Services: []catalog.Service{}, Backends: configuration.index.Backends()}
+	for index := range objects.Backends {
+		objects.Backends[index].WriteID = ""
+	}
+	for _, name := range configuration.index.ServiceNames() {
+		service := configuration.index.Desired(name).Service
+		service.WriteID = ""
+		objects.Services = append(objects.Services, service)
+	}
+	var all error
+	for _, problem := range configuration.index.Problems() {
+		all = errors.Join(all, problem.Cause)
+	}
+	return objects, all
+}
+
+// WriteObjects writes the objects as YAML that ReadObjects reads back.
+func WriteObjects(writer io.Writer, objects Objects) error {
+	text, err := json.Marshal(objects)
+	if err != nil {
+		return err
+	}
+	var document yaml.Node // JSON is YAML; a node keeps the order of fields
+	if err := yaml.Unmarshal(text, &document); err != nil {
+		return err
+	}
+	useBlockStyle(&document)
+	encoder := yaml.NewEncoder(writer)
+	encoder.SetIndent(2)
+	if err := encoder.Encode(&document); err != nil {
+		return err
+	}
+	return encoder.Close()
+}
+
+// useBlockStyle writes one item a line, with quotes where they are needed.
+func useBlockStyle(node *yaml.Node) {
+	if !slices.Contains(oldBooleans, strings.ToLower(node.Value)) {
+		node.Style = 0
+	}
+	for _, child := range node.Content {
+		useBlockStyle(child)
+	}
+}
+
+// oldBooleans are texts that YAML 1.1 takes for booleans, so that they stay quoted.
+var oldBooleans = []string{"y", "yes", "n", "no", "on", "off"}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -63,11 +63,25 @@
 			return errors.Newf("store endpoint %q: must be http://HOST:PORT or https://HOST:PORT", endpoint)
 		}
 	}
-	positive := settings.Timeout > 0 && settings.RequestsPerSecond > 0 && settings.Burst > 0 &&
-		settings.BackoffBase > 0 && settings.BackoffMax >= settings.BackoffBase &&
-		settings.PageSize > 0 && settings.WatchIdleLimit > 0 && settings.Transport != nil
-	if !positive {
-		return errors.Newf("store settings: a time, rate or size is not positive, or there is no transport: %+v", *settings)
+	for _, check := range []struct {
+		field string
+		value any
+		valid bool
+	}{
+		{"timeout", settings.Timeout, settings.Timeout > 0},
+		{"requests per second", settings.RequestsPerSecond, settings.RequestsPerSecond > 0},
+		{"burst", settings.Burst, settings.Burst > 0},
+		{"retry ratio", settings.RetryRatio, settings.RetryRatio >= 0},
+		{"retry burst", settings.RetryBurst, settings.RetryBurst >= 0},
+		{"backoff base", settings.BackoffBase, settings.BackoffBase > 0},
+		{"backoff max", settings.BackoffMax, settings.BackoffMax >= settings.BackoffBase},
+		{"page size", settings.PageSize, settings.PageSize > 0},
+		{"watch idle limit", settings.WatchIdleLimit, settings.WatchIdleLimit > 0},
+		{"transport", settings.Transport, settings.Transport != nil},
+	} {
+		if !check.valid {
+			return errors.Newf("store %s %v: is out of range", check.field, check.value)
+		}
 	}
 	return nil
 }
--- a/internal/store/watch_test.go
+++ b/internal/store/watch_test.go
@@ -109,7 +109,7 @@
 		batches := client.Watch(ctx, "/k/", 0)
 		var seen view
 		seen.consume(t, batches, gone.ModRevision)
-		synctest.Wait() // for the stream to be open
+		synctest.Wait()                                          // for the stream to be open
 		transport.set(func(string) fault { return faultUnsent }) // the watcher is cut off
 		server.SetFaults(storesim.Faults{DropWatches: true})
 		synctest.Wait() // for the stream to end
