Check the core's properties over random schedules, with mutants

Cause: the core's guarantees rested on reading it. Change: a network of cores in virtual time with loss, duplication, late delivery, uneven placements and views, joins, stops, deaths and pauses; rapid draws the plans. Each rule of the core can be switched off by a test. Found and mended: a head that had guessed the base for a later packet refused a copy of the opening as tuple reuse; it now does so only by a confirmed record.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -13,7 +13,10 @@
 
 const testService lb.ServiceName = "wallet-core"
 
-var testFrontend = lb.Frontend{Address: netip.MustParseAddrPort("198.18.0.1:443"), Protocol: lb.TCP}
+var (
+	testFrontend    = lb.Frontend{Address: netip.MustParseAddrPort("198.18.0.1:443"), Protocol: lb.TCP}
+	testFrontendUDP = lb.Frontend{Address: testFrontend.Address, Protocol: lb.UDP}
+)
 
 func testTargets(names string) []placement.Target {
 	var targets []placement.Target
@@ -33,7 +36,7 @@
 		}
 		return document
 	}
-	frontends := placement.SetFrontends([]lb.Frontend{testFrontend})
+	frontends := placement.SetFrontends([]lb.Frontend{testFrontend, testFrontendUDP})
 	calm = must(placement.New(testService, placement.Stamp{WriteID: "1"}, frontends, placement.Prepare(testTargets(before)), placement.Commit()))
 	prepared = must(placement.Next(calm, placement.Stamp{WriteID: "2"}, placement.Prepare(testTargets(after))))
 	committed = must(placement.Next(prepared, placement.Stamp{WriteID: "3"}, placement.Commit()))
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -63,6 +63,11 @@
 // idle tells whether nothing waits to be handed over or acknowledged.
 func (handover *handover) idle() bool { return len(handover.targets) == 0 }
 
+// HandoverIdle tells whether nothing waits to be handed over. A node reports a
+// prepared placement as in force only then: its known UDP flows are in the
+// chains before new flows go elsewhere.
+func (core *Core) HandoverIdle() bool { return core.handover.idle() }
+
 func (handover *handover) target(to *node) *target {
 	position, found := slices.BinarySearchFunc(handover.targets, to, func(known *target, to *node) int {
 		return cmp.Compare(known.to.ID, to.ID)
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -65,7 +65,7 @@
 			current.propose(relay, current.proposalOf(entry))
 			return
 		}
-		if current.maybePinned(entry) {
+		if core.confirmed(current.bucket, entry) && current.maybePinned(entry) {
 			current.refuse(lb.MayHaveRun, ReasonTupleReuse)
 			return
 		}
--- /dev/null
+++ b/internal/core/network_test.go
@@ -0,0 +1,450 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/placement"
+)
+
+// property names a guarantee, as in docs/PROOFS.md.
+type property string
+
+const (
+	oneBackend   property = "an opening reaches one back end"
+	notRunTrue   property = "not run is true"
+	flowStays    property = "a flow stays on its back end"
+	ownService   property = "a packet goes to its own service"
+	versionGrows property = "versions never go back"
+)
+
+// violation is one breach of a property.
+type violation struct {
+	property property
+	detail   string
+}
+
+// testSettings are the defaults with shorter times.
+func testSettings(id lb.NodeID, zone lb.Zone) Settings {
+	settings := DefaultSettings(id, zone)
+	settings.OpeningHold = 6 * time.Second
+	settings.IdleTimeout = 12 * time.Second
+	settings.PinLifetime = 3 * time.Second
+	return settings
+}
+
+// testNode is one core in the network.
+type testNode struct {
+	core    *Core
+	alive   bool
+	sprayed bool // the fabric sends to it
+	leaving bool
+	paused  bool
+	known   bool // not thought dead by the others
+	version lb.Version
+	effects Effects
+}
+
+// openingKey names one opening.
+type openingKey struct {
+	key lb.FlowKey
+	id  uint32
+}
+
+// opening is what the network knows of one opening.
+type opening struct {
+	host    string // of the back end that it reached first
+	refused bool   // as not run
+}
+
+// network runs cores over an unreliable network in virtual time.
+type network struct {
+	plan       plan
+	off        rules
+	random     *rand.Rand
+	now        time.Duration
+	queue      deliveries
+	order      int
+	nodes      []*testNode
+	document   *lb.Placement
+	history    []*lb.Placement
+	hosts      map[string]bool // of the service's back ends
+	callers    map[lb.FlowKey]*caller
+	openings   map[openingKey]*opening
+	violations []violation
+	changed    time.Duration // when the membership last changed
+	// interrupted: a node died or paused.
+	interrupted bool
+	// What happened: openings refused as not run, packets forwarded, flows
+	// opened, packets of open flows at another back end.
+	refusals, forwards, established, moved int
+	drops                                  map[Reason]int
+}
+
+// delivery is something that happens at a time.
+type delivery struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type deliveries []delivery
+
+func (queue deliveries) Len() int { return len(queue) }
+func (queue deliveries) Less(i, j int) bool {
+	if queue[i].at != queue[j].at {
+		return queue[i].at < queue[j].at
+	}
+	return queue[i].order < queue[j].order
+}
+func (queue deliveries) Swap(i, j int) { queue[i], queue[j] = queue[j], queue[i] }
+func (queue *deliveries) Push(item any) {
+	*queue = append(*queue, item.(delivery))
+}
+
+func (queue *deliveries) Pop() any {
+	old := *queue
+	last := old[len(old)-1]
+	*queue = old[:len(old)-1]
+	return last
+}
+
+func (network *network) after(delay time.Duration, run func()) {
+	network.order++
+	heap.Push(&network.queue, delivery{network.now + delay, network.order, run})
+}
+
+func (network *network) millis(low, high int) time.Duration {
+	return time.Duration(low+network.random.IntN(high-low+1)) * time.Millisecond
+}
+
+func (network *network) percent(chance int) bool { return network.random.IntN(100) < chance }
+
+func (network *network) violate(broken property, format string, arguments ...any) {
+	detail := fmt.Sprintf("%v: ", network.now) + fmt.Sprintf(format, arguments...)
+	network.violations = append(network.violations, violation{broken, detail})
+}
+
+// send delivers over the unreliable network: lost, late, or twice.
+func (network *network) send(run func()) {
+	copies := 1
+	if network.percent(network.plan.Duplicate) {
+		copies = 2
+	}
+	for range copies {
+		if network.percent(network.plan.Loss) {
+			continue
+		}
+		delay := network.millis(1, 20)
+		if network.percent(5) {
+			delay = network.millis(20, 900)
+		}
+		network.after(delay, run)
+	}
+}
+
+// step gives a node one event and carries out its effects.
+func (network *network) step(node *testNode, event Event) {
+	if !node.alive || node.paused {
+		return
+	}
+	node.core.Step(network.now, &event, &node.effects)
+	if service := node.core.services[testService]; service != nil {
+		if service.table.Version() < node.version {
+			network.violate(versionGrows, "%s from %d to %d", node.core.self.ID, node.version, service.table.Version())
+		}
+		node.version = service.table.Version()
+	}
+	for _, outgoing := range node.effects.Messages {
+		from, to := node.core.self.ID, network.node(outgoing.To)
+		peer := &PeerEvent{From: from, Message: outgoing.Message}
+		if to != nil {
+			network.send(func() { network.step(to, Event{Peer: peer}) })
+		}
+	}
+	if event.Packet != nil {
+		network.decided(node, *event.Packet, node.effects.Decision)
+	}
+}
+
+func (network *network) node(id lb.NodeID) *testNode {
+	for _, node := range network.nodes {
+		if node.core.self.ID == id {
+			return node
+		}
+	}
+	return nil
+}
+
+// decided carries out a decision and checks it.
+func (network *network) decided(node *testNode, packet Packet, decision Decision) {
+	flow := openingKey{packet.Key, packet.OpeningID}
+	isOpening := packet.Kind == PacketOpening
+	switch decision.Action {
+	case ActionDrop:
+		network.drops[decision.Reason]++
+	case ActionRelay:
+		packet.Relay = decision.Relay
+		if to := network.node(decision.Peer); to != nil {
+			network.send(func() { network.step(to, Event{Packet: &packet}) })
+		}
+	case ActionForward:
+		network.forwards++
+		host := decision.Host.String()
+		if !network.hosts[host] {
+			network.violate(ownService, "%s forwarded to %s", node.core.self.ID, host)
+		}
+		if isOpening {
+			network.forwarded(flow, host)
+		}
+	case ActionRefuse:
+		if isOpening && decision.Refusal.Verdict == lb.NotRun {
+			network.refused(flow)
+		}
+	}
+	if flow := network.callers[packet.Key]; flow != nil {
+		flow.heard(packet, decision)
+	}
+}
+
+func (network *network) opening(flow openingKey) *opening {
+	if network.openings[flow] == nil {
+		network.openings[flow] = &opening{}
+	}
+	return network.openings[flow]
+}
+
+func (network *network) forwarded(flow openingKey, host string) {
+	seen := network.opening(flow)
+	if seen.refused {
+		network.violate(notRunTrue, "bucket %d: forwarded after refusal", flow.key.ID().Bucket())
+	}
+	if seen.host != "" && seen.host != host {
+		network.violate(oneBackend, "bucket %d: %s and %s", flow.key.ID().Bucket(), seen.host, host)
+	}
+	if seen.host == "" {
+		seen.host = host
+	}
+}
+
+func (network *network) refused(flow openingKey) {
+	network.refusals++
+	seen := network.opening(flow)
+	seen.refused = true
+	if seen.host != "" {
+		network.violate(notRunTrue, "bucket %d: refused after forwarding", flow.key.ID().Bucket())
+	}
+}
+
+// publish makes the document known to each node after a delay of its own.
+func (network *network) publish(document *lb.Placement) {
+	network.document = document
+	network.history = append(network.history, document)
+	for _, backend := range document.Backends {
+		network.hosts[backend.Host.String()] = true
+	}
+	for index, node := range network.nodes {
+		delay := network.millis(1, 300)
+		if network.plan.Laggard && index == 0 {
+			delay = network.millis(3000, 15000)
+		}
+		network.after(delay, func() { network.step(node, Event{Placement: document}) })
+		if network.percent(30) { // an old document comes again
+			stale := network.history[network.random.IntN(len(network.history))]
+			network.after(delay+network.millis(1, 2000), func() { network.step(node, Event{Placement: stale}) })
+		}
+	}
+}
+
+// everywhere tells whether all live nodes have the newest document, and have
+// handed over the UDP flows that it is to move.
+func (network *network) everywhere() bool {
+	for _, node := range network.nodes {
+		if node.alive && (node.version < network.document.Version || !node.core.HandoverIdle()) {
+			return false
+		}
+	}
+	return true
+}
+
+// move publishes a move to the named back ends: prepare, commit, settle.
+func (network *network) move(names string) {
+	document, err := placement.Next(network.document, network.stampOf(), placement.Prepare(testTargets(names)))
+	if err != nil || document.Current == len(document.Generations)-1 {
+		return
+	}
+	version := document.Version
+	if network.plan.SkipPrepare {
+		network.commit(document, version)
+		return
+	}
+	network.publish(document)
+	network.awaitPrepared(version, network.now+2*time.Second)
+}
+
+func (network *network) stampOf() placement.Stamp {
+	network.order++
+	return placement.Stamp{WriteID: fmt.Sprint(network.order)}
+}
+
+// awaitPrepared commits once the prepared document is in force everywhere, or at the deadline.
+func (network *network) awaitPrepared(version lb.Version, deadline time.Duration) {
+	if !network.everywhere() && network.now < deadline {
+		network.after(100*time.Millisecond, func() { network.awaitPrepared(version, deadline) })
+		return
+	}
+	network.commit(network.document, version)
+}
+
+func (network *network) commit(prepared *lb.Placement, version lb.Version) {
+	document, err := placement.Next(prepared, network.stampOf(), placement.Commit())
+	if err != nil {
+		return
+	}
+	network.publish(document)
+	wait := testSettings("", "").IdleTimeout + time.Second
+	if network.plan.SettleEarly {
+		wait = time.Second
+	}
+	network.after(wait, func() { network.settle(version) })
+}
+
+func (network *network) settle(version lb.Version) {
+	document, err := placement.Next(network.document, network.stampOf(), placement.Settle(version))
+	if err == nil {
+		network.publish(document)
+	}
+}
+
+// views tells each node of the members, after a delay of its own.
+func (network *network) views() {
+	network.changed = network.now
+	for _, node := range network.nodes {
+		network.after(network.millis(1, 400), func() { network.step(node, Event{Members: network.members()}) })
+	}
+}
+
+func (network *network) members() []Member {
+	var members []Member
+	for _, node := range network.nodes {
+		if node.known {
+			members = append(members, Member{ID: node.core.self.ID, Zone: node.core.self.Zone, Leaving: node.leaving})
+		}
+	}
+	return members
+}
+
+// join adds a node that has the newest document.
+func (network *network) join() {
+	number := len(network.nodes)
+	zone := lb.Zone(fmt.Sprint(number % 3))
+	core := New(testSettings(lb.NodeID(fmt.Sprintf("node-%d", number)), zone))
+	core.off = network.off
+	node := &testNode{core: core, alive: true, known: true, sprayed: true}
+	network.nodes = append(network.nodes, node)
+	network.step(node, Event{Members: network.members()})
+	if network.document != nil {
+		network.step(node, Event{Placement: network.document})
+	}
+	network.ticks(node)
+	network.views()
+}
+
+func (network *network) ticks(node *testNode) {
+	if !node.alive {
+		return
+	}
+	network.step(node, Event{Tick: true})
+	if node.leaving && node.effects.HandoverDone {
+		node.sprayed = false
+		network.after(time.Second, func() { network.gone(node) })
+	}
+	network.after(500*time.Millisecond, func() { network.ticks(node) })
+}
+
+// gone ends a node that the others are told of at once.
+func (network *network) gone(node *testNode) {
+	if node.alive {
+		node.alive, node.known, node.sprayed = false, false, false
+		network.views()
+	}
+}
+
+// pick gives a random node that is neither dead, leaving nor paused.
+func (network *network) pick() *testNode {
+	var candidates []*testNode
+	for _, node := range network.nodes {
+		if node.alive && !node.leaving && !node.paused {
+			candidates = append(candidates, node)
+		}
+	}
+	return candidates[network.random.IntN(len(candidates))]
+}
+
+func (network *network) stop() {
+	node := network.pick()
+	node.leaving = true
+	network.step(node, Event{Leave: true})
+	network.views()
+}
+
+// die ends a node; the others notice a second later.
+func (network *network) die() {
+	network.interrupted = true
+	node := network.pick()
+	node.alive, node.sprayed = false, false
+	network.after(time.Second, func() {
+		node.known = false
+		network.views()
+	})
+}
+
+// pause stops a node for a while; it learns what it missed some time after it goes on.
+func (network *network) pause() {
+	network.interrupted = true
+	node := network.pick()
+	node.paused = true
+	network.after(1500*time.Millisecond, func() {
+		node.known = false
+		network.views()
+	})
+	network.after(network.millis(3000, 9000), func() { network.resume(node) })
+}
+
+func (network *network) resume(node *testNode) {
+	node.paused = false
+	network.after(network.millis(100, 900), func() {
+		network.step(node, Event{Placement: network.document})
+		network.step(node, Event{Members: network.members()})
+		network.step(node, Event{Contact: ContactRegained})
+		node.known = true
+		network.views()
+	})
+}
+
+// runUntil runs what is due until the end.
+func (network *network) runUntil(end time.Duration) {
+	for len(network.queue) > 0 {
+		next := heap.Pop(&network.queue).(delivery)
+		if next.at > end {
+			return
+		}
+		network.now = next.at
+		next.run()
+	}
+}
+
+// spray gives a packet of a caller to any balancer.
+func (network *network) spray(packet Packet) {
+	var candidates []*testNode
+	for _, node := range network.nodes {
+		if node.sprayed {
+			candidates = append(candidates, node)
+		}
+	}
+	node := candidates[network.random.IntN(len(candidates))]
+	network.send(func() { network.step(node, Event{Packet: &packet}) })
+}
--- /dev/null
+++ b/internal/core/property_test.go
@@ -0,0 +1,240 @@
+package core
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/placement"
+)
+
+// TestMain fixes the seed of rapid, so that every run has the same verdict.
+func TestMain(main *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(main.Run())
+}
+
+// action is one change to the network.
+type action string
+
+const (
+	actionMove  action = "move"
+	actionJoin  action = "join"
+	actionStop  action = "stop"
+	actionDie   action = "die"
+	actionPause action = "pause"
+)
+
+// change is an action at a time.
+type change struct {
+	At     time.Duration
+	Action action
+	Hosts  string // of a move
+}
+
+// plan is one schedule. Seed decides what the network does with each packet.
+type plan struct {
+	Seed        uint64
+	Loss        int // percent
+	Duplicate   int // percent
+	Limit       uint32
+	Changes     []change
+	Laggard     bool // one node gets placements late
+	Unplanned   bool // flows may move: something else than planned changes happens
+	SkipPrepare bool // moves are committed unannounced
+	SettleEarly bool // moves settle before IdleTimeout
+}
+
+// planKind draws plans of one kind.
+type planKind struct {
+	name       string
+	actions    []action // drawn in turn, spaced by gap
+	laggard    bool
+	unplanned  bool
+	properties []property
+}
+
+var always = []property{oneBackend, notRunTrue, flowStays, ownService, versionGrows}
+
+// planKinds are the situations in which properties are checked.
+var planKinds = []planKind{
+	{name: "planned", actions: []action{actionMove, actionJoin, actionStop, actionMove, actionJoin, actionStop}, properties: always},
+	{name: "joins", actions: []action{actionMove, actionJoin, actionJoin, actionJoin, actionJoin, actionMove, actionJoin}, properties: always},
+	{name: "stop then death", actions: []action{actionMove, actionStop, actionDie, actionMove}, properties: always},
+	{name: "pause", actions: []action{actionMove, actionPause, actionMove, actionMove}, properties: always},
+	{name: "laggard", actions: []action{actionMove, actionMove, actionJoin}, laggard: true, unplanned: true, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
+	{name: "death", actions: []action{actionMove, actionDie, actionMove}, unplanned: true, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
+	{name: "two deaths", actions: []action{actionMove, actionDie, actionDie, actionMove}, unplanned: true, properties: []property{notRunTrue, ownService, versionGrows}},
+}
+
+var hostSets = []string{"ABC", "DEF", "ABCD", "BDF", "E"}
+
+func (kind *planKind) draw(t *rapid.T) plan {
+	drawn := plan{
+		Seed:      rapid.Uint64().Draw(t, "seed"),
+		Loss:      rapid.IntRange(0, 15).Draw(t, "loss"),
+		Duplicate: rapid.IntRange(0, 30).Draw(t, "duplicate"),
+		Limit:     rapid.SampledFrom([]uint32{0, 1, 5}).Draw(t, "limit"),
+		Laggard:   kind.laggard,
+		Unplanned: kind.unplanned,
+	}
+	at := time.Duration(0)
+	for _, wanted := range kind.actions {
+		at += time.Duration(rapid.IntRange(2500, 7000).Draw(t, "gap")) * time.Millisecond
+		hosts := rapid.SampledFrom(hostSets).Draw(t, "hosts")
+		drawn.Changes = append(drawn.Changes, change{At: at, Action: wanted, Hosts: hosts})
+	}
+	return drawn
+}
+
+const (
+	testNodes    = 5
+	testFlows    = 60
+	planDuration = 50 * time.Second
+)
+
+// run runs the plan and gives the network at its end.
+func (drawn plan) run(off rules) *network {
+	network := &network{
+		plan:     drawn,
+		off:      off,
+		random:   rand.New(rand.NewPCG(drawn.Seed, 1)),
+		hosts:    make(map[string]bool),
+		callers:  make(map[lb.FlowKey]*caller),
+		openings: make(map[openingKey]*opening),
+		drops:    make(map[Reason]int),
+	}
+	network.publishFirst()
+	for range testNodes {
+		network.join()
+	}
+	for number := range testFlows {
+		network.addFlow(number)
+	}
+	for _, wanted := range drawn.Changes {
+		network.after(wanted.At, func() { network.apply(wanted) })
+	}
+	network.runUntil(planDuration)
+	return network
+}
+
+func (network *network) publishFirst() {
+	frontends := placement.SetFrontends([]lb.Frontend{testFrontend, testFrontendUDP})
+	document, err := placement.New(testService, network.stampOf(), frontends,
+		placement.SetOpensPerSecond(network.plan.Limit), placement.Prepare(testTargets("ABC")), placement.Commit())
+	if err != nil {
+		panic(err)
+	}
+	network.publish(document)
+}
+
+// addFlow schedules a flow; some open in bursts, some use their 5-tuple twice.
+func (network *network) addFlow(number int) {
+	key := testKey(number)
+	if number%5 == 0 {
+		key.Protocol = lb.UDP
+	}
+	flow := &caller{network: network, key: key, openingID: uint32(number+1) << 8}
+	network.callers[key] = flow
+	starts := network.millis(500, 40000)
+	if number%2 == 0 {
+		starts = time.Duration(1+network.random.IntN(8)) * 5 * time.Second
+	}
+	flow.ends = starts + network.millis(1000, 40000)
+	network.after(starts, func() { flow.open(0) })
+	if number%4 == 1 {
+		again := flow.ends + network.millis(4000, 12000)
+		network.after(again, func() { flow.reopen(again + network.millis(1000, 30000)) })
+	}
+}
+
+func (network *network) apply(wanted change) {
+	switch wanted.Action {
+	case actionMove:
+		network.move(wanted.Hosts)
+	case actionJoin:
+		network.whenIdle(network.join)
+	case actionStop:
+		network.whenIdle(network.stop)
+	case actionDie:
+		network.whenIdle(network.die)
+	case actionPause:
+		network.whenIdle(network.pause)
+	}
+}
+
+// whenIdle changes the membership only when the last change to it is through
+// and its records are handed over: views differ by one node.
+func (network *network) whenIdle(run func()) {
+	idle := network.now-network.changed > 2*time.Second
+	for _, node := range network.nodes {
+		idle = idle && (!node.alive || !node.leaving && !node.paused && node.core.handover.idle())
+	}
+	if !idle {
+		network.after(200*time.Millisecond, func() { network.whenIdle(run) })
+		return
+	}
+	network.changed = network.now
+	run()
+}
+
+func TestProperties(t *testing.T) {
+	for _, kind := range planKinds {
+		t.Run(kind.name, func(t *testing.T) {
+			total := &tally{drops: make(map[Reason]int)}
+			rapid.Check(t, func(t *rapid.T) {
+				drawn := kind.draw(t)
+				ran := drawn.run(rules{})
+				total.add(ran)
+				for _, breach := range ran.violations {
+					if breach.concerns(kind.properties) {
+						t.Fatalf("%s: %s\nplan %+v", breach.property, breach.detail, drawn)
+					}
+				}
+			})
+			t.Log(total)
+		})
+	}
+}
+
+func (breach violation) concerns(properties []property) bool {
+	for _, wanted := range properties {
+		if breach.property == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// tally adds up what happened in the schedules.
+type tally struct {
+	schedules, forwards, established, refusals, moved int
+	drops                                             map[Reason]int
+}
+
+func (total *tally) add(network *network) {
+	total.schedules++
+	total.forwards += network.forwards
+	total.established += network.established
+	total.refusals += network.refusals
+	total.moved += network.moved
+	for reason, count := range network.drops {
+		total.drops[reason] += count
+	}
+}
+
+func (total *tally) String() string {
+	return fmt.Sprintf("%d schedules, %d packets forwarded, %d flows opened, %d refused as not run, %d packets of open flows at another back end; dropped %v",
+		total.schedules, total.forwards, total.established, total.refusals, total.moved, total.drops)
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -17,8 +17,6 @@
 	recordConfirmed
 	// recordRefused: the opening was refused; the record is its tombstone.
 	recordRefused
-	// recordNotRun: the refusal's verdict was NotRun.
-	recordNotRun
 )
 
 // record places one flow on one back end (24 bytes).
