Run the demo on the whole path; add the fault runs

Cause: the whole path had to be seen at work in separate processes, and every guarantee under failure needs a run. Ruled out: waiting by sleeps; the runs wait until a change is in force, feeds are open, load has gone on. The fault runs were not yet run.

--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -19,6 +19,7 @@
 	Host   hostCommand   `cmd:"" help:"Run one back-end host."`
 	Caller callerCommand `cmd:"" help:"Run the callers of one service."`
 	Demo   demoCommand   `cmd:"" help:"Run the demo on real processes and print a table."`
+	Faults faultsCommand `cmd:"" help:"Do fault runs on real processes and print a table."`
 }
 
 func main() {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -243,12 +244,34 @@
 	return cluster.post(ctx, gone)
 }
 
+// Cut cuts the balancer off from the zones' balancers; none ends the cut.
+func (balancer *Balancer) Cut(ctx context.Context, from ...lb.Zone) error {
+	query := url.Values{}
+	for _, zone := range from {
+		query.Add("zone", string(zone))
+	}
+	return send(ctx, http.MethodPost, "http://"+balancer.Admin+"/debug/cut?"+query.Encode(), nil)
+}
+
+// State is the part of a balancer's /debug/state that runs look at.
+type State struct {
+	Watcher  bool                          `json:"watcher"`
+	Versions map[lb.ServiceName]lb.Version `json:"versions"`
+}
+
+// State reads the balancer's state.
+func (balancer *Balancer) State(ctx context.Context) (State, error) {
+	var state State
+	err := fetch(ctx, "http://"+balancer.Admin+"/debug/state", &state)
+	return state, err
+}
+
 // SetStoreFaults changes how the store misbehaves.
 func (cluster *Cluster) SetStoreFaults(ctx context.Context, faults storesim.Faults) error {
 	return send(ctx, http.MethodPut, cluster.StoreURL+"/faults", faults)
 }
 
-// send sends a value as JSON and wants 200 as answer.
+// send sends a value as JSON and wants success as answer.
 func send(ctx context.Context, method, url string, value any) error {
 	body, err := json.Marshal(value)
 	if err != nil {
@@ -263,7 +286,7 @@
 		return errors.Wrapf(err, "%s %s", method, url)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode/100 != 2 {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, 1000))
 		return errors.Newf("%s %s: status %s: %s", method, url, response.Status, text)
 	}
--- a/internal/lab/cluster/operator.go
+++ b/internal/lab/cluster/operator.go
@@ -18,19 +18,26 @@
 // Operator changes the configuration in the store, as robinctl does.
 type Operator struct {
 	client *store.Client
+	number int64
 	writes atomic.Int64
 }
 
+// operators counts the operators of this process, so that write ids are unique.
+var operators atomic.Int64
+
+// NewOperator gives one more operator of the cluster's store.
+func (cluster *Cluster) NewOperator() (*Operator, error) { return newOperator(cluster.StoreURL) }
+
 func newOperator(storeURL string) (*Operator, error) {
-	settings := store.DefaultSettings([]string{storeURL}, 1)
+	settings := store.DefaultSettings([]string{storeURL}, uint64(operators.Load()))
 	settings.RequestsPerSecond = 1000
 	settings.Burst = 1000
 	client, err := store.New(settings)
-	return &Operator{client: client}, err
+	return &Operator{client: client, number: operators.Add(1)}, err
 }
 
 func (operator *Operator) writeID() string {
-	return fmt.Sprintf("lab-%d-%d", time.Now().UnixNano(), operator.writes.Add(1))
+	return fmt.Sprintf("lab-%d-%d-%d", time.Now().UnixNano(), operator.number, operator.writes.Add(1))
 }
 
 // PutBackend creates or replaces a back end and gives the revision of the change.
@@ -63,6 +70,81 @@
 	return operator.client.Commit(ctx, txn)
 }
 
+// Outcome is how a racing change ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeAccepted Outcome = "accepted"
+	OutcomeConflict Outcome = "conflict"
+	OutcomeUnknown  Outcome = "unknown"
+)
+
+// Change is one change of a back end by compare-and-swap, with when it was
+// called and answered.
+type Change struct {
+	Read     string // write id that it was based on
+	Write    string // its own write id
+	Revision int64  // if accepted
+	Outcome  Outcome
+	Called   time.Time
+	Answered time.Time
+}
+
+// ChangeBackend reads a back end, changes it and writes it back if nobody
+// else has changed it since. Losing that race is an outcome, not an error.
+func (operator *Operator) ChangeBackend(ctx context.Context, name lb.BackendName, change func(*catalog.Backend)) (Change, error) {
+	key := catalog.BackendKey(name)
+	read, err := operator.client.Get(ctx, key)
+	if err != nil {
+		return Change{}, err
+	}
+	backend, err := catalog.DecodeBackend(key, read.Value)
+	if err != nil {
+		return Change{}, err
+	}
+	result := Change{Read: backend.WriteID, Write: operator.writeID(), Called: time.Now()}
+	change(&backend)
+	backend.WriteID = result.Write
+	document, err := catalog.EncodeBackend(&backend)
+	if err != nil {
+		return Change{}, err
+	}
+	result.Revision, err = operator.client.CompareAndSwap(ctx, &read, document, result.Write, 0)
+	result.Answered = time.Now()
+	switch {
+	case err == nil:
+		result.Outcome = OutcomeAccepted
+	case errors.Is(err, store.ErrConflict):
+		result.Outcome = OutcomeConflict
+	case errors.Is(err, store.ErrUnknownOutcome):
+		result.Outcome = OutcomeUnknown
+	default:
+		return Change{}, err
+	}
+	return result, nil
+}
+
+// Backend reads a back end's document.
+func (operator *Operator) Backend(ctx context.Context, name lb.BackendName) (catalog.Backend, error) {
+	key := catalog.BackendKey(name)
+	read, err := operator.client.Get(ctx, key)
+	if err != nil {
+		return catalog.Backend{}, err
+	}
+	return catalog.DecodeBackend(key, read.Value)
+}
+
+// Placement reads a service's placement.
+func (operator *Operator) Placement(ctx context.Context, name lb.ServiceName) (lb.Placement, error) {
+	var placement lb.Placement
+	read, err := operator.client.Get(ctx, catalog.PlacementKey(name))
+	if err != nil {
+		return placement, err
+	}
+	return placement, errors.Wrapf(json.Unmarshal(read.Value, &placement), "placement of %s", name)
+}
+
 func (operator *Operator) put(ctx context.Context, key string, document []byte, writeID string) (int64, error) {
 	read, err := operator.client.Get(ctx, key)
 	if err != nil {
--- a/internal/lab/runs/demo.go
+++ b/internal/lab/runs/demo.go
@@ -51,10 +51,10 @@
 	ctx, cancel := context.WithTimeout(ctx, demoLimit)
 	defer cancel()
 	running, err := startWorld(ctx, options, demoSize)
-	defer running.Close()
 	if err != nil {
 		return err
 	}
+	defer running.Close()
 	fmt.Fprintf(output, "%d balancers in %d zones, %d hosts, store and fabric are up\n",
 		len(running.Balancers), len(zones), len(running.Hosts))
 	outcome, err := running.demo(ctx, output)
--- /dev/null
+++ b/internal/lab/runs/faultset.go
@@ -0,0 +1,272 @@
+package runs
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lab/cluster"
+	"robinpulley.example/robinpulley/internal/lab/storesim"
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// How the store misbehaves in the runs.
+var (
+	storeOutage  = storesim.Faults{Outage: true}
+	storeSlow    = storesim.Faults{DelayMillis: 300}
+	storeLossy   = storesim.Faults{LostAnswers: 300}
+	storeHealthy = storesim.Faults{}
+)
+
+// AllFaults is the long set, in the order of running.
+func AllFaults() []Fault {
+	return []Fault{
+		{Name: "drain", Guarantee: "a drained back end gets no new flow after 3 s; no flow breaks", run: drainOne},
+		{Name: "planned-stop", Guarantee: "planned stops break no flow", run: plannedStops},
+		{Name: "join", Guarantee: "a joining balancer breaks no flow, also with the store down", run: joinWithoutStore},
+		{Name: "store-outage", Guarantee: "flows go on; an accepted change is in force after the outage", run: outage},
+		{Name: "slow-store", Guarantee: "changes come in force with a slow store", run: slowStore},
+		{Name: "lost-answers", Guarantee: "changes come in force and stay with answers lost", run: lostAnswers},
+		{Name: "racing-operators", Guarantee: "one of racing changes wins, the others are told; none reverts", run: racingOperators},
+		{Name: "kill", Guarantee: "a killed balancer leads to no double run and no false not-run", Unplanned: true, run: killOne},
+		{Name: "kill-watchers", Guarantee: "a change is in force although a zone's watcher is killed", Unplanned: true, run: killWatcher},
+		{Name: "freeze", Guarantee: "a balancer frozen during a change does not act on its old view", Unplanned: true, run: freeze},
+		{Name: "cut", Guarantee: "a cut zone keeps serving its flows", Unplanned: true, run: cutZone},
+		{Name: "drain-and-kill", Guarantee: "a drain and a kill at once", Unplanned: true, run: drainAndKill},
+		{Name: "kill-in-outage", Guarantee: "a kill while the store is down", Unplanned: true, run: killInOutage},
+		{Name: "freeze-and-stop", Guarantee: "a planned stop while another balancer is frozen", Unplanned: true, run: freezeAndStop},
+	}
+}
+
+func drainOne(ctx context.Context, run *faultRun) error {
+	if err := run.drainAndCheck(ctx, run.Hosts[0]); err != nil {
+		return err
+	}
+	began := time.Now()
+	revision, err := run.undrain(ctx, run.Hosts[0])
+	if err != nil {
+		return err
+	}
+	return run.inForce(ctx, revision, began)
+}
+
+// plannedStops replaces one balancer after the other: the new one joins, then
+// the old one stops.
+func plannedStops(ctx context.Context, run *faultRun) error {
+	for i := range run.options.Stops {
+		old := run.Balancers[i]
+		joined, err := run.StartBalancer(ctx, fmt.Sprintf("%s-r%d", old.Zone, i+1), old.Zone)
+		if err != nil {
+			return err
+		}
+		if err := run.Admit(ctx, joined); err != nil {
+			return err
+		}
+		if err := run.StopPlanned(ctx, old); err != nil {
+			return err
+		}
+	}
+	run.figure("%d planned stops", run.options.Stops)
+	return nil
+}
+
+// joinWithoutStore has a balancer join while the store is down.
+func joinWithoutStore(ctx context.Context, run *faultRun) error {
+	if err := run.SetStoreFaults(ctx, storeOutage); err != nil {
+		return err
+	}
+	joined, err := run.StartBalancer(ctx, "zone-a-new", "zone-a")
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := run.Admit(ctx, joined); err != nil {
+		return err
+	}
+	run.figure("ready %s after its start, with the store down", time.Since(began).Round(time.Millisecond))
+	if err := run.progress(ctx); err != nil {
+		return err
+	}
+	return run.SetStoreFaults(ctx, storeHealthy)
+}
+
+func outage(ctx context.Context, run *faultRun) error {
+	revision, err := run.drain(ctx, run.Hosts[0])
+	if err != nil {
+		return err
+	}
+	// The outage begins while the change spreads.
+	if err := run.SetStoreFaults(ctx, storeOutage); err != nil {
+		return err
+	}
+	if err := run.progress(ctx); err != nil {
+		return err
+	}
+	if err := run.SetStoreFaults(ctx, storeHealthy); err != nil {
+		return err
+	}
+	if err := run.inForce(ctx, revision, time.Now()); err != nil {
+		return err
+	}
+	return run.agrees(ctx, run.Hosts[0], lb.BackendDraining)
+}
+
+// slowStore also drops the running watches.
+func slowStore(ctx context.Context, run *faultRun) error {
+	slow := storeSlow
+	slow.DropWatches = true
+	if err := run.SetStoreFaults(ctx, slow); err != nil {
+		return err
+	}
+	if err := run.change(ctx, run.Hosts[0]); err != nil {
+		return err
+	}
+	if err := run.SetStoreFaults(ctx, storeHealthy); err != nil {
+		return err
+	}
+	return run.agrees(ctx, run.Hosts[0], lb.BackendActive)
+}
+
+func lostAnswers(ctx context.Context, run *faultRun) error {
+	if err := run.SetStoreFaults(ctx, storeLossy); err != nil {
+		return err
+	}
+	for _, host := range run.Hosts[:2] {
+		if err := run.change(ctx, host); err != nil {
+			return err
+		}
+	}
+	if err := run.SetStoreFaults(ctx, storeHealthy); err != nil {
+		return err
+	}
+	return run.agrees(ctx, run.Hosts[0], lb.BackendActive)
+}
+
+// last gives the balancer that was started last.
+func (run *faultRun) last() *cluster.Balancer { return run.Balancers[len(run.Balancers)-1] }
+
+func killOne(ctx context.Context, run *faultRun) error {
+	if err := run.Kill(ctx, run.last(), machineListLag); err != nil {
+		return err
+	}
+	return run.drainAndCheck(ctx, run.Hosts[0])
+}
+
+// killWatcher kills a balancer that watches the store, right after a change.
+func killWatcher(ctx context.Context, run *faultRun) error {
+	for _, balancer := range run.Balancers {
+		state, err := balancer.State(ctx)
+		if err != nil {
+			return err
+		}
+		if !state.Watcher {
+			continue
+		}
+		began := time.Now()
+		revision, err := run.drain(ctx, run.Hosts[0])
+		if err != nil {
+			return err
+		}
+		if err := run.Kill(ctx, balancer, 0); err != nil {
+			return err
+		}
+		return run.inForce(ctx, revision, began)
+	}
+	return errors.New("no balancer watches the store")
+}
+
+// freeze stops a balancer's process with packets in its sockets, changes the
+// configuration and lets it go on.
+func freeze(ctx context.Context, run *faultRun) error {
+	frozen := run.last()
+	if err := frozen.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	if err := run.drainAndCheck(ctx, run.Hosts[0]); err != nil {
+		return err
+	}
+	if err := frozen.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	thawed := time.Now()
+	if err := run.progress(ctx); err != nil {
+		return err
+	}
+	if err := run.noNewFlows(ctx, run.Hosts[0], thawed); err != nil {
+		return err
+	}
+	return run.agrees(ctx, run.Hosts[0], lb.BackendDraining)
+}
+
+// cutZone cuts one zone's balancers off from the others, both ways.
+func cutZone(ctx context.Context, run *faultRun) error {
+	const island = lb.Zone("zone-c")
+	for _, balancer := range run.Balancers {
+		from := []lb.Zone{island}
+		if balancer.Zone == island {
+			from = otherZones(island)
+		}
+		if err := balancer.Cut(ctx, from...); err != nil {
+			return err
+		}
+	}
+	for range 3 {
+		if err := run.progress(ctx); err != nil {
+			return err
+		}
+	}
+	for _, balancer := range run.Balancers {
+		if err := balancer.Cut(ctx); err != nil {
+			return err
+		}
+	}
+	return run.change(ctx, run.Hosts[0])
+}
+
+func drainAndKill(ctx context.Context, run *faultRun) error {
+	began := time.Now()
+	revision, err := run.drain(ctx, run.Hosts[0])
+	if err != nil {
+		return err
+	}
+	if err := run.Kill(ctx, run.last(), 0); err != nil {
+		return err
+	}
+	if err := run.inForce(ctx, revision, began); err != nil {
+		return err
+	}
+	return run.noNewFlows(ctx, run.Hosts[0], began.Add(drainedWithin))
+}
+
+func killInOutage(ctx context.Context, run *faultRun) error {
+	if err := run.SetStoreFaults(ctx, storeOutage); err != nil {
+		return err
+	}
+	if err := run.Kill(ctx, run.last(), machineListLag); err != nil {
+		return err
+	}
+	if err := run.progress(ctx); err != nil {
+		return err
+	}
+	if err := run.SetStoreFaults(ctx, storeHealthy); err != nil {
+		return err
+	}
+	return run.change(ctx, run.Hosts[0])
+}
+
+func freezeAndStop(ctx context.Context, run *faultRun) error {
+	frozen := run.last()
+	if err := frozen.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	if err := run.StopPlanned(ctx, run.Balancers[0]); err != nil {
+		return err
+	}
+	if err := frozen.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	return run.change(ctx, run.Hosts[0])
+}
--- a/internal/lab/runs/world.go
+++ b/internal/lab/runs/world.go
@@ -40,46 +40,53 @@
 type world struct {
 	*cluster.Cluster
 	size size
-	hold int64 // revision of the last change of the set-up
 }
 
 // startWorld starts everything and waits until the set-up is in force in all
-// zones. The caller closes the world also after an error.
+// zones. The caller closes the world; after an error nothing is left running.
 func startWorld(ctx context.Context, options cluster.Options, size size) (*world, error) {
 	options.Zones = zones
 	started, err := cluster.Start(ctx, options)
 	running := &world{Cluster: started, size: size}
+	if err == nil {
+		err = running.setUp(ctx)
+	}
 	if err != nil {
-		return running, err
+		running.Close()
+		return nil, err
 	}
-	if err := running.configure(ctx); err != nil {
-		return running, err
+	return running, nil
+}
+
+func (running *world) setUp(ctx context.Context) error {
+	revision, err := running.configure(ctx)
+	if err != nil {
+		return err
 	}
 	if err := running.startBalancers(ctx); err != nil {
-		return running, err
+		return err
 	}
-	_, err = running.Operator.InForce(ctx, running.hold, zones)
-	return running, err
+	_, err = running.Operator.InForce(ctx, revision, zones)
+	return err
 }
 
-// configure starts the hosts and writes services and back ends.
-func (running *world) configure(ctx context.Context) error {
+// configure starts the hosts and writes services and back ends. It gives the
+// revision of the last write.
+func (running *world) configure(ctx context.Context) (int64, error) {
 	for i := range running.size.walletHosts {
 		if _, err := running.StartHost(ctx, serviceWallet, zones[i%len(zones)], walletFrontend); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	for i := range running.size.docVaultHosts {
 		if _, err := running.StartHost(ctx, serviceDocVault, zones[i%len(zones)], docVaultFrontend); err != nil {
-			return err
+			return 0, err
 		}
 	}
 	if _, err := running.Operator.PutService(ctx, service(serviceWallet, walletFrontend)); err != nil {
-		return err
+		return 0, err
 	}
-	revision, err := running.Operator.PutService(ctx, service(serviceDocVault, docVaultFrontend))
-	running.hold = revision
-	return err
+	return running.Operator.PutService(ctx, service(serviceDocVault, docVaultFrontend))
 }
 
 func service(name lb.ServiceName, frontend netip.AddrPort) catalog.Service {
@@ -125,16 +132,6 @@
 	return running.FeedsOpen(ctx, load.Feeds, load.UDPFlows)
 }
 
-// balancer gives the running balancer of a name.
-func (running *world) balancer(name string) (*cluster.Balancer, error) {
-	for _, balancer := range running.Balancers {
-		if balancer.Name == name && !balancer.Ended() {
-			return balancer, nil
-		}
-	}
-	return nil, errors.Newf("balancer %q does not run", name)
-}
-
 // drain takes the label that the selector asks for from a host's back end and
 // gives the revision of the change.
 func (running *world) drain(ctx context.Context, host *cluster.Host) (int64, error) {
