Let a stopping node say goodbye; keep expected failures out of the log

The announcement of the end was queued and dropped by the exit at once. A planned stop may now take 300 s, since records are handed over within the byte budget.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -51,7 +51,7 @@
 	DefaultAdminAddress          = "127.0.0.1:9090"
 	DefaultLogLevel              = "info"
 	DefaultControlBytesPerSecond = 4096
-	DefaultPinBytesPerSecond     = 2048
+	DefaultPinBytesPerSecond     = 3000
 	DefaultOpeningHold           = 60 * time.Second
 	DefaultIdleTimeout           = 300 * time.Second
 	DefaultPinLifetime           = 60 * time.Second
@@ -59,7 +59,7 @@
 	DefaultPauseLimit            = time.Second
 	DefaultRetryAfter            = 500 * time.Millisecond
 	DefaultDrainGrace            = 3 * time.Second
-	DefaultDrainLimit            = 30 * time.Second
+	DefaultDrainLimit            = 300 * time.Second
 	DefaultHealthInterval        = time.Second
 	DefaultHealthTimeout         = 500 * time.Millisecond
 )
--- a/internal/node/machinelist.go
+++ b/internal/node/machinelist.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/machines"
 	"robinpulley.example/robinpulley/internal/member"
@@ -21,8 +23,9 @@
 	client := &http.Client{Timeout: machinesTimeout}
 	ticker := time.NewTicker(machinesInterval)
 	defer ticker.Stop()
+	failed := false
 	for {
-		node.readMachines(ctx, client)
+		failed = node.readMachines(ctx, client, failed)
 		select {
 		case <-ctx.Done():
 			return
@@ -31,13 +34,20 @@
 	}
 }
 
-func (node *Node) readMachines(ctx context.Context, client *http.Client) {
+// readMachines reads the list once and tells whether that failed. Of failures
+// in a row only the first is logged as a problem.
+func (node *Node) readMachines(ctx context.Context, client *http.Client, failedBefore bool) (failed bool) {
 	list, err := machines.Fetch(ctx, client, node.settings.MachinesURL)
 	if err != nil {
-		node.logger.Warn().Err(err).Str(logging.FieldEvent, string(logging.EventMachinesFailed)).Send()
-		return
+		level := zerolog.WarnLevel
+		if failedBefore {
+			level = zerolog.DebugLevel
+		}
+		node.logger.WithLevel(level).Err(err).Str(logging.FieldEvent, string(logging.EventMachinesFailed)).Send()
+		return true
 	}
 	node.takeMachines(list)
+	return false
 }
 
 func (node *Node) takeMachines(list []machines.Machine) {
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"robinpulley.example/robinpulley/internal/catalog"
 	"robinpulley.example/robinpulley/internal/controller"
@@ -174,8 +175,14 @@
 	}
 }
 
+// logStoreWrite logs a write that failed. That another publisher was first is
+// no problem.
 func (node *Node) logStoreWrite(err error, key string) {
-	node.logger.Warn().Err(err).
+	level := zerolog.WarnLevel
+	if errors.Is(err, store.ErrConflict) {
+		level = zerolog.DebugLevel
+	}
+	node.logger.WithLevel(level).Err(err).
 		Str(logging.FieldEvent, string(logging.EventStoreWriteFailed)).
 		Str(logging.FieldKey, key).
 		Send()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -8,6 +8,24 @@
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
+// endLinger is how long a node that has said that it ends still moves packets
+// and lets its last messages go.
+const endLinger = 300 * time.Millisecond
+
+// endPlanned tells the others that this node ends, and waits for what is still
+// under way.
+func (node *Node) endPlanned(ctx context.Context) error {
+	node.engine.end()
+	select {
+	case <-ctx.Done():
+		node.logEvent(logging.EventStoppedAtOnce)
+		return ErrStoppedAtOnce
+	case <-time.After(endLinger):
+	}
+	node.logEvent(logging.EventStopped)
+	return nil
+}
+
 // stopAsPlanned announces that this node leaves, hands over its records, and
 // goes on relaying and forwarding until the fabric no longer sends to it.
 func (node *Node) stopAsPlanned(ctx context.Context) error {
@@ -30,6 +48,7 @@
 				Str(logging.FieldEvent, string(logging.EventStopped)).
 				Str(logging.FieldReason, "drain_limit").
 				Send()
+			node.engine.end()
 			return nil
 		case <-ticker.C:
 		}
@@ -43,9 +62,7 @@
 		}
 		quiet := time.Since(quietSince) >= node.settings.Timings.DrainGrace
 		if quiet && handedOver {
-			node.engine.end()
-			node.logEvent(logging.EventStopped)
-			return nil
+			return node.endPlanned(ctx)
 		}
 	}
 }
