--- /dev/null
+++ b/internal/operator/wait_test.go
@@ -0,0 +1,149 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/catalog"
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+const testFreshFor = time.Minute
+
+// put writes a document as the nodes do.
+func put(t *testing.T, operator *Operator, key string, document any) {
+	t.Helper()
+	value, err := json.Marshal(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read, err := operator.client.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := operator.client.CompareAndSwap(t.Context(), &read, value, operator.newID(), 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func putZone(t *testing.T, operator *Operator, zone lb.Zone, revision int64, age time.Duration) {
+	t.Helper()
+	put(t, operator, catalog.StatusKey(zone), catalog.ZoneStatus{
+		Zone: zone, ConfigRevision: revision, Nodes: 3, Behind: 1, UnixMillis: time.Now().Add(-age).UnixMilli(),
+	})
+}
+
+// waitUntilListed waits until the reports have been read; the watch that
+// follows the listing ends the time to wait.
+func waitUntilListed(t *testing.T, url string, revision int64) error {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	waiting := newOperatorOver(t, url, "wait", &beforeRequest{path: "/v3/watch", run: cancel})
+	_, err := waiting.Wait(ctx, revision, testFreshFor)
+	return err
+}
+
+func TestWaitEndsWhenEveryFreshZoneHasTheRevision(t *testing.T) {
+	is := is.New(t)
+	_, url := standIn(t)
+	ana := newOperator(t, url, "ana@a", nil)
+	change, err := ana.CreateBackend(t.Context(), web(1))
+	is.NoErr(err)
+	putZone(t, ana, "a", change.Revision, 0)
+	putZone(t, ana, "b", change.Revision-1, 0)
+	putZone(t, ana, "c", change.Revision-1, time.Hour)
+
+	err = waitUntilListed(t, url, change.Revision)
+	var timeout *WaitTimeoutError
+	is.True(errors.As(err, &timeout))
+	is.True(errors.Is(err, ErrWaitTimeout))
+	is.Equal(len(timeout.Missing), 1)
+	is.Equal(timeout.Missing[0].Zone, lb.Zone("b"))
+	is.Equal(timeout.Stale, []lb.Zone{"c"})
+
+	results := make(chan *InForce)
+	go func() {
+		result, err := ana.Wait(t.Context(), change.Revision, testFreshFor)
+		if err != nil {
+			t.Error(err)
+		}
+		results <- result
+	}()
+	putZone(t, ana, "b", change.Revision, 0)
+	result := <-results
+	is.Equal(result.Zones, []lb.Zone{"a", "b"})
+	is.Equal(result.Stale, []lb.Zone{"c"})
+}
+
+func TestWaitNeedsAZone(t *testing.T) {
+	is := is.New(t)
+	_, url := standIn(t)
+	ana := newOperator(t, url, "ana@a", nil)
+	putZone(t, ana, "a", 100, time.Hour)
+	is.True(errors.Is(waitUntilListed(t, url, 1), ErrWaitTimeout))
+}
+
+func TestLastChangeCountsDeletionsAndServicesCountTheirBackends(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	_, url := standIn(t)
+	ana := newOperator(t, url, "ana@a", nil)
+	service, err := ana.CreateService(ctx, wallet(443))
+	is.NoErr(err)
+	backend, err := ana.CreateBackend(ctx, web(1))
+	is.NoErr(err)
+	other := web(2)
+	other.Labels = map[string]string{"app": "other"}
+	_, err = ana.CreateBackend(ctx, other)
+	is.NoErr(err)
+	of, err := ana.LastChangeOf(ctx, "wallet")
+	is.NoErr(err)
+	is.Equal(of, backend.Revision)
+	is.True(of > service.Revision)
+	deleted, err := ana.DeleteBackend(ctx, "web-2")
+	is.NoErr(err)
+	last, err := ana.LastChange(ctx)
+	is.NoErr(err)
+	is.Equal(last, deleted.Revision)
+}
+
+func TestStatusReportsZonesPhasesAndInvalidDocuments(t *testing.T) {
+	is := is.New(t)
+	_, url := standIn(t)
+	ana := newOperator(t, url, "ana@a", nil)
+	_, err := ana.CreateService(t.Context(), wallet(443))
+	is.NoErr(err)
+	_, err = ana.CreateBackend(t.Context(), web(1))
+	is.NoErr(err)
+	putZone(t, ana, "a", 2, time.Hour)
+	put(t, ana, catalog.BackendKey("bad"), struct{}{})
+	two := []lb.Generation{{Version: 1}, {Version: 2}}
+	for _, placement := range []lb.Placement{
+		{Service: "preparing", Generations: two, Current: 0},
+		{Service: "moving", Generations: two, Current: 1},
+		{Service: "clearing", Generations: two[:1], History: []byte{0, 3}},
+		{Service: "steady", Generations: two[:1], Backends: []lb.PlacedBackend{{Name: "web-1", State: lb.BackendDraining}}},
+		{Service: "deleted", Deleted: true},
+	} {
+		put(t, ana, catalog.PlacementKey(placement.Service), placement)
+	}
+	status, err := ana.Status(t.Context(), testFreshFor)
+	is.NoErr(err)
+	phases := map[lb.ServiceName]Phase{}
+	for _, service := range status.Services {
+		phases[service.Name] = service.Phase
+	}
+	is.Equal(phases, map[lb.ServiceName]Phase{
+		"wallet": PhaseUnplaced, "preparing": PhasePreparing, "moving": PhaseMoving,
+		"clearing": PhaseClearing, "steady": PhaseSteady, "deleted": PhaseDeleted,
+	})
+	is.Equal(len(status.Zones), 1)
+	is.True(!status.Zones[0].Fresh)
+	is.Equal(len(status.Problems), 1)
+	is.Equal(status.Problems[0].Key, catalog.BackendKey("bad"))
+}
