Compress long peer messages; announce in small fleets to the end

Ruled out: loss alone (a lost question costs AskTimeout, now 400 ms). News is reported again after 400 ms.

--- a/internal/gossip/bench_test.go
+++ b/internal/gossip/bench_test.go
@@ -17,7 +17,7 @@
 			for b.Loop() {
 				fleet := newFleet(b, size, 3, nil)
 				fleet.runFor(5 * time.Second)
-				const changes = 4
+				const changes = 20
 				document := newDocument(b, 0)
 				const interval = 86400 * time.Second / (3400 * 4)
 				fleet.resetBytes()
--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -43,7 +43,7 @@
 	}
 	silent := core.now-contact.heard >= core.settings.ContactTimeout
 	switch {
-	case contact.held && silent && core.now-contact.lastOthers < memberMemory:
+	case contact.held && contact.hadOthers && silent && core.now-contact.lastOthers < memberMemory:
 		contact.held = false
 		contact.since = core.now
 		effects.Contact = ContactLost
--- a/internal/gossip/entropy.go
+++ b/internal/gossip/entropy.go
@@ -13,8 +13,9 @@
 const (
 	// maxGroupsCompared bounds the groups settled in one exchange.
 	maxGroupsCompared = 8
-	// lineBytes is the aim for the size of one message of placements.
-	lineBytes = 16 << 10
+	// lineBytes is the aim for the size of one message of placements: above
+	// transport.BulkLineBytes, so that a first load has the bulk budget.
+	lineBytes = 64 << 10
 	// answerBytes bounds the placements sent for one request a second, and
 	// smallAnswerBytes those for the others.
 	answerBytes      = 512 << 10
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -25,8 +25,7 @@
 	nodes   []*node
 	byID    map[lb.NodeID]*node
 	delays  []time.Duration
-	// adopted counts the nodes that have a version.
-	adopted map[message.ServiceVersion]int
+	carried map[*byte]message.Message // by their packed lines, to spare decoding
 	change  func(*gossip.Settings)
 }
 
@@ -67,7 +66,7 @@
 func newFleet(t testing.TB, size, zones int, change func(*gossip.Settings)) *fleet {
 	fleet := &fleet{
 		t: t, byID: make(map[lb.NodeID]*node), random: sim.NewRandom(5),
-		adopted: make(map[message.ServiceVersion]int), change: change,
+		carried: make(map[*byte]message.Message), change: change,
 	}
 	fleet.network = sim.Network{Within: 250 * time.Microsecond, Between: 1500 * time.Microsecond, Jitter: 200 * time.Microsecond, Loss: 0.01}
 	fleet.network.Start(sim.NewRandom(11))
@@ -135,7 +134,6 @@
 			at.lowered++
 		}
 		at.highest[document.Service] = max(at.highest[document.Service], document.Version)
-		fleet.adopted[message.ServiceVersion{Service: document.Service, Version: document.Version}]++
 	}
 	for _, statement := range at.effects.InForce {
 		at.inForce[statement.Zone] = statement
@@ -157,7 +155,11 @@
 	}
 	address := netip.AddrPortFrom(netip.IPv4Unspecified(), fleet.index(to))
 	kind := sent.MessageType()
-	from.out.Push(transport.Queued{To: address, Type: kind, Class: from.out.ClassOf(kind, len(line)), Line: line})
+	packed := transport.Pack(kind, line)
+	fleet.carried[&packed[0]] = sent
+	if !from.out.Push(transport.Queued{To: address, Type: kind, Class: transport.ClassOf(kind, len(line)), Line: packed}) {
+		delete(fleet.carried, &packed[0])
+	}
 	fleet.flush(from)
 }
 
@@ -190,11 +192,8 @@
 
 // carry takes one line over the network: long ones by TCP, which loses nothing.
 func (fleet *fleet) carry(from, to *node, line []byte) {
-	_, decoded, err := message.Decode(line)
-	if err != nil {
-		fleet.t.Fatal(err)
-	}
-	arrival := event{kind: eventMessage, to: to, from: from, message: decoded}
+	arrival := event{kind: eventMessage, to: to, from: from, message: fleet.carried[&line[0]]}
+	delete(fleet.carried, &line[0])
 	fleet.delays = fleet.network.Delays(from.zone, to.zone, fleet.delays)
 	for len(line) > transport.MaxDatagramBytes && len(fleet.delays) == 0 && !fleet.cut(from, to) {
 		fleet.delays = fleet.network.Delays(from.zone, to.zone, fleet.delays)
@@ -344,7 +343,7 @@
 // nextDocument prepares a generation in which one back end is replaced.
 func nextDocument(t testing.TB, previous *lb.Placement) *lb.Placement {
 	document, err := placement.Next(previous, stamp(int(previous.Version)+1),
-		placement.Prepare(targets(int(previous.Version)*20, 14)), placement.Commit())
+		placement.Prepare(targets(int(previous.Version), 14)), placement.Commit())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -51,6 +51,8 @@
 	SnapshotPeers int
 	// ReportInterval is the longest time between two reports of a node.
 	ReportInterval time.Duration
+	// ReportRepeat is the time after which news is reported again.
+	ReportRepeat time.Duration
 	// ContactTimeout without any message from a peer means lost contact.
 	ContactTimeout time.Duration
 	// AloneTimeout is how long a node that sees no other distrusts its view.
@@ -66,10 +68,11 @@
 		Validate:       placement.Validate,
 		Fanout:         3,
 		RoundInterval:  200 * time.Millisecond,
-		AskTimeout:     time.Second,
+		AskTimeout:     400 * time.Millisecond,
 		CalmInterval:   time.Second,
 		SnapshotPeers:  4,
 		ReportInterval: 2 * time.Second,
+		ReportRepeat:   400 * time.Millisecond,
 		ContactTimeout: 3 * time.Second,
 		AloneTimeout:   60 * time.Second,
 	}
@@ -94,6 +97,7 @@
 		{"ask timeout", settings.AskTimeout},
 		{"calm interval", settings.CalmInterval},
 		{"report interval", settings.ReportInterval},
+		{"report repeat", settings.ReportRepeat},
 		{"contact timeout", settings.ContactTimeout},
 		{"alone timeout", settings.AloneTimeout},
 	}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,326 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/gossip"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/rendezvous"
+)
+
+// settled gives a fleet in which the documents are everywhere.
+func settled(t testing.TB, size, zones int, documents ...*lb.Placement) *fleet {
+	fleet := newFleet(t, size, zones, nil)
+	fleet.publish(fleet.nodes[0], documents...)
+	_, ok := fleet.runUntil(60*time.Second, func() bool {
+		for _, node := range fleet.nodes {
+			if !node.synced {
+				return false
+			}
+		}
+		return fleet.everywhere(documents...)
+	})
+	if !ok {
+		t.Fatal("the documents are not everywhere")
+	}
+	fleet.runFor(10 * time.Second)
+	return fleet
+}
+
+// reporters gives the reporters of all zones, running ones only.
+func (fleet *fleet) reporters() []*node {
+	var candidates []rendezvous.Candidate
+	for _, member := range fleet.members() {
+		candidates = append(candidates, rendezvous.Candidate{ID: member.ID, Zone: member.Zone, Hash: member.ID.Hash()})
+	}
+	var reporters []*node
+	for _, watcher := range rendezvous.Watchers(candidates) {
+		reporters = append(reporters, fleet.byID[watcher.ID])
+	}
+	return reporters
+}
+
+// acknowledged tells whether every reporter knows that every zone has the document in force.
+func (fleet *fleet) acknowledged(document *lb.Placement, zones int) bool {
+	want := message.ServiceVersion{Service: document.Service, Version: document.Version}
+	for _, reporter := range fleet.reporters() {
+		named := 0
+		for _, statement := range reporter.inForce {
+			for _, version := range statement.Versions {
+				if version == want {
+					named++
+				}
+			}
+		}
+		if named < zones {
+			return false
+		}
+	}
+	return true
+}
+
+func TestChangeIsEverywhereAndAcknowledged(t *testing.T) {
+	is := is.New(t)
+	document := newDocument(t, 1)
+	fleet := settled(t, 48, 3, document)
+	for range 5 {
+		document = nextDocument(t, document)
+		fleet.publish(fleet.nodes[7], document)
+		early := false
+		took, ok := fleet.runUntil(5*time.Second, func() bool {
+			early = early || (fleet.acknowledged(document, 3) && !fleet.everywhere(document))
+			return fleet.everywhere(document)
+		})
+		is.True(ok)
+		more, ok := fleet.runUntil(5*time.Second, func() bool { return fleet.acknowledged(document, 3) })
+		is.True(ok)
+		is.True(!early) // never acknowledged before it is everywhere
+		t.Logf("everywhere after %s, acknowledged %s later", took, more)
+	}
+}
+
+func TestAcknowledgedWithOneReporterKilled(t *testing.T) {
+	is := is.New(t)
+	document := newDocument(t, 1)
+	fleet := settled(t, 24, 3, document)
+	fleet.kill(fleet.reporters()[0])
+	document = nextDocument(t, document)
+	fleet.publish(fleet.reporters()[1], document)
+	_, ok := fleet.runUntil(10*time.Second, func() bool { return fleet.acknowledged(document, 3) })
+	is.True(ok)
+}
+
+func TestSilentNodeHoldsTheAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	document := newDocument(t, 1)
+	fleet := settled(t, 24, 3, document)
+	silent := fleet.nodes[13]
+	silent.down = true // the members still take it as alive
+	document = nextDocument(t, document)
+	fleet.publish(fleet.nodes[0], document)
+	_, ok := fleet.runUntil(20*time.Second, func() bool { return fleet.acknowledged(document, 3) })
+	is.True(!ok)
+	fleet.tellMembers()
+	last := nextDocument(t, document)
+	fleet.publish(fleet.nodes[0], last)
+	_, ok = fleet.runUntil(10*time.Second, func() bool { return fleet.acknowledged(last, 3) })
+	is.True(ok)
+}
+
+func TestConfigRevisionIsInForceOnlyWhenAllHaveIt(t *testing.T) {
+	is := is.New(t)
+	document := newDocument(t, 1)
+	fleet := settled(t, 24, 3, document)
+	inForce := func(revision int64) bool {
+		for _, reporter := range fleet.reporters() {
+			for _, statement := range reporter.inForce {
+				if statement.ConfigRevision != revision {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	for revision := range int64(4) {
+		next := nextDocument(t, document)
+		for _, reporter := range fleet.reporters() { // each watches the store
+			fleet.publish(reporter, next)
+			fleet.step(reporter, &gossip.Event{ConfigRevision: revision + 10})
+		}
+		_, ok := fleet.runUntil(5*time.Second, func() bool {
+			for _, reporter := range fleet.reporters() {
+				for _, statement := range reporter.inForce {
+					is.True(statement.ConfigRevision < revision+10 || fleet.zoneHas(statement.Zone, next))
+				}
+			}
+			return inForce(revision + 10)
+		})
+		is.True(ok)
+		document = next
+	}
+	fleet.runFor(3 * time.Second) // Behind goes to zero and stays
+	for _, reporter := range fleet.reporters() {
+		for _, statement := range reporter.inForce {
+			is.Equal(statement.Behind, 0)
+			is.Equal(statement.Nodes, 8)
+		}
+	}
+}
+
+func (fleet *fleet) zoneHas(zone lb.Zone, document *lb.Placement) bool {
+	for _, node := range fleet.nodes {
+		if node.zone == zone && !node.down && node.highest[document.Service] < document.Version {
+			return false
+		}
+	}
+	return true
+}
+
+func TestStartingNodeLoadsFromPeers(t *testing.T) {
+	is := is.New(t)
+	var documents []*lb.Placement
+	for service := range 200 {
+		documents = append(documents, newDocument(t, service))
+	}
+	fleet := settled(t, 12, 3, documents...)
+	fresh := fleet.nodes[4]
+	fleet.start(fresh)
+	took, ok := fleet.runUntil(60*time.Second, func() bool { return fresh.synced })
+	is.True(ok)
+	is.Equal(fresh.core.Len(), len(documents))
+	t.Logf("%d placements loaded after %s", len(documents), took)
+}
+
+func TestCutZoneCatchesUp(t *testing.T) {
+	is := is.New(t)
+	first, second := newDocument(t, 1), newDocument(t, 2)
+	fleet := settled(t, 24, 3, first, second)
+	const cut = lb.Zone("zone-1")
+	for _, other := range []lb.Zone{"zone-0", "zone-2"} {
+		fleet.network.Cut(cut, other, true)
+	}
+	first = nextDocument(t, first)
+	fleet.publish(fleet.nodes[0], first) // zone-0
+	second = nextDocument(t, second)
+	fleet.publish(fleet.nodes[1], second) // zone-1
+	fleet.runFor(30 * time.Second)
+	is.True(!fleet.everywhere(first))
+	is.True(!fleet.everywhere(second))
+	for _, other := range []lb.Zone{"zone-0", "zone-2"} {
+		fleet.network.Cut(cut, other, false)
+	}
+	took, ok := fleet.runUntil(20*time.Second, func() bool { return fleet.everywhere(first, second) })
+	is.True(ok)
+	t.Logf("both sides have both after %s", took)
+}
+
+func TestBurstArrivesWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	var documents []*lb.Placement
+	for service := range 40 {
+		documents = append(documents, newDocument(t, service))
+	}
+	fleet := settled(t, 24, 3, newDocument(t, 1000))
+	fleet.publish(fleet.nodes[3], documents...)
+	took, ok := fleet.runUntil(120*time.Second, func() bool { return fleet.everywhere(documents...) })
+	is.True(ok)
+	t.Logf("%d changes at once are everywhere after %s", len(documents), took)
+}
+
+// adoptsLower gives a node an old document from the store, from a peer and by
+// anti-entropy, and counts the adoptions that went back.
+func adoptsLower(t *testing.T, mutate func(*gossip.Core)) int {
+	first := newDocument(t, 1)
+	second := nextDocument(t, first)
+	fleet := settled(t, 12, 3, second)
+	lowered := 0
+	for _, node := range fleet.nodes {
+		mutate(node.core)
+		fleet.publish(node, first)
+		fleet.step(node, &gossip.Event{Peer: &gossip.PeerEvent{
+			From: fleet.nodes[1].id, Message: message.Placements{Placements: []lb.Placement{*first}},
+		}})
+	}
+	fleet.runFor(10 * time.Second)
+	for _, node := range fleet.nodes {
+		lowered += node.lowered
+	}
+	return lowered
+}
+
+// TestVersionsNeverGoBack: the mutant that takes lower versions goes back.
+func TestVersionsNeverGoBack(t *testing.T) {
+	is := is.New(t)
+	is.Equal(adoptsLower(t, func(*gossip.Core) {}), 0)
+	is.True(adoptsLower(t, (*gossip.Core).AcceptLower) > 0) // rule off
+}
+
+// TestRacingVersionsConverge publishes versions in any order at any node.
+func TestRacingVersionsConverge(t *testing.T) {
+	is := is.New(t)
+	document := newDocument(t, 1)
+	fleet := settled(t, 24, 3, document)
+	versions := []*lb.Placement{document}
+	for range 60 {
+		versions = append(versions, nextDocument(t, versions[len(versions)-1]))
+	}
+	for _, index := range fleet.random.Perm(len(versions)) {
+		fleet.publish(fleet.nodes[fleet.random.IntN(24)], versions[index])
+		fleet.runFor(50 * time.Millisecond)
+	}
+	last := versions[len(versions)-1]
+	_, ok := fleet.runUntil(10*time.Second, func() bool { return fleet.everywhere(last) })
+	is.True(ok)
+	for _, node := range fleet.nodes {
+		is.Equal(node.lowered, 0)
+	}
+}
+
+func TestInvalidDocumentIsRefused(t *testing.T) {
+	is := is.New(t)
+	document := newDocument(t, 1)
+	fleet := settled(t, 6, 3, document)
+	broken := *nextDocument(t, document)
+	broken.Current = 99
+	fleet.step(fleet.nodes[0], &gossip.Event{Peer: &gossip.PeerEvent{
+		From: fleet.nodes[1].id, Message: message.Placements{Placements: []lb.Placement{broken}},
+	}})
+	is.Equal(fleet.nodes[0].core.Counters().Refused, uint64(1))
+	is.Equal(fleet.nodes[0].core.Placement(document.Service).Version, document.Version)
+}
+
+func TestContactIsLostAndRegained(t *testing.T) {
+	is := is.New(t)
+	fleet := settled(t, 12, 3, newDocument(t, 1))
+	node := fleet.nodes[1] // zone-1
+	is.Equal(node.contacts, []gossip.ContactChange{gossip.ContactRegained})
+	for _, zone := range []lb.Zone{"zone-0", "zone-1", "zone-2"} {
+		fleet.network.Cut(node.zone, zone, true)
+	}
+	fleet.runFor(10 * time.Second)
+	is.Equal(node.contacts[1:], []gossip.ContactChange{gossip.ContactLost})
+	for _, zone := range []lb.Zone{"zone-0", "zone-1", "zone-2"} {
+		fleet.network.Cut(node.zone, zone, false)
+	}
+	fleet.runFor(10 * time.Second)
+	is.Equal(node.contacts[2:], []gossip.ContactChange{gossip.ContactRegained})
+}
+
+func TestAloneNodeGoesOn(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 1, 1, nil)
+	fleet.runFor(5 * time.Second)
+	is.True(fleet.nodes[0].synced)
+	is.Equal(fleet.nodes[0].contacts, []gossip.ContactChange{gossip.ContactRegained})
+	document := newDocument(t, 1)
+	fleet.publish(fleet.nodes[0], document)
+	_, ok := fleet.runUntil(5*time.Second, func() bool { return fleet.acknowledged(document, 1) })
+	is.True(ok) // it is the whole zone
+}
+
+func TestNewRefusesBadSettings(t *testing.T) {
+	is := is.New(t)
+	_, err := gossip.New(gossip.DefaultSettings("", "zone", 1))
+	is.True(err != nil)
+	settings := gossip.DefaultSettings("node", "zone", 1)
+	settings.Fanout = 0
+	_, err = gossip.New(settings)
+	is.True(err != nil)
+}
+
+func TestReportsOfStrangersCountForNothing(t *testing.T) {
+	is := is.New(t)
+	fleet := settled(t, 6, 3, newDocument(t, 1))
+	node := fleet.nodes[0]
+	report := message.InForce{Zone: "zone-2", Aggregated: true, Nodes: 1, ConfigRevision: 99}
+	fleet.step(node, &gossip.Event{Peer: &gossip.PeerEvent{From: "node-9999", Message: report}})
+	fleet.step(node, &gossip.Event{Peer: &gossip.PeerEvent{From: fleet.nodes[1].id, Message: report}}) // of zone-1
+	is.Equal(len(node.effects.InForce), 0)
+	is.Equal(node.core.Counters().Unknown, uint64(2))
+	is.True(fmt.Sprint(node.inForce["zone-2"].ConfigRevision) != "99")
+}
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -36,8 +36,11 @@
 
 // report tells the zone's reporters what this node has.
 func (core *Core) report(effects *Effects) {
-	core.nextReport = core.now + core.settings.ReportInterval
 	versions := core.takeRecent()
+	core.nextReport = core.now + core.settings.ReportInterval
+	if len(core.recent) > 0 {
+		core.nextReport = core.now + core.settings.ReportRepeat
+	}
 	// What did not fit is told with the next tick.
 	core.reportDue = len(core.recent) > 0 && core.recent[0].remaining == reportRepeats
 	for _, to := range core.nearby {
@@ -124,7 +127,7 @@
 	if core.reporter == nil {
 		return
 	}
-	statement, due := core.reporter.state(core.now, core.settings.Zone, core.settings.ReportInterval)
+	statement, due := core.reporter.state(core.now, &core.settings)
 	if !due {
 		return
 	}
--- a/internal/gossip/reporter.go
+++ b/internal/gossip/reporter.go
@@ -35,6 +35,7 @@
 	revision  int64 // in force at all live nodes
 
 	dirty    bool // something may have changed since last
+	repeat   bool // last was news and is to be said again soon
 	last     message.InForce
 	lastSent time.Duration
 }
@@ -168,15 +169,18 @@
 }
 
 // state gives the statement on the zone, and whether it is due to be sent.
-func (reporter *reporter) state(now time.Duration, zone lb.Zone, interval time.Duration) (message.InForce, bool) {
-	age := now - reporter.lastSent
+func (reporter *reporter) state(now time.Duration, settings *Settings) (message.InForce, bool) {
+	age, interval := now-reporter.lastSent, settings.ReportInterval
+	if reporter.repeat {
+		interval = settings.ReportRepeat
+	}
 	if !reporter.dirty && age < interval {
 		return message.InForce{}, false
 	}
 	lowest, behind := reporter.places()
 	reporter.reach(lowest)
 	statement := message.InForce{
-		Zone:           zone,
+		Zone:           settings.Zone,
 		Aggregated:     true,
 		Digest:         reporter.digests[len(reporter.digests)-1].digest,
 		Nodes:          len(reporter.nodes) + 1,
@@ -184,9 +188,11 @@
 		ConfigRevision: reporter.revision,
 		Versions:       reporter.everywhere(now),
 	}
-	if age < interval && !reporter.isNews(&statement, age) {
+	news := reporter.isNews(&statement, age)
+	if age < interval && !news {
 		return message.InForce{}, false
 	}
+	reporter.repeat = news
 	reporter.dirty = statement.Behind > 0
 	reporter.last, reporter.lastSent = statement, now
 	return statement, true
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -33,12 +33,15 @@
 	until    time.Duration
 }
 
-// rounds is how often a node announces a version: with Fanout nodes told each
-// time, ln(n) tellings reach all with high probability, and as many again
-// allow for loss.
+// leastRounds is how often a version is announced however often it is heard.
+const leastRounds = 2
+
+// rounds is how often a node announces a version. With Fanout nodes told each
+// time, ln(n) tellings reach all with high probability; as many again allow
+// for loss, and for nodes that hear too little in small fleets.
 func (core *Core) rounds() int {
 	tellings := 2 * math.Log(float64(len(core.members)+2))
-	return max(2, int(math.Ceil(tellings/float64(core.settings.Fanout))))
+	return leastRounds + int(math.Ceil(tellings/float64(core.settings.Fanout)))
 }
 
 // announce makes a document news, in place of an older version of it.
@@ -94,17 +97,19 @@
 	}
 }
 
-// targets picks Fanout random nodes: one of another zone, the others of the own.
+// targets picks Fanout random nodes: one of another zone, the others of the
+// own, or more of others where the own has too few.
 func (core *Core) targets() []lb.NodeID {
 	targets := make([]lb.NodeID, 0, core.settings.Fanout)
-	for index := range core.settings.Fanout {
-		from := core.near
-		if (index == 0 && len(core.far) > 0) || len(core.near) == 0 {
-			from = core.far
-		}
-		if len(from) == 0 {
-			continue
-		}
+	farCount := min(1, len(core.far))
+	nearCount := min(core.settings.Fanout-farCount, len(core.near))
+	targets = core.pick(targets, core.near, nearCount)
+	return core.pick(targets, core.far, min(core.settings.Fanout-nearCount, len(core.far)))
+}
+
+// pick appends distinct random nodes.
+func (core *Core) pick(targets, from []lb.NodeID, count int) []lb.NodeID {
+	for wanted := len(targets) + count; len(targets) < wanted; {
 		if target := from[core.random.IntN(len(from))]; !slices.Contains(targets, target) {
 			targets = append(targets, target)
 		}
@@ -179,16 +184,14 @@
 	}
 }
 
-// heardAgain takes an announcement of a known version as a sign that it has spread.
+// heardAgain takes an announcement of a known version as a sign that it has
+// spread: it saves a round, but not the last ones.
 func (core *Core) heardAgain(service lb.ServiceName) {
 	for index := range core.hot {
 		if core.hot[index].Service != service || index < core.fresh {
 			continue
 		}
-		core.hot[index].rounds--
-		if core.hot[index].rounds <= 0 {
-			core.hot = slices.Delete(core.hot, index, index+1)
-		}
+		core.hot[index].rounds = max(core.hot[index].rounds-1, min(core.hot[index].rounds, leastRounds))
 		return
 	}
 }
--- /dev/null
+++ b/internal/transport/pack.go
@@ -0,0 +1,78 @@
+package transport
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// packedMark is the first byte of a datagram or connection whose rest is
+// compressed (RFC 1951). A plain line begins with a brace.
+const packedMark = 0x01
+
+// packThreshold is the size below which compression does not pay.
+const packThreshold = 512
+
+// packDictionary primes the compression with what most placements contain;
+// both sides must have the same. The most frequent parts stand last.
+const packDictionary = `{"type":"members","from":"","body":{"u":[{"n":"","z":"","c":"10.0.0.1:4700","d":"10.0.0.1:6081","s":"alive","i":1800000000000},` +
+	`{"type":"want","from":"","body":{"groups":[1],"versions":[{"s":"","v":1},{"s":"","v":2}],"reply":true}}` +
+	`{"type":"placements","from":"","body":{"placements":[{"service":"","version":1,"write_id":"",` +
+	`"frontends":[{"address":"192.0.2.1:443","protocol":"tcp"},{"address":"192.0.2.1:53","protocol":"udp"}],` +
+	`"backends":[{"id":1,"name":"","host":"10.0.0.1:6081","state":"failed"},{"id":2,"name":"","host":"10.0.0.2:6081","state":"draining"},` +
+	`{"id":3,"name":"","host":"10.0.0.3:6081","state":"active"},{"id":4,"name":"","host":"10.0.0.4:6081","state":"active"}],` +
+	`"generations":[{"v":1,"b":[{"id":1,"w":100},{"id":2,"w":100},{"id":3,"w":100},{"id":4,"w":100}]},{"v":2,"b":[{"id":5,"w":100}]}],` +
+	`"current":1,"history":"AAAAAAAA","opens_per_second":1000,"deleted":true,"next_backend_id":5,"config_revision":1}]}}`
+
+// packers holds idle writers, each of which keeps about a megabyte of tables.
+var packers = sync.Pool{New: func() any {
+	writer, err := flate.NewWriterDict(nil, flate.DefaultCompression, []byte(packDictionary))
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	return writer
+}}
+
+// packable tells which types are worth compressing: flow records and hashes are not.
+func packable(kind message.Type) bool {
+	switch kind {
+	case message.TypePlacements, message.TypeMembers, message.TypeWant, message.TypeInForce, message.TypeLoad:
+		return true
+	}
+	return false
+}
+
+// Pack gives the form in which a line travels: compressed where that makes it
+// shorter, else the line itself.
+func Pack(kind message.Type, line []byte) []byte {
+	if len(line) < packThreshold || !packable(kind) {
+		return line
+	}
+	packed := bytes.NewBuffer(make([]byte, 0, len(line)))
+	packed.WriteByte(packedMark)
+	writer := packers.Get().(*flate.Writer)
+	defer packers.Put(writer)
+	writer.Reset(packed)
+	_, writeError := writer.Write(line)
+	if err := errors.CombineErrors(writeError, writer.Close()); err != nil || packed.Len() >= len(line) {
+		return line
+	}
+	return packed.Bytes()
+}
+
+// unpack gives a reader of the plain lines of a connection or datagram.
+func unpack(data io.Reader) io.Reader {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(data, first); err != nil {
+		return bytes.NewReader(nil)
+	}
+	if first[0] != packedMark {
+		return io.MultiReader(bytes.NewReader(first), data)
+	}
+	return flate.NewReaderDict(data, []byte(packDictionary))
+}
--- /dev/null
+++ b/internal/transport/pack_test.go
@@ -0,0 +1,90 @@
+package transport_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/placement"
+	"robinpulley.example/robinpulley/internal/transport"
+)
+
+// document gives a placement of 14 back ends, of which one is being replaced.
+func document(t testing.TB) lb.Placement {
+	targets := func(first int) []placement.Target {
+		list := make([]placement.Target, 14)
+		for index := range list {
+			list[index] = placement.Target{
+				Name:   lb.BackendName(fmt.Sprintf("wallet-host-%d", first+index)),
+				Host:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 7, 0, byte(first + index)}), 6081),
+				Weight: 100,
+			}
+		}
+		return list
+	}
+	frontend := lb.Frontend{Address: netip.MustParseAddrPort("192.0.2.7:443"), Protocol: lb.TCP}
+	made, err := placement.New("wallet-core", placement.Stamp{WriteID: "node-0007/3f9a/12", ConfigRevision: 7},
+		placement.SetFrontends([]lb.Frontend{frontend}), placement.Prepare(targets(1)), placement.Commit())
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := placement.Next(made, placement.Stamp{WriteID: "node-0007/3f9a/13", ConfigRevision: 9}, placement.Prepare(targets(2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return *next
+}
+
+func TestPackedPlacementFitsADatagram(t *testing.T) {
+	is := is.New(t)
+	sent := message.Placements{Placements: []lb.Placement{document(t)}}
+	line, err := message.Encode(nil, "one", sent)
+	is.NoErr(err)
+	packed := transport.Pack(message.TypePlacements, line)
+	t.Logf("%d bytes packed into %d", len(line), len(packed))
+	is.True(len(line) > transport.MaxDatagramBytes)
+	is.True(len(packed) <= transport.MaxDatagramBytes)
+
+	one, two := open(t, "one", nil), open(t, "two", nil)
+	one.Send(two.Address(), sent)
+	incoming := <-two.received
+	is.Equal(incoming.Message, sent)
+	is.Equal(incoming.Address, one.Address()) // it came as a datagram
+}
+
+func TestPackLeavesShortAndDenseLines(t *testing.T) {
+	is := is.New(t)
+	short := []byte("{}\n")
+	is.Equal(transport.Pack(message.TypePlacements, short), short)
+	records := make([]byte, 2000)
+	is.Equal(transport.Pack(message.TypeRecords, records), records)
+}
+
+func TestBrokenPackedDataIsCounted(t *testing.T) {
+	is := is.New(t)
+	receiver := open(t, "receiver", nil)
+	connection, err := net.Dial("udp", receiver.Address().String())
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = connection.Write([]byte("\x01\xff\xff\xff not deflate"))
+	is.NoErr(err)
+	receiver.waitFault(transport.FaultDecode, 1)
+}
+
+func BenchmarkPack(b *testing.B) {
+	line, err := message.Encode(nil, "one", message.Placements{Placements: []lb.Placement{document(b)}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	packed := 0
+	for b.Loop() {
+		packed = len(transport.Pack(message.TypePlacements, line))
+	}
+	b.ReportMetric(float64(len(line)), "line-bytes")
+	b.ReportMetric(float64(packed), "packed-bytes")
+}
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -17,11 +17,13 @@
 	// ClassMember is membership: without it peers declare this node dead. It
 	// is sent at once, ahead of the budget by at most MemberDebt.
 	ClassMember Class = iota
-	// ClassState is what safety and placements rest on; it waits for its bytes.
+	// ClassState is what safety rests on; it waits for its bytes.
 	ClassState
+	// ClassDocument is placements; they wait behind ClassState.
+	ClassDocument
 	// ClassHint only saves hops; it is dropped when bytes are short.
 	ClassHint
-	// ClassBulk is a line too long for the burst, as in the snapshot of a
+	// ClassBulk is a line longer than BulkLineBytes, as in the snapshot of a
 	// starting node (placements, members); it has a budget of its own.
 	ClassBulk
 	classCount
@@ -30,6 +32,9 @@
 // MemberDebt is how far ahead of the budget membership may be sent.
 const MemberDebt = time.Second
 
+// BulkLineBytes is the size, before compression, above which a line is ClassBulk.
+const BulkLineBytes = 32 << 10
+
 // Overheads counted with the bytes of a line: IPv4 and UDP headers, and the
 // headers of the six segments that open and close a TCP connection.
 const (
@@ -37,16 +42,16 @@
 	ConnectionOverhead = 6 * (20 + 20)
 )
 
-// MaxDatagramBytes is the largest line sent as a datagram: with headers it
+// MaxDatagramBytes is the largest packed line sent as a datagram: with headers it
 // stays below the smallest MTU in common use (1,280 bytes, RFC 8200).
 const MaxDatagramBytes = 1200
 
-// Cost gives the bytes that a line of this size takes from the budget.
-func Cost(lineBytes int) int {
-	if lineBytes <= MaxDatagramBytes {
-		return lineBytes + DatagramOverhead
+// Cost gives the bytes that a packed line of this size takes from the budget.
+func Cost(packedBytes int) int {
+	if packedBytes <= MaxDatagramBytes {
+		return packedBytes + DatagramOverhead
 	}
-	return lineBytes + ConnectionOverhead
+	return packedBytes + ConnectionOverhead
 }
 
 // Budget bounds the bytes that a node sends.
@@ -74,7 +79,7 @@
 	To    netip.AddrPort
 	Type  message.Type
 	Class Class
-	Line  []byte
+	Line  []byte // as given by Pack
 }
 
 // Queue holds the messages of one node until the budget lets them go. It has
@@ -97,17 +102,20 @@
 	}
 }
 
-// ClassOf ranks a message by its type and the size of its line.
-func (queue *Queue) ClassOf(kind message.Type, lineBytes int) Class {
+// ClassOf ranks a message by its type and the size of its line before compression.
+func ClassOf(kind message.Type, lineBytes int) Class {
 	switch kind {
 	case message.TypePing, message.TypePingAck, message.TypePingReq:
 		return ClassMember
 	case message.TypePins:
 		return ClassHint
 	}
-	if Cost(lineBytes) > queue.budget.BurstBytes {
+	if lineBytes > BulkLineBytes {
 		return ClassBulk
 	}
+	if kind == message.TypePlacements {
+		return ClassDocument
+	}
 	return ClassState
 }
 
@@ -127,7 +135,7 @@
 	if item, ready = queue.popMember(now); ready {
 		return item, true, 0
 	}
-	item, ready, wait = queue.popWaiting(now, ClassState, queue.limiter)
+	item, ready, wait = queue.popWaiting(now, queue.mostUrgent(), queue.limiter)
 	if ready {
 		return item, true, 0
 	}
@@ -144,6 +152,14 @@
 	return Queued{}, false, wait
 }
 
+// mostUrgent is the class that waits for its bytes next.
+func (queue *Queue) mostUrgent() Class {
+	if len(queue.waiting[ClassState]) > 0 {
+		return ClassState
+	}
+	return ClassDocument
+}
+
 // popMember sends ahead of the budget, and drops what would be too far ahead.
 func (queue *Queue) popMember(now time.Time) (Queued, bool) {
 	for len(queue.waiting[ClassMember]) > 0 {
--- a/internal/transport/queue_test.go
+++ b/internal/transport/queue_test.go
@@ -11,8 +11,8 @@
 	"robinpulley.example/robinpulley/internal/transport"
 )
 
-func queued(queue *transport.Queue, kind message.Type, size int) transport.Queued {
-	return transport.Queued{Type: kind, Class: queue.ClassOf(kind, size), Line: make([]byte, size)}
+func queued(kind message.Type, size int) transport.Queued {
+	return transport.Queued{Type: kind, Class: transport.ClassOf(kind, size), Line: make([]byte, size)}
 }
 
 // drain pops until nothing is ready and gives the bytes and types in their order.
@@ -31,7 +31,7 @@
 	is := is.New(t)
 	queue := transport.NewQueue(transport.DefaultBudget())
 	for _, kind := range []message.Type{message.TypePins, message.TypeRecords, message.TypePing} {
-		is.True(queue.Push(queued(queue, kind, 100)))
+		is.True(queue.Push(queued(kind, 100)))
 	}
 	_, kinds := drain(queue, time.Unix(0, 0))
 	is.Equal(kinds, []message.Type{message.TypePing, message.TypeRecords, message.TypePins})
@@ -42,13 +42,13 @@
 	queue := transport.NewQueue(transport.DefaultBudget())
 	const count = 100 // of 1,000 bytes each, beyond the burst of 32 KiB
 	for range count {
-		queue.Push(queued(queue, message.TypePins, 1000))
+		queue.Push(queued(message.TypePins, 1000))
 	}
 	now := time.Unix(0, 0)
 	_, kinds := drain(queue, now)
 	is.True(len(kinds) < count)
 	is.Equal(int(queue.Dropped(transport.ClassHint)), count-len(kinds))
-	is.True(queue.Push(queued(queue, message.TypeRecords, 1000)))
+	is.True(queue.Push(queued(message.TypeRecords, 1000)))
 	_, kinds = drain(queue, now) // the reserve is left to others
 	is.Equal(kinds, []message.Type{message.TypeRecords})
 }
@@ -58,7 +58,7 @@
 	queue := transport.NewQueue(transport.DefaultBudget())
 	const count = 100
 	for range count {
-		is.True(queue.Push(queued(queue, message.TypeRecords, 1000)))
+		is.True(queue.Push(queued(message.TypeRecords, 1000)))
 	}
 	now, sent := time.Unix(0, 0), 0
 	for sent < count {
@@ -79,10 +79,10 @@
 	budget := transport.DefaultBudget()
 	budget.QueueLength = 2
 	queue := transport.NewQueue(budget)
-	is.True(queue.Push(queued(queue, message.TypeRecords, 1)))
-	is.True(queue.Push(queued(queue, message.TypeRecords, 1)))
-	is.True(!queue.Push(queued(queue, message.TypeRecords, 1)))
-	is.True(queue.Push(queued(queue, message.TypePing, 1))) // per class
+	is.True(queue.Push(queued(message.TypeRecords, 1)))
+	is.True(queue.Push(queued(message.TypeRecords, 1)))
+	is.True(!queue.Push(queued(message.TypeRecords, 1)))
+	is.True(queue.Push(queued(message.TypePing, 1))) // per class
 }
 
 // sentInMinute offers ten times the budget for a minute and gives the bytes that went out.
@@ -91,9 +91,9 @@
 	now, sent := time.Unix(0, 0), 0
 	for range 60 {
 		for range 14 {
-			queue.Push(queued(queue, message.TypePing, 1000))
-			queue.Push(queued(queue, message.TypeRecords, 1000))
-			queue.Push(queued(queue, message.TypePins, 1000))
+			queue.Push(queued(message.TypePing, 1000))
+			queue.Push(queued(message.TypeRecords, 1000))
+			queue.Push(queued(message.TypePins, 1000))
 		}
 		bytes, _ := drain(queue, now)
 		sent += bytes
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -1,9 +1,7 @@
 package transport
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"time"
@@ -18,7 +16,7 @@
 	dialTimeout         = time.Second
 	// streamTimeout bounds a whole connection, from accept or dial to its end.
 	streamTimeout = 10 * time.Second
-	// streamBytes bounds what one connection may bring.
+	// streamBytes bounds what one connection may bring, uncompressed.
 	streamBytes = 4 * message.MaxLineBytes
 )
 
@@ -97,12 +95,5 @@
 		transport.meter.fault(FaultNetwork)
 		return
 	}
-	scanner := bufio.NewScanner(io.LimitReader(connection, streamBytes))
-	scanner.Buffer(nil, message.MaxLineBytes+1)
-	for scanner.Scan() {
-		transport.take(scanner.Bytes(), netip.AddrPort{})
-	}
-	if scanner.Err() != nil && transport.context.Err() == nil {
-		transport.meter.fault(FaultNetwork)
-	}
+	transport.takeLines(connection, netip.AddrPort{})
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,13 +1,15 @@
 // Package transport carries messages between balancers: lines of up to
 // MaxDatagramBytes as UDP datagrams, longer ones over a TCP connection each,
-// both on one control address. A byte budget bounds what a node sends;
+// both on one control address. Long lines are compressed. A byte budget bounds what a node sends;
 // membership goes first and hints are dropped first. Errors are counted, never
 // fatal: whoever needs an answer asks again.
 package transport
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -156,9 +158,9 @@
 		return
 	}
 	kind := outgoing.MessageType()
+	queued := Queued{To: to, Type: kind, Class: ClassOf(kind, len(line)), Line: Pack(kind, line)}
 	transport.mutex.Lock()
-	class := transport.queue.ClassOf(kind, len(line))
-	pushed := transport.queue.Push(Queued{To: to, Type: kind, Class: class, Line: line})
+	pushed := transport.queue.Push(queued)
 	transport.mutex.Unlock()
 	if !pushed {
 		transport.meter.fault(FaultQueueFull)
@@ -234,9 +236,19 @@
 			continue
 		}
 		source = netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
-		for line := range bytes.Lines(buffer[:size]) {
-			transport.take(line, source)
-		}
+		transport.takeLines(bytes.NewReader(buffer[:size]), source)
+	}
+}
+
+// takeLines handles the lines of a datagram or connection.
+func (transport *Transport) takeLines(data io.Reader, source netip.AddrPort) {
+	scanner := bufio.NewScanner(io.LimitReader(unpack(data), streamBytes))
+	scanner.Buffer(nil, message.MaxLineBytes+1)
+	for scanner.Scan() {
+		transport.take(scanner.Bytes(), source)
+	}
+	if scanner.Err() != nil && transport.context.Err() == nil {
+		transport.meter.fault(FaultDecode)
 	}
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,6 +1,7 @@
 package transport_test
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -53,6 +54,16 @@
 	}
 }
 
+// dense gives random bytes, which compression does not shorten.
+func dense(size int) []byte {
+	random := rand.New(rand.NewPCG(1, 1))
+	data := make([]byte, size)
+	for index := range data {
+		data[index] = byte(random.Uint32())
+	}
+	return data
+}
+
 func TestDatagramAndStream(t *testing.T) {
 	is := is.New(t)
 	one, two := open(t, "one", nil), open(t, "two", nil)
@@ -62,7 +73,7 @@
 	is.Equal(incoming.Address, one.Address())
 	is.Equal(incoming.Message, message.Ping{Sequence: 7})
 
-	large := message.Placements{Placements: []lb.Placement{{Service: "s", History: make([]byte, 100<<10)}}}
+	large := message.Placements{Placements: []lb.Placement{{Service: "s", History: dense(100 << 10)}}}
 	two.Send(one.Address(), large)
 	incoming = <-one.received
 	is.Equal(incoming.Message, large)
@@ -123,7 +134,7 @@
 	one := open(t, "one", nil)
 	one.Send(netip.MustParseAddrPort("127.0.0.1:1"), message.Clean{Service: "bad name"})
 	one.waitFault(transport.FaultEncode, 1)
-	one.Send(netip.MustParseAddrPort("127.0.0.1:1"), message.Placements{Placements: []lb.Placement{{Service: "s", History: make([]byte, 2000)}}})
+	one.Send(netip.MustParseAddrPort("127.0.0.1:1"), message.Placements{Placements: []lb.Placement{{Service: "s", History: dense(2000)}}})
 	one.waitFault(transport.FaultNetwork, 1) // nobody listens there
 }
 
