Check a packet's service once more before it is written to a host

Cause: a packet must never reach another service, whatever is wrong in tables or records. Ruled out: the check in the core alone, which would rest on the lookup that it is to check. Change: a Guard of front ends and hosts, set from placements and asked last; drops count as wrong-service. Conclusion: done in the data plane; the node has to set Options.Guard and call Guard.Set before a placement is adopted.

--- a/internal/dataplane/bench_test.go
+++ b/internal/dataplane/bench_test.go
@@ -24,7 +24,7 @@
 	})
 	for _, readers := range []int{1, 2, 4} {
 		b.Run(fmt.Sprintf("plane-of-%d", readers), func(b *testing.B) {
-			bench := startReaders(b, loopback, readers, forwardToHost)
+			bench := startWith(b, Options{Listen: loopback, Readers: readers}, forwardToHost)
 			benchmarkSend(b, bench, bench.plane.Address())
 		})
 	}
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -24,7 +24,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
-// Options are what a Plane needs. All fields are required unless stated.
+// Options are what a Plane needs. All fields are required unless stated otherwise.
 type Options struct {
 	// Listen is the data address of this node; port 0 takes a free port.
 	Listen netip.AddrPort
@@ -40,6 +40,9 @@
 	// ReplyTo are the fabric's addresses that take refusals; the refusals of
 	// one flow all go to one of them.
 	ReplyTo []netip.AddrPort
+	// Guard is asked before a packet is written to a host; nil allows all,
+	// for callers that have no placements.
+	Guard *Guard
 }
 
 func (options *Options) validate() error {
--- /dev/null
+++ b/internal/dataplane/harness_test.go
@@ -0,0 +1,151 @@
+package dataplane
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/packet"
+)
+
+// patience bounds a wait that ends sooner unless the test fails.
+const patience = 10 * time.Second
+
+const testVNI = 42
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	caller   = netip.MustParseAddrPort("198.51.100.7:40001")
+	service  = netip.MustParseAddrPort("192.0.2.1:443")
+)
+
+// endpoint is a socket of the test: the fabric, a host or a peer.
+type endpoint struct {
+	t      testing.TB
+	socket *net.UDPConn
+	buffer [datagramSize]byte
+}
+
+func newEndpoint(t testing.TB, address netip.AddrPort) *endpoint {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	return &endpoint{t: t, socket: socket}
+}
+
+func (endpoint *endpoint) address() netip.AddrPort { return localAddress(endpoint.socket) }
+
+func (endpoint *endpoint) send(datagram []byte, to netip.AddrPort) {
+	endpoint.t.Helper()
+	if _, err := endpoint.socket.WriteToUDPAddrPort(datagram, to); err != nil {
+		endpoint.t.Fatal(err)
+	}
+}
+
+// receive waits for a datagram and decodes it.
+func (endpoint *endpoint) receive() *packet.Packet {
+	endpoint.t.Helper()
+	if err := endpoint.socket.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		endpoint.t.Fatal(err)
+	}
+	length, _, err := endpoint.socket.ReadFromUDPAddrPort(endpoint.buffer[:])
+	if err != nil {
+		endpoint.t.Fatal(err)
+	}
+	received := new(packet.Packet)
+	if err := packet.Decode(append([]byte{}, endpoint.buffer[:length]...), received); err != nil {
+		endpoint.t.Fatal(err)
+	}
+	return received
+}
+
+// bench is a running plane with the endpoints around it.
+type bench struct {
+	plane   *Plane
+	fabric  *endpoint
+	host    *endpoint
+	peer    *endpoint
+	stopped chan error
+}
+
+const peerID lb.NodeID = "peer"
+
+// start runs a plane of one reader whose decisions are made by decide.
+func start(t testing.TB, listen netip.AddrPort, decide func(*bench, *core.Packet) core.Decision) *bench {
+	t.Helper()
+	return startWith(t, Options{Listen: listen}, decide)
+}
+
+// startWith sets the options that are functions or addresses of the endpoints.
+func startWith(t testing.TB, options Options, decide func(*bench, *core.Packet) core.Decision) *bench {
+	t.Helper()
+	bench := &bench{
+		fabric:  newEndpoint(t, options.Listen),
+		host:    newEndpoint(t, options.Listen),
+		peer:    newEndpoint(t, options.Listen),
+		stopped: make(chan error, 1),
+	}
+	options.Decide = func(input *core.Packet) core.Decision { return decide(bench, input) }
+	options.PeerAddress = func(node lb.NodeID) (netip.AddrPort, bool) {
+		return bench.peer.address(), node == peerID
+	}
+	options.ReplyTo = []netip.AddrPort{bench.fabric.address()}
+	plane, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bench.plane = plane
+	go func() { bench.stopped <- plane.Run(context.Background()) }()
+	t.Cleanup(func() { _ = plane.Close() })
+	return bench
+}
+
+// stop ends the plane and gives its last counters.
+func (bench *bench) stop(t testing.TB) Counters {
+	t.Helper()
+	bench.plane.StopReceiving(0)
+	if err := <-bench.stopped; err != nil {
+		t.Fatal(err)
+	}
+	return bench.plane.Counters()
+}
+
+func openingPacket(t testing.TB) []byte {
+	t.Helper()
+	segment := packet.Segment{Flags: packet.FlagSYN, Sequence: 1000}
+	inner, err := packet.BuildTCP(nil, caller, service, &segment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return inner
+}
+
+func wrap(t testing.TB, inner []byte, relay lb.Relay) []byte {
+	t.Helper()
+	datagram, err := packet.Encode(nil, inner, &packet.Header{VNI: testVNI, Relay: relay})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return datagram
+}
+
+func forwardToHost(bench *bench, _ *core.Packet) core.Decision {
+	return core.Decision{Action: core.ActionForward, Host: bench.host.address()}
+}
+
+// waitUntil waits for a condition that becomes true unless the test fails.
+func waitUntil(t testing.TB, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition has not become true")
+		}
+	}
+}
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -87,6 +87,11 @@
 }
 
 func (worker *worker) forward(decision *core.Decision) {
+	guard := worker.plane.options.Guard
+	if guard != nil && !guard.Allows(&worker.packet.Key, decision.Host) {
+		worker.counters.countReason(core.ActionDrop, core.ReasonWrongService)
+		return
+	}
 	header := packet.Header{VNI: worker.packet.VNI}
 	if worker.send(decision.Host, &header) {
 		worker.counters.forwarded.Add(1)
