Probe back ends at the watchers and report unanswered openings

Health and load come from probes; evidence comes from the data path: an opening that its caller repeats after 500 ms was not answered.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -60,8 +60,8 @@
 	DefaultRetryAfter            = 500 * time.Millisecond
 	DefaultDrainGrace            = 3 * time.Second
 	DefaultDrainLimit            = 300 * time.Second
-	DefaultHealthInterval        = time.Second
-	DefaultHealthTimeout         = 500 * time.Millisecond
+	DefaultHealthInterval        = 2 * time.Second
+	DefaultHealthTimeout         = time.Second
 )
 
 // defaultDocument holds the defaults, over which the file is read.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -35,11 +35,13 @@
 		member:         membership,
 		controller:     controller.New(controllerSettings(settings, incarnation)),
 		work:           newStoreQueue(),
+		evidence:       newEvidence(),
 		gossip:         spread,
 		check:          check{random: rand.New(rand.NewPCG(incarnation, uint64(settings.Node.Hash())))},
 		watcherChanged: make(chan struct{}, 1),
 	}
-	return nil
+	node.prober, err = newProber(settings, node.engine.takeEvidence)
+	return err
 }
 
 // coreSettings turns the settings of the node into those of the core.
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -46,6 +46,7 @@
 	synced        bool // has had all placements of a peer, or is alone
 	listed        bool // has had a list of the store
 
+	evidence  evidence
 	check     check
 	rejoined  bool // others had lost this node; distrust the view when it changes
 	published int64
@@ -81,6 +82,7 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.coreStep(&core.Event{Packet: packet})
+	engine.evidence.note(engine.last, packet, &engine.coreEffects.Decision)
 	return engine.coreEffects.Decision
 }
 
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/gossip"
@@ -49,20 +51,23 @@
 	return list
 }
 
-// isWatcher tells whether self is one of the nodes that watch the store.
-func isWatcher(self lb.NodeID, members []member.Member) bool {
+// stayingCandidates gives the members that are not leaving, as candidates for
+// watching the store.
+func stayingCandidates(members []member.Member) []rendezvous.Candidate {
 	var staying []rendezvous.Candidate
 	for _, entry := range members {
 		if !entry.Leaving {
 			staying = append(staying, rendezvous.Candidate{ID: entry.ID, Zone: entry.Zone, Hash: entry.ID.Hash()})
 		}
 	}
-	for _, watcher := range rendezvous.Watchers(staying) {
-		if watcher.ID == self {
-			return true
-		}
-	}
-	return false
+	return staying
+}
+
+// isWatcher tells whether self is one of the nodes that watch the store.
+func isWatcher(self lb.NodeID, members []member.Member) bool {
+	return slices.ContainsFunc(rendezvous.Watchers(stayingCandidates(members)), func(watcher rendezvous.Candidate) bool {
+		return watcher.ID == self
+	})
 }
 
 func (engine *engine) setWatcher(watcher bool) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -86,6 +86,8 @@
 		"Writes whose lost answer was resolved.")
 	metricWatcher = newMetric(prometheus.GaugeValue, "watcher",
 		"1 while this node watches the store and may publish.")
+	metricProbes = newMetric(prometheus.CounterValue, "probes_total",
+		"Probes of back ends, by outcome (begun, failed).", "outcome")
 	metricReady = newMetric(prometheus.GaugeValue, "ready",
 		"1 once this node has placements.")
 )
@@ -97,7 +99,7 @@
 	metricRecords, metricPins, metricKnownUDP, metricFlowBytes, metricVersion, metricMoving,
 	metricMembers, metricControlBytes, metricControlMessages, metricControlFaults, metricStoreUp,
 	metricStoreRequests, metricStoreFailures, metricStoreThrottled, metricStoreRetries,
-	metricStoreLostAnswers, metricStoreResolved, metricWatcher, metricReady,
+	metricStoreLostAnswers, metricStoreResolved, metricWatcher, metricProbes, metricReady,
 	metricReceived, metricReceivedBytes, metricSent, metricMalformed, metricUnsent, metricSocketErrors,
 }
 
@@ -133,6 +135,9 @@
 	output.store(node.store.Stats())
 	output.add(metricWatcher, flag(snapshot.watcher))
 	output.add(metricReady, flag(node.ready.Load()))
+	probes := node.prober.Counters()
+	output.count(metricProbes, probes.Begun, "begun")
+	output.count(metricProbes, probes.Failed, "failed")
 	output.plane(node)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
+	"robinpulley.example/robinpulley/internal/health"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
@@ -47,6 +48,8 @@
 	store     *store.Client
 	transport *transport.Transport
 	plane     *dataplane.Plane
+	prober    *health.Prober
+	targets   probeTargets // owned by the watch of the store
 	admin     *http.Server
 
 	adminListener net.Listener
@@ -140,6 +143,10 @@
 	node.background.Go(func() { node.workStore(running) })
 	node.background.Go(func() { node.tickUntil(running) })
 	node.background.Go(func() { node.becomeReady(running) })
+	if node.settings.Health.Enabled {
+		node.background.Go(func() { node.prober.Run(running) })
+	}
+	node.background.Go(func() { node.reportLoad(running) })
 	if len(node.settings.Seeds) > 0 {
 		node.background.Go(func() { node.askSeeds(running) })
 	}
--- a/internal/node/storewatch.go
+++ b/internal/node/storewatch.go
@@ -36,6 +36,7 @@
 func (node *Node) watchWhileWatcher(ctx context.Context) {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer node.prober.SetTargets(nil)
 	batches := node.store.Watch(watching, storePrefix, 0)
 	for {
 		select {
@@ -45,6 +46,9 @@
 			}
 			if documents := documentsOf(batch); documents != nil {
 				node.engine.documents(documents)
+				if node.targets.apply(documents) {
+					node.prober.SetTargets(node.targets.list())
+				}
 			}
 		case <-node.engine.watcherChanged:
 			if !node.engine.isWatcher() {
