--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -82,7 +82,7 @@
 		bucket.memberSince = notInChain
 	}
 	core.countHeaded(service, previous, pair)
-	if wasMember || isMember || core.leftChains {
+	if wasMember || isMember || core.leaving {
 		core.handOverToEntrants(service, index, previous, pair)
 	}
 }
@@ -99,8 +99,8 @@
 }
 
 func (core *Core) handOverToEntrants(service *service, index uint16, previous, pair chain) {
-	if core.off.noHandoverToJoined || core.leaving && !core.leftChains {
-		return // leave itself hands over all buckets
+	if core.off.noHandoverToJoined || core.leaving && core.off.noHandoverBeforeLeave {
+		return
 	}
 	for _, entrant := range [...]*node{pair.head, pair.tail} {
 		if entrant != nil && entrant != core.self && !previous.has(entrant) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,8 +27,6 @@
 	sure      bool          // the view may be trusted
 	sureSince time.Duration // when it last became so
 	leaving   bool
-	// leftChains: leaving, and all buckets are queued to be handed over.
-	leftChains bool
 
 	hints    hintQueue
 	handover handover
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -45,21 +45,34 @@
 type pendingFlow struct {
 	class  batchClass
 	record message.FlowRecord
+	seen   stamp // when this node last saw the flow
 }
 
 // batchClass is what all records of one batch share.
 type batchClass struct {
 	service     *service
 	unconfirmed bool
-	idleMinutes uint32
+	established bool
 }
 
 // batch is one Records on its way.
 type batch struct {
-	content message.Records
+	content message.Records // without idle times
+	seen    []stamp         // of its flows
 	sentAt  time.Duration
 }
 
+// send sends the batch, with the idle times as they are now.
+func (sent *batch) send(core *Core, effects *Effects, to *node) {
+	sent.sentAt = core.now
+	content := sent.content
+	for _, seen := range sent.seen {
+		idle := time.Duration(core.stamp-seen) * stampUnit
+		content.IdleSeconds = append(content.IdleSeconds, uint32(idle/time.Second))
+	}
+	effects.send(to, content)
+}
+
 // idle tells whether nothing waits to be handed over or acknowledged.
 func (handover *handover) idle() bool { return len(handover.targets) == 0 }
 
@@ -89,11 +102,13 @@
 
 // correct tells the head that its record differs from the tail's.
 func (handover *handover) correct(service *service, head *node, entry *record) {
-	entries := handover.target(head)
-	entries.flows = append(entries.flows, pendingFlow{
-		class:  batchClass{service: service},
-		record: flowRecord(entry),
-	})
+	handover.queue(head, batchClass{service: service}, entry)
+}
+
+// queue adds one flow to what is sent to the node.
+func (handover *handover) queue(to *node, class batchClass, entry *record) {
+	queued := handover.target(to)
+	queued.flows = append(queued.flows, pendingFlow{class: class, record: flowRecord(entry), seen: entry.lastSeen})
 }
 
 func flowRecord(entry *record) message.FlowRecord {
@@ -148,9 +163,8 @@
 		if !handover.limit.take(core.now, sent.bytes()) {
 			return
 		}
-		sent.sentAt = core.now
 		core.stats.HandoverResent++
-		effects.send(entry.to, sent.content)
+		sent.send(core, effects, entry.to)
 	}
 }
 
@@ -169,10 +183,9 @@
 		entry.flows = slices.Delete(entry.flows, 0, len(next.content.Flows))
 		handover.sequence++
 		next.content.Sequence = handover.sequence
-		next.sentAt = core.now
 		entry.batches = append(entry.batches, next)
 		core.stats.HandoverSent += uint64(len(next.content.Flows))
-		effects.send(entry.to, next.content)
+		next.send(core, effects, entry.to)
 	}
 }
 
@@ -183,18 +196,18 @@
 		entry.buckets = entry.buckets[1:]
 		before := len(entry.flows)
 		entry.readBucket(core, next)
-		slices.SortStableFunc(entry.flows[before:], func(a, b pendingFlow) int { return compareClass(a.class, b.class) })
+		slices.SortStableFunc(entry.flows[before:], confirmedFirst)
 	}
 }
 
-func compareClass(a, b batchClass) int {
-	if a.unconfirmed != b.unconfirmed {
-		if b.unconfirmed {
-			return -1
-		}
-		return 1
+func confirmedFirst(a, b pendingFlow) int {
+	switch {
+	case a.class.unconfirmed == b.class.unconfirmed:
+		return 0
+	case b.class.unconfirmed:
+		return -1
 	}
-	return cmp.Compare(a.idleMinutes, b.idleMinutes)
+	return 1
 }
 
 func (entry *target) readBucket(core *Core, next bucketRef) {
@@ -202,34 +215,32 @@
 	for slot := range bucket.records.slots {
 		found := &bucket.records.slots[slot]
 		if found.flags != 0 && core.matters(next.service, next.index, found) {
-			entry.flows = append(entry.flows, pendingFlow{class: core.classOf(next.service, bucket, found), record: flowRecord(found)})
+			class := core.classOf(next.service, bucket, found)
+			entry.flows = append(entry.flows, pendingFlow{class: class, record: flowRecord(found), seen: found.lastSeen})
 		}
 	}
 }
 
 func (core *Core) classOf(service *service, bucket *bucket, entry *record) batchClass {
-	return batchClass{
-		service:     service,
-		unconfirmed: !core.confirmed(bucket, entry),
-		idleMinutes: uint32(core.age(entry) / time.Minute),
-	}
+	return batchClass{service: service, unconfirmed: !core.confirmed(bucket, entry)}
 }
 
 // nextBatch makes a Records of the first flows that are of one class.
 func (entry *target) nextBatch() *batch {
 	class := entry.flows[0].class
-	content := message.Records{
+	next := &batch{content: message.Records{
 		Service:     class.service.name,
 		Unconfirmed: class.unconfirmed,
-		IdleSeconds: class.idleMinutes * 60,
-	}
+		Established: class.established,
+	}}
 	for index := range entry.flows {
-		if entry.flows[index].class != class || len(content.Flows) == recordsPerBatch {
+		if entry.flows[index].class != class || index == recordsPerBatch {
 			break
 		}
-		content.Flows = append(content.Flows, entry.flows[index].record)
+		next.content.Flows = append(next.content.Flows, entry.flows[index].record)
+		next.seen = append(next.seen, entry.flows[index].seen)
 	}
-	return &batch{content: content}
+	return next
 }
 
 // matters tells whether the next chain needs the record: without it the flow
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -8,7 +8,7 @@
 // Sizes of messages on the wire, estimated from the codec of package message.
 const (
 	messageBytes = 120 // of a message without flows
-	flowBytes    = 22  // of one FlowRecord
+	flowBytes    = 25  // of one FlowRecord with its idle time
 )
 
 // hintsPerMessage bounds the flows in one message of hints.
--- a/internal/core/ingress.go
+++ b/internal/core/ingress.go
@@ -62,16 +62,21 @@
 func (current *turn) forwardToBase() {
 	base := current.service.table.Base(current.index)
 	if current.packet.Kind == PacketUnmarked {
-		if current.bucket.known == nil {
-			current.bucket.known = &flowTable{}
-		}
-		entry := current.bucket.known.put(current.flow)
+		entry := current.core.known(current.bucket, current.flow)
 		entry.backend = base
 		entry.lastSeen = current.core.stamp
 	}
 	current.forward(base)
 }
 
+// known gives the entry of a UDP flow that this node knows, a new one if need be.
+func (core *Core) known(bucket *bucket, flow lb.FlowID) *record {
+	if bucket.known == nil {
+		bucket.known = &flowTable{}
+	}
+	return bucket.known.put(flow)
+}
+
 // established tells whether this node saw the UDP flow, on the present base
 // back end, before the bucket was in motion.
 func (current *turn) established() bool {
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -4,8 +4,9 @@
 	"robinpulley.example/robinpulley/internal/placement"
 )
 
-// leave begins the planned stop: this node is in no chain any more, and hands
-// its records to the present chains.
+// leave begins the planned stop: this node is in no chain any more. It hands its
+// records to who enters the chains that it leaves, and the UDP flows that it
+// knows to the heads.
 func (core *Core) leave() {
 	if core.leaving {
 		return
@@ -15,10 +16,9 @@
 	if core.off.noHandoverBeforeLeave {
 		return
 	}
-	core.leftChains = true
 	for _, service := range core.ordered {
 		for index := range service.buckets {
-			core.handOverBucket(service, uint16(index))
+			core.handOverAllKnown(service, uint16(index))
 		}
 	}
 }
@@ -33,12 +33,12 @@
 	core.setMembers(members)
 }
 
-func (core *Core) handOverBucket(service *service, index uint16) {
-	pair := service.buckets[index].chain
-	for _, successor := range [...]*node{pair.head, pair.tail} {
-		if successor != nil && successor != core.self {
-			core.handover.add(service, index, successor)
-		}
+// handOverAllKnown gives the head the UDP flows that this node knows: another
+// node may not have seen them.
+func (core *Core) handOverAllKnown(service *service, index uint16) {
+	bucket := &service.buckets[index]
+	if bucket.known.len() > 0 && bucket.chain.head != nil {
+		core.handOverKnownTo(service, index, bucket.chain.head)
 	}
 }
 
@@ -50,8 +50,7 @@
 	bucket := &service.buckets[index]
 	for _, successor := range [...]*node{bucket.chain.head, bucket.chain.tail} {
 		if successor != nil && successor != core.self {
-			queued := handover.target(successor)
-			queued.flows = append(queued.flows, pendingFlow{class: core.classOf(service, bucket, entry), record: flowRecord(entry)})
+			handover.queue(successor, core.classOf(service, bucket, entry), entry)
 		}
 	}
 }
@@ -68,7 +67,19 @@
 	}
 }
 
+// handOverKnownIn records the known flows of the bucket here if this node is in
+// the chain, and gives them to the others that are.
 func (core *Core) handOverKnownIn(service *service, index uint16) {
+	pair := service.buckets[index].chain
+	for _, member := range [...]*node{pair.head, pair.tail} {
+		if member != nil {
+			core.handOverKnownTo(service, index, member)
+		}
+	}
+}
+
+// handOverKnownTo gives one node the known flows of the bucket that are on the base back end.
+func (core *Core) handOverKnownTo(service *service, index uint16, to *node) {
 	bucket := &service.buckets[index]
 	base := service.table.Base(index)
 	for slot := range bucket.known.slots {
@@ -76,23 +87,12 @@
 		if entry.flags == 0 || entry.backend != base || core.age(entry) > core.settings.IdleTimeout {
 			continue
 		}
-		core.handOverKnownFlow(service, bucket, entry)
-	}
-}
-
-// handOverKnownFlow records the flow here if this node is in the chain, and
-// gives it to the others that are.
-func (core *Core) handOverKnownFlow(service *service, bucket *bucket, entry *record) {
-	for _, member := range [...]*node{bucket.chain.head, bucket.chain.tail} {
-		switch member {
-		case nil:
-		case core.self:
+		if to == core.self {
 			core.merge(service, bucket, flowRecord(entry), incoming{idle: core.age(entry)})
-		default:
-			queued := core.handover.target(member)
-			class := core.classOf(service, bucket, entry)
-			class.unconfirmed = true
-			queued.flows = append(queued.flows, pendingFlow{class: class, record: flowRecord(entry)})
+			continue
 		}
+		class := core.classOf(service, bucket, entry)
+		class.established = true
+		core.handover.queue(to, class, entry)
 	}
 }
--- a/internal/core/network_test.go
+++ b/internal/core/network_test.go
@@ -78,6 +78,8 @@
 	changed    time.Duration // when the membership last changed
 	// interrupted: a node died or paused.
 	interrupted bool
+	// dieNext: a node dies as soon as a planned stop is through.
+	dieNext bool
 	// What happened: openings refused as not run, packets forwarded, flows
 	// opened, packets of open flows at another back end.
 	refusals, forwards, established, moved int
@@ -367,9 +369,14 @@
 
 // gone ends a node that the others are told of at once.
 func (network *network) gone(node *testNode) {
-	if node.alive {
-		node.alive, node.known, node.sprayed = false, false, false
-		network.views()
+	if !node.alive {
+		return
+	}
+	node.alive, node.known, node.sprayed = false, false, false
+	network.views()
+	if network.dieNext {
+		network.dieNext = false
+		network.die()
 	}
 }
 
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -63,9 +63,16 @@
 	if service == nil {
 		return false
 	}
-	idle := time.Duration(content.IdleSeconds) * time.Second
-	for _, flow := range content.Flows {
+	for index, flow := range content.Flows {
+		var idle time.Duration
+		if index < len(content.IdleSeconds) {
+			idle = time.Duration(content.IdleSeconds[index]) * time.Second
+		}
 		bucket := &service.buckets[flow.Flow.Bucket()]
+		if content.Established {
+			core.takeEstablished(service, bucket, flow, idle)
+			continue
+		}
 		core.merge(service, bucket, flow, incoming{
 			confirmed: !content.Unconfirmed,
 			fromTail:  from != nil && from == bucket.chain.tail,
@@ -75,6 +82,21 @@
 	return true
 }
 
+// takeEstablished keeps a UDP flow that another node saw on the base back end:
+// as a known flow as long as the bucket needs no records, then as a record.
+func (core *Core) takeEstablished(service *service, bucket *bucket, flow message.FlowRecord, idle time.Duration) {
+	if !stateless(service.table, flow.Flow.Bucket()) {
+		core.merge(service, bucket, flow, incoming{idle: idle})
+		return
+	}
+	seen := toStamp(max(0, core.now-idle))
+	entry := core.known(bucket, flow.Flow)
+	if entry.lastSeen <= seen {
+		entry.lastSeen = seen
+		entry.backend = flow.Backend
+	}
+}
+
 // incoming says how certain a record from another node is.
 type incoming struct {
 	confirmed bool // a tail answered with it
@@ -85,15 +107,14 @@
 // merge takes a record from another node, unless this node's own is more certain.
 func (core *Core) merge(service *service, bucket *bucket, flow message.FlowRecord, origin incoming) {
 	entry := bucket.records.get(flow.Flow)
-	if entry != nil && !core.replaces(bucket, entry, origin) {
+	seen := toStamp(max(0, core.now-origin.idle))
+	if entry != nil && !core.replaces(bucket, entry, flow.OpeningID, seen, origin) {
 		return
 	}
-	seen := max(0, core.now-origin.idle)
 	if entry == nil {
 		entry = bucket.records.put(flow.Flow)
-		entry.lastSeen = toStamp(seen)
 	}
-	entry.lastSeen = max(entry.lastSeen, toStamp(seen))
+	entry.lastSeen = max(entry.lastSeen, seen)
 	entry.backend = flow.Backend
 	entry.openingID = flow.OpeningID
 	entry.flags = recordUsed
@@ -107,10 +128,16 @@
 	core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
 }
 
-// replaces tells whether the incoming record replaces this node's own.
-func (core *Core) replaces(bucket *bucket, entry *record, origin incoming) bool {
-	if !origin.confirmed {
+// replaces tells whether the incoming record replaces this node's own. Of two
+// certain records of different openings of a 5-tuple, the one seen later counts.
+func (core *Core) replaces(bucket *bucket, entry *record, openingID uint32, seen stamp, origin incoming) bool {
+	switch {
+	case !origin.confirmed:
 		return false
+	case !core.confirmed(bucket, entry):
+		return true
+	case openingID != entry.openingID:
+		return seen > entry.lastSeen
 	}
-	return origin.fromTail || !core.confirmed(bucket, entry)
+	return origin.fromTail
 }
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -34,6 +34,10 @@
 	actionStop  action = "stop"
 	actionDie   action = "die"
 	actionPause action = "pause"
+	// actionStopThenDie: a planned stop, and another node dies as soon as it is through.
+	actionStopThenDie action = "stop then die"
+	// actionDieTwo: two nodes die while flows are being opened.
+	actionDieTwo action = "die two"
 )
 
 // change is an action at a time.
@@ -71,11 +75,11 @@
 var planKinds = []planKind{
 	{name: "planned", actions: []action{actionMove, actionJoin, actionStop, actionMove, actionJoin, actionStop}, properties: always},
 	{name: "joins", actions: []action{actionMove, actionJoin, actionJoin, actionJoin, actionJoin, actionMove, actionJoin}, properties: always},
-	{name: "stop then death", actions: []action{actionMove, actionStop, actionDie, actionMove}, properties: always},
+	{name: "stop then death", actions: []action{actionMove, actionStopThenDie, actionMove}, properties: always},
 	{name: "pause", actions: []action{actionMove, actionPause, actionMove, actionMove}, properties: always},
 	{name: "laggard", actions: []action{actionMove, actionMove, actionJoin}, laggard: true, unplanned: true, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
 	{name: "death", actions: []action{actionMove, actionDie, actionMove}, unplanned: true, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
-	{name: "two deaths", actions: []action{actionMove, actionDie, actionDie, actionMove}, unplanned: true, properties: []property{notRunTrue, ownService, versionGrows}},
+	{name: "two deaths", actions: []action{actionMove, actionDieTwo, actionMove}, unplanned: true, properties: []property{notRunTrue, ownService, versionGrows}},
 }
 
 var hostSets = []string{"ABC", "DEF", "ABCD", "BDF", "E"}
@@ -102,6 +106,7 @@
 	testNodes    = 5
 	testFlows    = 60
 	planDuration = 50 * time.Second
+	burstEvery   = 5 * time.Second
 )
 
 // run runs the plan and gives the network at its end.
@@ -149,7 +154,7 @@
 	network.callers[key] = flow
 	starts := network.millis(500, 40000)
 	if number%2 == 0 {
-		starts = time.Duration(1+network.random.IntN(8)) * 5 * time.Second
+		starts = time.Duration(1+network.random.IntN(8)) * burstEvery
 	}
 	flow.ends = starts + network.millis(1000, 40000)
 	network.after(starts, func() { flow.open(0) })
@@ -169,6 +174,17 @@
 		network.whenIdle(network.stop)
 	case actionDie:
 		network.whenIdle(network.die)
+	case actionStopThenDie:
+		network.whenIdle(func() {
+			network.dieNext = true
+			network.stop()
+		})
+	case actionDieTwo:
+		burst := network.now.Truncate(burstEvery) + burstEvery + network.millis(50, 400)
+		network.after(burst-network.now, func() {
+			network.die()
+			network.die()
+		})
 	case actionPause:
 		network.whenIdle(network.pause)
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -55,8 +55,12 @@
 	Sequence uint64         `json:"sequence"`
 	// Unconfirmed: the sender knows of no tail that answered with these records.
 	Unconfirmed bool `json:"unconfirmed,omitempty"`
-	// IdleSeconds is the least time since the sender last heard of the flows.
-	IdleSeconds uint32       `json:"idle,omitempty"`
+	// Established: these are UDP flows that the sender saw, as ingress, on the
+	// base back end before their bucket was in motion.
+	Established bool `json:"established,omitempty"`
+	// IdleSeconds is, for each of Flows, the time since the sender last heard
+	// of it. Missing ones are zero.
+	IdleSeconds []uint32     `json:"idle,omitempty"`
 	Flows       []FlowRecord `json:"flows"`
 }
 
--- a/internal/message/validate.go
+++ b/internal/message/validate.go
@@ -67,6 +67,9 @@
 	if err := checkName(TypeRecords, "service", string(message.Service)); err != nil {
 		return err
 	}
+	if err := checkCount(TypeRecords, "idle", len(message.IdleSeconds), len(message.Flows)); err != nil {
+		return err
+	}
 	return checkCount(TypeRecords, "flows", len(message.Flows), MaxFlows)
 }
 
