Keep what is said to be in force from being taken back by paused publishers

Cause: seeded races showed two ways in which a publisher that was paused could take back, for a moment, a change that another one had said is in force: a write derived from an older configuration succeeds when the change made no difference to the stored placement, and when a list does not show what was deleted before it.

Ruled out: clocks and leases (a pause has no bound); rewriting all placements after each list (3,300 writes at a rate-limited store).

Change: a change that makes no difference is written all the same, so that its compare-and-swap ends older writes; every write also expects the epoch key, and after a list nothing is said to be in force until the epoch has changed; a placement that turns up with an older configuration lowers the claim.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -2,9 +2,10 @@
 // operators' documents, the placements in the store, reports of what is in
 // force, of clean buckets and of load, and gives writes. It does no I/O and has
 // no clock. Every watcher of the store runs one; they do not agree on who
-// publishes, and safety rests on two rules alone: a write is compare-and-swap
-// on the mod revision of the placement it was derived from, and no publisher
-// writes over a placement derived from a later configuration than it has seen.
+// publishes, and safety rests on three rules alone: a write is compare-and-swap
+// on the mod revision of the placement it was derived from; it also expects the
+// epoch (EpochKey) that its writer has seen; and no publisher writes over a
+// placement derived from a later configuration than it has seen.
 // See docs/DESIGN.md, "Placement".
 package controller
 
@@ -98,8 +99,8 @@
 }
 
 // Documents is what a list or a watch of the store gave. One watch must cover
-// services, back ends and placements: all changes up to Revision are taken as
-// seen. Documents of other prefixes are ignored.
+// services, back ends, placements and EpochKey: all changes up to Revision are
+// taken as seen. Documents of other prefixes are ignored.
 type Documents struct {
 	// Complete: Changes holds every document (a list), not only the changed ones.
 	Complete bool
@@ -154,11 +155,13 @@
 }
 
 // Write asks for a compare-and-swap of a service's placement: it must take
-// effect only if the key's mod revision is ExpectedModRevision (0: no key). Its
-// result must be given as an event.
+// effect only if the key's mod revision is ExpectedModRevision and that of
+// EpochKey is ExpectedEpoch (0: no key). Where either differs, the outcome is
+// WriteConflict. Its result must be given as an event.
 type Write struct {
 	Placement           *lb.Placement // must not be changed
 	ExpectedModRevision int64
+	ExpectedEpoch       int64
 	Kind                Kind
 }
 
@@ -191,6 +194,9 @@
 	Reads []lb.ServiceName
 	// Placements are newly known to be in the store: to be adopted and passed on.
 	Placements []*lb.Placement
+	// Epoch, when set, is to be put at EpochKey, whatever is there. No result is
+	// expected: the watch shows it, and it is asked for again until then.
+	Epoch string
 	// Status, when set, is to be written to the store as the zone's report.
 	Status   *catalog.ZoneStatus
 	Problems []Problem
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 // Controller is the publisher of one node. It is not safe for concurrent use.
 type Controller struct {
 	settings Settings
+	off      rules
 	now      time.Duration
 	effects  *Effects
 
@@ -32,6 +33,7 @@
 	view        view
 	urgent      agenda
 	background  agenda
+	epoch       epoch
 	outstanding int
 	deadlines   agenda // of outstanding writes
 	writes      uint64 // numbers write ids
@@ -39,6 +41,7 @@
 	// unreflected holds, for each service whose placement does not yet
 	// reflect the configuration, the first revision that it misses.
 	unreflected map[lb.ServiceName]int64
+	published   int64 // what PublishedRevision last gave
 	status      statusReport
 }
 
@@ -106,6 +109,7 @@
 	if !c.mayPublish() {
 		return
 	}
+	c.confirmEpoch()
 	for c.outstanding < c.settings.MaxOutstanding {
 		service := c.urgent.pop(c.now)
 		if service == nil {
--- a/internal/controller/documents.go
+++ b/internal/controller/documents.go
@@ -27,7 +27,7 @@
 // takeDocuments takes in a list or a batch of a watch. One from before what was
 // seen already (a store member that lags) is ignored.
 func (c *Controller) takeDocuments(documents *Documents) {
-	if documents.Revision < c.seen {
+	if documents.Revision < c.seen && !c.off.noStaleListCheck {
 		return
 	}
 	affected := make(map[lb.ServiceName]span)
@@ -38,12 +38,16 @@
 		c.dropMissing(documents, affected)
 	}
 	c.seen = documents.Revision
-	c.listed = c.listed || documents.Complete
+	if documents.Complete {
+		c.listed = true
+		c.startEpoch(documents.Revision)
+	}
 	for _, name := range slices.Sorted(maps.Keys(affected)) {
 		c.refresh(c.service(name), affected[name])
 	}
 	for index := range documents.Changes {
 		c.takePlacement(&documents.Changes[index])
+		c.takeEpoch(&documents.Changes[index])
 	}
 	c.retryLagging()
 }
@@ -82,6 +86,9 @@
 	for index := range documents.Changes {
 		listed[documents.Changes[index].Key] = struct{}{}
 	}
+	if _, found := listed[EpochKey]; !found {
+		c.epoch.revision = 0
+	}
 	for _, key := range slices.Sorted(maps.Keys(c.documents)) {
 		if _, found := listed[key]; !found {
 			c.takeConfiguration(&Document{Key: key, ModRevision: c.seen + 1, Deleted: true}, affected)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -104,9 +104,9 @@
 		return proposal{}, false
 	}
 	if isPrepared(s.stored) && !isWeightsOnly(s.stored) {
-		return proposal{}, false
+		return proposal{}, false // to be committed first
 	}
-	if s.stored.ConfigRevision > c.seen {
+	if s.stored.ConfigRevision > c.seen && !c.off.noConfigurationGuard {
 		c.lagging[s] = struct{}{}
 		return proposal{}, false
 	}
@@ -187,6 +187,9 @@
 // proposeSettle makes the newest generation the base that was committed long enough ago.
 func (c *Controller) proposeSettle(s *service) (proposal, bool) {
 	wait := c.settings.IdleTimeout + c.settings.SettleMargin
+	if c.off.noSettleWait {
+		wait = 0
+	}
 	for index := len(s.commits) - 1; index >= 0; index-- {
 		commit := s.commits[index]
 		if due := c.turn(s, commit.at+wait); due <= c.now || index == 0 {
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -22,16 +22,18 @@
 
 // PublishedRevision gives the configuration revision up to which every change
 // is reflected by the committed placements that this node has seen in the
-// store, and has given as effects. It is 0 when that is not known.
+// store, and has given as effects. It never goes back; it is 0 when nothing is
+// known, and stays what it was while the epoch is not confirmed.
 func (c *Controller) PublishedRevision() int64 {
-	if !c.listed {
-		return 0
+	if !c.listed || !c.isEpochConfirmed() {
+		return c.published
 	}
 	published := c.seen
 	for _, first := range c.unreflected {
 		published = min(published, first-1)
 	}
-	return max(published, 0)
+	c.published = max(published, c.published)
+	return c.published
 }
 
 // IsPublisher tells whether this node is to watch the store and may publish.
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -153,7 +153,7 @@
 	}
 	s.modRevision = modRevision
 	s.unreadable = false
-	if s.stored != nil && isLower(document, s.stored) {
+	if s.stored != nil && isLower(document, s.stored) && !c.off.noVersionMemory {
 		c.markRegressed(s)
 		return
 	}
@@ -167,7 +167,7 @@
 		s.relative = s.wanted.backends
 	}
 	c.noteRetired(s)
-	c.noteReflection(s, s.changed)
+	c.noteReflection(s, document.ConfigRevision+1)
 	c.reconsider(s)
 }
 
@@ -253,8 +253,10 @@
 		delete(c.unreflected, s.name)
 		return
 	}
-	if _, known := c.unreflected[s.name]; !known {
-		c.unreflected[s.name] = revision
+	first, known := c.unreflected[s.name]
+	if !known {
 		s.changedAt = c.now
+		first = revision
 	}
+	c.unreflected[s.name] = min(first, revision)
 }
--- a/internal/controller/targets.go
+++ b/internal/controller/targets.go
@@ -9,17 +9,22 @@
 	"robinpulley.example/robinpulley/internal/weight"
 )
 
-// reflects tells whether the stored placement is committed and is what the
-// operators want. What they want of an invalid document is not known.
+// reflects tells whether the stored placement is committed (but for weights),
+// is what the operators want, and says so by its revision. A change that makes no difference
+// is written all the same: the write puts an end to any other that is under
+// way and was derived from an older configuration. What the operators want of
+// an invalid document is not known.
 func (c *Controller) reflects(s *service) bool {
 	switch {
 	case s.wanted.presence == catalog.Unknown:
 		return true
 	case s.stored == nil:
 		return s.wanted.presence == catalog.Absent
+	case s.stored.ConfigRevision < s.changed && !c.off.noFencingWrite:
+		return false
 	case s.wanted.presence == catalog.Absent:
 		return s.stored.Deleted
-	case s.stored.Deleted || isPrepared(s.stored):
+	case s.stored.Deleted || isPrepared(s.stored) && !isWeightsOnly(s.stored):
 		return false
 	}
 	return s.stored.OpensPerSecond == s.wanted.opensPerSecond &&
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +35,8 @@
 	revision int64
 	values   map[string]Document
 	log      []Document
+	// ignoreRevision and ignoreEpoch switch off the conditions of writes.
+	ignoreRevision, ignoreEpoch bool
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{values: make(map[string]Document)} }
@@ -54,12 +58,16 @@
 	store.log = append(store.log, Document{Key: key, ModRevision: store.revision, Deleted: true})
 }
 
-// swap puts the value if the key's mod revision is the expected one.
-func (store *fakeStore) swap(key string, value any, expected int64) bool {
-	if store.values[key].ModRevision != expected {
+// swap executes the write if what it expects is so.
+func (store *fakeStore) swap(write Write) bool {
+	key := catalog.PlacementKey(write.Placement.Service)
+	if store.values[key].ModRevision != write.ExpectedModRevision && !store.ignoreRevision {
 		return false
 	}
-	store.put(key, value)
+	if store.values[EpochKey].ModRevision != write.ExpectedEpoch && !store.ignoreEpoch {
+		return false
+	}
+	store.put(key, write.Placement)
 	return true
 }
 
@@ -82,6 +90,7 @@
 	cursor     int // log entries delivered
 	writes     []Write
 	reads      []lb.ServiceName
+	epochs     []string
 	kinds      []Kind
 	problems   []Problem
 	adopted    map[lb.ServiceName]*lb.Placement
@@ -95,6 +104,8 @@
 	now        time.Duration
 	publishers []*publisher
 	silent     bool // zones do not acknowledge
+	// shuffle, when set, changes the order of lists, which must not matter.
+	shuffle func([]Document)
 }
 
 func newWorld(count int, adjust func(*Settings)) *world {
@@ -127,6 +138,9 @@
 	p.writes = append(p.writes, effects.Writes...)
 	p.reads = append(p.reads, effects.Reads...)
 	p.problems = append(p.problems, effects.Problems...)
+	if effects.Epoch != "" {
+		p.epochs = append(p.epochs, effects.Epoch)
+	}
 	for _, write := range effects.Writes {
 		p.kinds = append(p.kinds, write.Kind)
 	}
@@ -141,8 +155,11 @@
 // list gives the controller everything in the store.
 func (p *publisher) list() {
 	event := &Documents{Complete: true, Revision: p.world.store.revision}
-	for _, document := range p.world.store.values {
-		event.Changes = append(event.Changes, document)
+	for _, key := range slices.Sorted(maps.Keys(p.world.store.values)) {
+		event.Changes = append(event.Changes, p.world.store.values[key])
+	}
+	if p.world.shuffle != nil {
+		p.world.shuffle(event.Changes)
 	}
 	p.cursor = len(p.world.store.log)
 	p.step(&Event{Documents: event})
@@ -160,13 +177,21 @@
 // apply executes the write at the store and gives the outcome that it had.
 func (p *publisher) apply(write Write) *WriteResult {
 	result := &WriteResult{Service: write.Placement.Service, WriteID: write.Placement.WriteID, Outcome: WriteConflict}
-	if p.world.store.swap(catalog.PlacementKey(write.Placement.Service), write.Placement, write.ExpectedModRevision) {
+	if p.world.store.swap(write) {
 		result.Outcome = WriteDone
 		result.ModRevision = p.world.store.revision
 	}
 	return result
 }
 
+// changeEpoch executes the changes of the epoch that were asked for.
+func (p *publisher) changeEpoch() {
+	for _, id := range p.epochs {
+		p.world.store.put(EpochKey, id)
+	}
+	p.epochs = nil
+}
+
 func (p *publisher) readBack(name lb.ServiceName) {
 	p.step(&Event{ReadBack: &ReadBack{Service: name, Document: p.world.store.values[catalog.PlacementKey(name)]}})
 }
@@ -182,6 +207,7 @@
 	for _, write := range writes {
 		p.step(&Event{Result: p.apply(write)})
 	}
+	p.changeEpoch()
 	reads := p.reads
 	p.reads = nil
 	for _, name := range reads {
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -24,6 +24,7 @@
 	c.effects.Writes = append(c.effects.Writes, Write{
 		Placement:           document,
 		ExpectedModRevision: s.modRevision,
+		ExpectedEpoch:       c.epoch.revision,
 		Kind:                next.kind,
 	})
 }
@@ -49,11 +50,15 @@
 	if s == nil || s.pending == nil || s.pending.id != result.WriteID {
 		return
 	}
-	switch result.Outcome {
+	outcome, modRevision := result.Outcome, result.ModRevision
+	if c.off.noReadBack && outcome == WriteUnknown {
+		outcome, modRevision = WriteDone, s.modRevision+1
+	}
+	switch outcome {
 	case WriteDone:
 		written := s.pending.placement
 		c.finish(s)
-		c.adopt(s, written, result.ModRevision)
+		c.adopt(s, written, modRevision)
 		c.reconsider(s)
 	case WriteNotRun:
 		c.finish(s)
