Report a change in force without waiting for the next statement

The publisher passes over a zone's statement that follows its last report within a second, and the next statement came 2 s later. The node now repeats the last one on each tick.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -59,13 +59,18 @@
 	FieldDuration = "duration_ms"
 )
 
+// timeFormat of log lines: RFC 3339 in milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New builds a logger that writes to output at the given level (debug, info,
-// warn or error), with the node and its zone in every line.
+// warn or error), with the node and its zone in every line. It sets the time
+// format of all loggers of the process.
 func New(output io.Writer, level, node, zone string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return zerolog.Nop(), err
 	}
+	zerolog.TimeFieldFormat = timeFormat
 	logger := zerolog.New(output).Level(parsed).With().
 		Timestamp().
 		Str(FieldNode, node).
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -14,6 +14,10 @@
 	"robinpulley.example/robinpulley/internal/message"
 )
 
+// slowTicks is how many ticks of the membership and the gossip make one of
+// the core and the publisher.
+const slowTicks = uint64(core.TickInterval / tickInterval)
+
 // engine owns the deterministic parts of a node. One lock guards them all:
 // every input takes it, steps the parts it concerns and carries out their
 // effects, none of which blocks.
@@ -50,6 +54,9 @@
 	check     check
 	rejoined  bool // others had lost this node; distrust the view when it changes
 	published int64
+	// zoneReport is the last statement on this node's own zone.
+	zoneReport *message.InForce
+	ticks      uint64
 
 	watcher        bool          // this node watches the store
 	watcherChanged chan struct{} // has one element after a change
@@ -101,9 +108,14 @@
 	engine.input(func() {
 		engine.memberStep(&member.Event{})
 		engine.gossipStep(&gossip.Event{})
+		engine.ticks++
+		if engine.ticks%slowTicks != 0 {
+			return
+		}
 		engine.coreStep(&core.Event{Tick: true})
 		engine.askPeers()
 		engine.noteStore(circuitClosed)
+		engine.repeatZoneReport()
 		engine.controllerStep(&controller.Event{Tick: true})
 	})
 }
--- a/internal/node/placements.go
+++ b/internal/node/placements.go
@@ -30,10 +30,21 @@
 	engine.synced = engine.synced || effects.Synced
 	// The publisher may step the gossip in turn, which reuses the effects.
 	for _, report := range slices.Clone(effects.InForce) {
+		if report.Zone == engine.settings.Zone {
+			engine.zoneReport = &report
+		}
 		engine.controllerStep(&controller.Event{InForce: &report})
 	}
 }
 
+// repeatZoneReport gives the publisher the last statement on its zone again:
+// it passes over one that comes too soon after the last report it wrote.
+func (engine *engine) repeatZoneReport() {
+	if engine.zoneReport != nil {
+		engine.controllerStep(&controller.Event{InForce: engine.zoneReport})
+	}
+}
+
 // adopt puts a placement into force.
 func (engine *engine) adopt(placement *lb.Placement) {
 	engine.coreStep(&core.Event{Placement: placement})
