--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,7 +14,6 @@
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
-	"robinpulley.example/robinpulley/internal/member"
 )
 
 // adminHeaderTimeout bounds how long a client may take for its request header.
@@ -76,24 +76,39 @@
 	Node    lb.NodeID `json:"node"`
 	Zone    lb.Zone   `json:"zone"`
 	Ready   bool      `json:"ready"`
-	Digest  uint64    `json:"digest"` // of all placements
+	Digest  uint64    `json:"digest,string"` // of all placements
 	Watcher bool      `json:"watcher"`
 	StoreUp bool      `json:"store_up"`
 	// Published is the configuration revision reflected by the placements
 	// that this node, as a publisher, has seen in the store.
 	Published int64                         `json:"published_revision"`
 	Core      core.State                    `json:"core"`
-	Members   []member.Member               `json:"members"`
+	Members   []MemberState                 `json:"members"`
 	Versions  map[lb.ServiceName]lb.Version `json:"versions"`
 }
 
+// MemberState is one member in the node's view.
+type MemberState struct {
+	Node        lb.NodeID      `json:"node"`
+	Zone        lb.Zone        `json:"zone"`
+	Control     netip.AddrPort `json:"control"`
+	Data        netip.AddrPort `json:"data"`
+	State       string         `json:"state"` // alive or leaving
+	Incarnation uint64         `json:"incarnation"`
+}
+
 // State gives what the node knows, for debugging.
 func (node *Node) State() DebugState {
 	state := node.engine.state()
 	state.Node = node.settings.Node
 	state.Zone = node.settings.Zone
 	state.Ready = node.ready.Load()
-	state.Members = node.directory.list()
+	for _, entry := range node.directory.list() {
+		state.Members = append(state.Members, MemberState{
+			Node: entry.ID, Zone: entry.Zone, Control: entry.Control, Data: entry.Data,
+			State: stateOf(&entry), Incarnation: entry.Incarnation,
+		})
+	}
 	return state
 }
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -31,6 +31,7 @@
 		clock:          func() time.Duration { return time.Since(started) },
 		transmit:       node.transmit,
 		directory:      &node.directory,
+		cuts:           &node.cuts,
 		core:           core.New(coreSettings(settings)),
 		member:         membership,
 		controller:     controller.New(controllerSettings(settings, incarnation)),
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -27,6 +27,7 @@
 	clock     func() time.Duration // since the start of the process, monotonic
 	transmit  transmitter
 	directory *directory
+	cuts      *cuts
 
 	mutex sync.Mutex
 	last  time.Duration // of the last step
--- a/internal/node/faults.go
+++ b/internal/node/faults.go
@@ -25,7 +25,7 @@
 }
 
 // learn takes the addresses of machines.
-func (cuts *cuts) learn(list []member.Machine) {
+func (cuts *cuts) learn(list ...member.Machine) {
 	cuts.mutex.Lock()
 	defer cuts.mutex.Unlock()
 	if cuts.zoneOf == nil {
--- a/internal/node/machinelist.go
+++ b/internal/node/machinelist.go
@@ -52,7 +52,7 @@
 
 func (node *Node) takeMachines(list []machines.Machine) {
 	known := memberMachines(list)
-	node.cuts.learn(known)
+	node.cuts.learn(known...)
 	node.engine.setMachines(known)
 }
 
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -31,6 +31,9 @@
 func (engine *engine) takeMembers(members []member.Member) {
 	engine.logMembers(members)
 	engine.directory.set(members)
+	for _, entry := range members {
+		engine.cuts.learn(entry.Machine)
+	}
 	list := coreMembers(members)
 	engine.coreStep(&core.Event{Members: list})
 	if engine.rejoined {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -30,6 +30,7 @@
 	url    string
 	client *store.Client
 	seeds  []string
+	faults bool // nodes accept fault injection
 	nodes  []*member
 }
 
@@ -78,7 +79,7 @@
 	settings, err := config.Load("", config.Overrides{
 		Node: name, Zone: zone, Seeds: fleet.seeds, StoreEndpoints: []string{fleet.url},
 		DataAddress: freeAddress(fleet.t), ControlAddress: control, AdminAddress: admin,
-		FabricReply: []string{"127.0.0.1:9"},
+		FabricReply: []string{"127.0.0.1:9"}, AllowFaultInjection: fleet.faults,
 	})
 	is.NoErr(err)
 	settings.Timings.DrainGrace = time.Millisecond
@@ -261,6 +262,32 @@
 	is.Equal(status, http.StatusNotFound) // fault injection is not allowed
 }
 
+func TestCutZoneComesBack(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t)
+	fleet.faults = true
+	cut := fleet.start("a", "za")
+	fleet.start("b", "zb")
+	fleet.start("c", "zb")
+	fleet.putBackend("h1", "127.0.0.1:10001", "h1-1", false)
+	fleet.putService("wallet", "192.0.2.10:443")
+	fleet.eventually("three members everywhere", func() bool { return fleet.everyoneKnows(3) })
+	fleet.eventually("first placement everywhere", func() bool { return fleet.agree("wallet", 1) })
+	cutOff := func(query string) {
+		response, err := http.Post("http://"+cut.admin+"/debug/cut"+query, "", nil)
+		is.NoErr(err)
+		response.Body.Close()
+		is.Equal(response.StatusCode, http.StatusNoContent)
+	}
+	cutOff("?zone=zb")
+	fleet.eventually("the zones lose each other", func() bool {
+		return len(cut.State().Members) == 1 && len(fleet.nodes[1].State().Members) == 2 && len(fleet.nodes[2].State().Members) == 2
+	})
+	cutOff("")
+	fleet.eventually("all know each other again", func() bool { return fleet.everyoneKnows(3) })
+	fleet.eventually("the cut node trusts its view", func() bool { return cut.State().Core.Sure })
+}
+
 func TestPlannedStop(t *testing.T) {
 	is := is.New(t)
 	fleet := newFleet(t)
