--- a/cmd/robinpulley/commands.go
+++ b/cmd/robinpulley/commands.go
@@ -54,7 +54,11 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.New(os.Stdout, settings.LogLevel, string(settings.Node), string(settings.Zone))
+	output := logging.NonBlocking(os.Stdout, func(lines int) {
+		fmt.Fprintf(os.Stderr, "robinpulley: %d log lines dropped\n", lines)
+	})
+	defer output.Close() // writes what waits; there is nobody to tell of an error
+	logger, err := logging.New(output, settings.LogLevel, string(settings.Node), string(settings.Zone))
 	if err != nil {
 		return err
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,8 +5,10 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 // Event names what happened; it is the value of FieldEvent.
@@ -62,6 +64,21 @@
 // timeFormat of log lines: RFC 3339 in milliseconds.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+// Sizes of the queue in front of the log's output.
+const (
+	queueLines    = 1024
+	queueInterval = 50 * time.Millisecond
+)
+
+// NonBlocking gives a writer in front of output that never blocks: a log
+// consumer that stands still must not hold up packets. What the queue cannot
+// hold is dropped, and the number of lines told by onDropped. Close writes
+// what waits and leaves output open.
+func NonBlocking(output io.Writer, onDropped func(lines int)) io.WriteCloser {
+	withoutClose := struct{ io.Writer }{output}
+	return diode.NewWriter(withoutClose, queueLines, queueInterval, onDropped)
+}
+
 // New builds a logger that writes to output at the given level (debug, info,
 // warn or error), with the node and its zone in every line. It sets the time
 // format of all loggers of the process.
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -63,7 +63,7 @@
 	check.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(len(peers), checkPeers)] {
 		check.sequence++
-		engine.transmit(peer.Control, message.Ping{
+		engine.post(peer.Control, message.Ping{
 			Sequence:    check.sequence,
 			Incarnation: engine.member.Incarnation(),
 			Digest:      engine.gossip.Digest(),
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -31,6 +31,8 @@
 
 	mutex sync.Mutex
 	last  time.Duration // of the last step
+	// outbox holds messages to others until the lock is free.
+	outbox []outgoing
 	// local holds messages of this node to itself, taken at the end of each input.
 	local []message.Message
 
@@ -70,11 +72,23 @@
 }
 
 // input runs one input under the lock, and what it made this node tell itself.
+// Messages to others are sent when the lock is free again, since encoding a
+// large one takes time that packets would wait.
 func (engine *engine) input(run func()) {
+	for _, outgoing := range engine.locked(run) {
+		engine.transmit(outgoing.to, outgoing.message)
+	}
+}
+
+// locked runs one input and gives the messages to be sent.
+func (engine *engine) locked(run func()) []outgoing {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	run()
 	engine.takeLocal()
+	messages := engine.outbox
+	engine.outbox = nil
+	return messages
 }
 
 func (engine *engine) takeLocal() {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -16,7 +16,7 @@
 func (engine *engine) memberStep(event *member.Event) {
 	engine.member.Step(engine.now(), event, &engine.memberEffects)
 	for _, outgoing := range engine.memberEffects.Messages {
-		engine.transmit(outgoing.Address, outgoing.Message)
+		engine.post(outgoing.Address, outgoing.Message)
 	}
 	if engine.memberEffects.Rejoined {
 		engine.rejoined = true
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -14,6 +14,17 @@
 // transmitter sends a message to a control address without blocking.
 type transmitter func(to netip.AddrPort, outgoing message.Message)
 
+// outgoing is one message to a control address.
+type outgoing struct {
+	to      netip.AddrPort
+	message message.Message
+}
+
+// post puts a message to another node into the outbox.
+func (engine *engine) post(to netip.AddrPort, body message.Message) {
+	engine.outbox = append(engine.outbox, outgoing{to: to, message: body})
+}
+
 // incoming is one message from a peer, or from this node to itself.
 type incoming struct {
 	from    lb.NodeID
@@ -49,6 +60,6 @@
 	}
 	address, found := engine.member.Resolve(to)
 	if found {
-		engine.transmit(address, outgoing)
+		engine.post(address, outgoing)
 	}
 }
