Compare the core with the baselines in one command

Cause: broken flows say little without what others break under the same schedule. Ruled out: a second interface for balancers in the experiment (the baselines' own serves). Change: robinlab experiment and report (internal/labcommand); a test that every baseline breaks flows where the core does not, so that the count can fail.

--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/labcommand"
 )
 
 // commands are the subcommands of robinlab.
@@ -20,6 +22,9 @@
 	Caller callerCommand `cmd:"" help:"Run the callers of one service."`
 	Demo   demoCommand   `cmd:"" help:"Run the demo on real processes and print a table."`
 	Faults faultsCommand `cmd:"" help:"Do fault runs on real processes and print a table."`
+
+	Experiment labcommand.Experiment `cmd:"" help:"Run scenarios in virtual time on the decision core."`
+	Report     labcommand.Report     `cmd:"" help:"Make a table and plots of results."`
 }
 
 func main() {
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/baseline"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
@@ -13,7 +14,7 @@
 type node struct {
 	id       lb.NodeID
 	zone     lb.Zone
-	balancer Balancer
+	balancer baseline.Balancer
 	alive    bool
 	leaving  bool
 	frozen   time.Duration // until when it is paused
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -7,20 +7,16 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"robinpulley.example/robinpulley/internal/baseline"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/sim"
 )
 
-// Balancer is one node's decisions: the core, or a baseline.
-type Balancer interface {
-	Step(now time.Duration, event *core.Event, effects *core.Effects)
-}
-
 // Factory makes the balancer of one node.
 type Factory struct {
 	Name string
-	New  func(core.Settings) Balancer
+	New  func(core.Settings) baseline.Balancer
 }
 
 // eventKind tells what an event of the run is.
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"robinpulley.example/robinpulley/internal/baseline"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/experiment"
 )
@@ -16,7 +17,7 @@
 func coreFactory() experiment.Factory {
 	return experiment.Factory{
 		Name: "robinpulley",
-		New:  func(settings core.Settings) experiment.Balancer { return core.New(settings) },
+		New:  func(settings core.Settings) baseline.Balancer { return core.New(settings) },
 	}
 }
 
@@ -93,6 +94,19 @@
 	}
 }
 
+func TestBaselinesBreakFlowsWhereTheCoreDoesNot(t *testing.T) {
+	is := is.New(t)
+	for _, method := range baseline.Methods {
+		factory := experiment.Factory{
+			Name: string(method),
+			New:  func(settings core.Settings) baseline.Balancer { return baseline.New(method, settings) },
+		}
+		result, err := experiment.Run(scenario(t, "tally-wallet-planned", 40*time.Second), factory, 1)
+		is.NoErr(err)
+		is.True(result.BrokenTotal > 0) // so that the count of the core can fail
+	}
+}
+
 func TestScenarioErrorsNameFieldAndValue(t *testing.T) {
 	cases := []struct{ name, text, want string }{
 		{"unknown field", "colour: red\n", "colour"},
