Bound the buckets that weight steps move; fix operators' weights and slow start

Cause: new tests of load in the controller found that an operator's change of a weight alone was announced again and again and never committed, that a back end that starts slowly stayed at a tenth where loads are equal, that weights all sank while one was being raised, and that saved credit let more buckets move in a minute than the budget.

Change: an announced generation that already is what the operators want is committed; factors below the load floor go on up; no back end is lowered for its load while others can be raised, unless it has twice the mean; moved buckets are counted over a sliding minute, whoever committed them, and a step that costs too much is made smaller.

--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -95,11 +95,10 @@
 		return keep(s, KindWeights, due), true
 	}
 	s.weighedAt = c.now
-	targets, moved := c.affordableStep(s)
+	targets := c.affordableStep(s)
 	if targets == nil {
 		return keep(s, KindWeights, c.now+c.settings.WeightInterval), true
 	}
-	s.moveCredit -= moved * creditUnit
 	return keep(s, KindWeights, c.now, placement.Prepare(targets), commitUnlessMoving), true
 }
 
@@ -123,33 +122,81 @@
 	return false
 }
 
-// creditUnit is the credit of one moved bucket.
-const creditUnit = 1000
-
-// affordableStep gives the next weights and the number of buckets they move,
-// or nil when nothing is to change or the budget does not allow it yet. A step
-// that costs more than a minute's budget is made when the budget is whole, and
-// the budget then stays spent for longer.
-func (c *Controller) affordableStep(s *service) ([]placement.Target, int) {
-	c.accrueCredit(s)
-	targets := c.steppedTargets(s)
-	moved, changed := c.cost(s, targets)
-	if !changed {
-		return nil, 0
-	}
-	full := c.settings.MovedPerMinute * creditUnit
-	if moved*creditUnit > s.moveCredit && s.moveCredit < full {
-		return nil, 0
-	}
-	return targets, moved
+// affordableStep gives the next weights, or nil when nothing is to change or the
+// budget of moved buckets does not allow it yet. Where the whole step costs too
+// much, it is the largest single change, halved as long as need be.
+func (c *Controller) affordableStep(s *service) []placement.Target {
+	room := c.moveRoom(s)
+	if room <= 0 {
+		return nil
+	}
+	present := placement.Targets(s.stored, s.stored.Current)
+	next := c.steppedTargets(s)
+	for !slices.Equal(next, present) {
+		if c.cost(s, next) <= room {
+			return next
+		}
+		next = smallerStep(present, next)
+	}
+	return nil
+}
+
+// smallerStep keeps only the largest change of weight; if there is only one, half of it.
+func smallerStep(present, next []placement.Target) []placement.Target {
+	largest, changes := 0, 0
+	for index := range next {
+		if next[index].Weight != present[index].Weight {
+			changes++
+		}
+		if weightChange(present, next, index) > weightChange(present, next, largest) {
+			largest = index
+		}
+	}
+	smaller := slices.Clone(present)
+	smaller[largest].Weight = next[largest].Weight
+	if changes == 1 {
+		half := (int(next[largest].Weight) - int(present[largest].Weight)) / 2
+		smaller[largest].Weight = uint16(int(present[largest].Weight) + half)
+	}
+	return smaller
+}
+
+// weightChange gives the size of one change of weight.
+func weightChange(present, next []placement.Target, index int) int {
+	change := int(next[index].Weight) - int(present[index].Weight)
+	return max(change, -change)
 }
 
-// accrueCredit adds the budget of the time since it was last added.
-func (c *Controller) accrueCredit(s *service) {
-	full := c.settings.MovedPerMinute * creditUnit
-	elapsed := c.now - s.creditedAt
-	s.creditedAt = c.now
-	s.moveCredit = min(s.moveCredit+int(elapsed*time.Duration(full)/time.Minute), full)
+// moveWindow is the time over which the budget of moved buckets holds.
+const moveWindow = time.Minute
+
+// moveRoom gives the number of buckets that weight steps may move now. What
+// was moved before this controller knew the service is not known, so there is
+// no room until a whole window has been seen.
+func (c *Controller) moveRoom(s *service) int {
+	if c.now-s.knownSince < moveWindow {
+		return 0
+	}
+	room := c.settings.MovedPerMinute
+	s.moves = slices.DeleteFunc(s.moves, func(move bucketMove) bool { return c.now-move.at >= moveWindow })
+	for _, move := range s.moves {
+		room -= move.buckets
+	}
+	return room
+}
+
+// noteMoves counts the buckets that a weight step moved, whoever committed it.
+func (c *Controller) noteMoves(s *service, before, after *lb.Placement) {
+	if before == nil {
+		s.knownSince = c.now
+		return
+	}
+	from, to := currentBackends(before), currentBackends(after)
+	if slices.Equal(from, to) || !sameBackends(from, to) {
+		return
+	}
+	moved := placement.MovedBetween(after, from, to)
+	s.moves = append(s.moves, bucketMove{at: c.now, buckets: moved})
 }
 
 // steppedTargets gives the current targets with the next weights.
@@ -190,13 +237,10 @@
 }
 
 // cost counts the buckets that the targets would move.
-func (c *Controller) cost(s *service, targets []placement.Target) (moved int, changed bool) {
-	if slices.Equal(targets, placement.Targets(s.stored, s.stored.Current)) {
-		return 0, false
-	}
+func (c *Controller) cost(s *service, targets []placement.Target) int {
 	next, err := placement.Next(s.stored, placement.Stamp{WriteID: "estimate"}, placement.Prepare(targets))
-	if err != nil || !isPrepared(next) {
-		return 0, false
+	if err != nil {
+		return lb.BucketCount
 	}
-	return placement.Moved(next, next.Current, len(next.Generations)-1), true
+	return placement.MovedBetween(next, currentBackends(next), next.Generations[len(next.Generations)-1].Backends)
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -103,7 +103,7 @@
 	if s.stored == nil || c.reflects(s) {
 		return proposal{}, false
 	}
-	if isPrepared(s.stored) && !isWeightsOnly(s.stored) {
+	if isPrepared(s.stored) && (!isWeightsOnly(s.stored) || c.announces(s)) {
 		return proposal{}, false // to be committed first
 	}
 	if s.stored.ConfigRevision > c.seen && !c.off.noConfigurationGuard {
@@ -137,7 +137,8 @@
 	if !isPrepared(document) {
 		return nil
 	}
-	if placement.Moved(document, document.Current, len(document.Generations)-1) > 0 {
+	last := document.Generations[len(document.Generations)-1].Backends
+	if placement.MovedBetween(document, currentBackends(document), last) > 0 {
 		return nil
 	}
 	return placement.Commit()(document)
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -54,6 +54,12 @@
 	return holds
 }
 
+// bucketMove says how many buckets a weight step moved.
+type bucketMove struct {
+	at      time.Duration
+	buckets int
+}
+
 // pendingWrite is a write whose outcome is not known yet.
 type pendingWrite struct {
 	id        string
@@ -100,8 +106,8 @@
 	cleanSince time.Duration
 
 	weighedAt  time.Duration
-	moveCredit int // in thousandths of a bucket
-	creditedAt time.Duration
+	knownSince time.Duration // when a placement was first seen
+	moves      []bucketMove  // of weight steps, lately
 }
 
 // service gives the named service, new if it was not known.
@@ -110,7 +116,6 @@
 	if !found {
 		known = &service{name: name, key: rendezvous.NewKey(string(name))}
 		known.weighedAt = c.now
-		known.creditedAt = c.now
 		c.services[name] = known
 	}
 	return known
@@ -143,7 +148,12 @@
 		return false
 	}
 	last := document.Generations[len(document.Generations)-1].Backends
-	return slices.EqualFunc(last, currentBackends(document), func(a, b lb.WeightedBackend) bool { return a.ID == b.ID })
+	return sameBackends(last, currentBackends(document))
+}
+
+// sameBackends tells whether two generations differ at most in weights.
+func sameBackends(a, b []lb.WeightedBackend) bool {
+	return slices.EqualFunc(a, b, func(a, b lb.WeightedBackend) bool { return a.ID == b.ID })
 }
 
 // adopt takes in a placement seen in the store.
@@ -158,6 +168,7 @@
 		return
 	}
 	s.regressed = false
+	c.noteMoves(s, s.stored, document)
 	s.stored = document
 	c.effects.Placements = append(c.effects.Placements, document)
 	c.noteGenerations(s)
--- a/internal/controller/targets.go
+++ b/internal/controller/targets.go
@@ -27,18 +27,28 @@
 	case s.stored.Deleted || isPrepared(s.stored) && !isWeightsOnly(s.stored):
 		return false
 	}
-	return s.stored.OpensPerSecond == s.wanted.opensPerSecond &&
-		slices.Equal(s.stored.Frontends, s.wanted.frontends) &&
-		c.hasTargets(s)
+	return c.matches(s, s.stored.Current)
 }
 
-// hasTargets tells whether the current generation is the one wanted.
-func (c *Controller) hasTargets(s *service) bool {
+// announces tells whether the last generation, not yet committed, is what the
+// operators want.
+func (c *Controller) announces(s *service) bool {
+	return s.wanted.presence == catalog.Present &&
+		s.stored.ConfigRevision >= s.changed &&
+		c.matches(s, len(s.stored.Generations)-1)
+}
+
+// matches tells whether the document has what the operators want, with one of
+// its generations.
+func (c *Controller) matches(s *service, generation int) bool {
+	if s.stored.OpensPerSecond != s.wanted.opensPerSecond || !slices.Equal(s.stored.Frontends, s.wanted.frontends) {
+		return false
+	}
 	wanted := c.targets(s)
 	slices.SortFunc(wanted, compareTargets)
-	current := placement.Targets(s.stored, s.stored.Current)
-	slices.SortFunc(current, compareTargets)
-	return slices.Equal(wanted, current)
+	placed := placement.Targets(s.stored, generation)
+	slices.SortFunc(placed, compareTargets)
+	return slices.Equal(wanted, placed)
 }
 
 // targets gives the back ends that are to take new flows. One that already
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -35,11 +35,14 @@
 	revision int64
 	values   map[string]Document
 	log      []Document
+	decoded  map[int64]*lb.Placement // by mod revision
 	// ignoreRevision and ignoreEpoch switch off the conditions of writes.
 	ignoreRevision, ignoreEpoch bool
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{values: make(map[string]Document)} }
+func newFakeStore() *fakeStore {
+	return &fakeStore{values: make(map[string]Document), decoded: make(map[int64]*lb.Placement)}
+}
 
 func (store *fakeStore) put(key string, value any) {
 	encoded, err := json.Marshal(value)
@@ -71,15 +74,20 @@
 	return true
 }
 
+// placement gives what the store has, or nil.
 func (store *fakeStore) placement(name lb.ServiceName) *lb.Placement {
 	document, found := store.values[catalog.PlacementKey(name)]
 	if !found {
 		return nil
 	}
+	if known, cached := store.decoded[document.ModRevision]; cached {
+		return known
+	}
 	decoded := new(lb.Placement)
 	if err := json.Unmarshal(document.Value, decoded); err != nil {
 		panic(err)
 	}
+	store.decoded[document.ModRevision] = decoded
 	return decoded
 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -21,11 +21,9 @@
 	return targets
 }
 
-// Moved counts the buckets on which two of the document's generations disagree.
-func Moved(document *lb.Placement, first, second int) int {
-	marks := disagreement([]*maglev.Table{
-		generationTable(document, document.Generations[first].Backends),
-		generationTable(document, document.Generations[second].Backends),
-	})
+// MovedBetween counts the buckets on which the tables of two lists of back ends
+// disagree. All must be in the document.
+func MovedBetween(document *lb.Placement, first, second []lb.WeightedBackend) int {
+	marks := disagreement([]*maglev.Table{generationTable(document, first), generationTable(document, second)})
 	return marks.Count()
 }
--- a/internal/weight/step.go
+++ b/internal/weight/step.go
@@ -8,10 +8,14 @@
 
 // Step gives the next factor of each back end of one service. Each is at most
 // MaxStep from the present one, and the same where the way is below MinStep.
+// While the load can be evened out by raising some, no other is lowered for its
+// load, unless it has more than twice the mean: only the ratio of weights
+// matters, and so they do not all sink.
 func Step(shares []Share, settings *Settings) []uint16 {
 	panicking := isPanic(shares, settings)
 	mean, known := meanLoad(shares)
 	next := make([]uint16, len(shares))
+	raised := false
 	for index, share := range shares {
 		target := FullFactor
 		switch {
@@ -21,6 +25,13 @@
 			target = loadTarget(share, mean, settings)
 		}
 		next[index] = approach(share, target, settings)
+		raised = raised || next[index] > share.Factor
+	}
+	for index, share := range shares {
+		lowered := next[index] < share.Factor && (panicking || !share.View.Unhealthy)
+		if raised && lowered && share.View.Load <= 2*mean {
+			next[index] = share.Factor
+		}
 	}
 	return next
 }
@@ -53,11 +64,13 @@
 }
 
 // loadTarget scales the present factor so that the load would become the mean.
+// Near the mean it stays as it is, but not below LoadFloor: from there a back
+// end that starts or was unhealthy goes on up.
 func loadTarget(share Share, mean uint32, settings *Settings) int {
 	load := share.View.Load
 	slack := mean * settings.Deadband / FullFactor
 	if load <= mean+slack && load+slack >= mean {
-		return int(share.Factor)
+		return int(max(share.Factor, settings.LoadFloor))
 	}
 	if load == 0 {
 		return FullFactor
--- a/internal/weight/weight_test.go
+++ b/internal/weight/weight_test.go
@@ -64,6 +64,13 @@
 	is.Equal(shares[2].Factor, settings.LoadFloor)
 }
 
+func TestSlowStartDoesNotStopBelowTheLoadFloor(t *testing.T) {
+	is := is.New(t)
+	settings := weight.DefaultSettings()
+	shares := repeat([]weight.Share{{1000, healthy(300)}, {settings.SlowStart, healthy(300)}}, 9, &settings)
+	is.Equal(shares[1].Factor, settings.LoadFloor)
+}
+
 func TestOldReportsCountLessAndEnd(t *testing.T) {
 	is := is.New(t)
 	settings := weight.DefaultSettings()
