Resolve what an outage left unknown as soon as the store is back

Cause: a read back that failed was repeated only after the write timeout, so that a change could wait 10 s after the store's return; the limit is 5 s.

Change: reads that fail are repeated after 1 s, and at once when the store returns, as is the change of the epoch. A service that selects more back ends than buckets is served by the first ones, and the problem is reported, instead of holding up what is said to be in force of all others.

Tests: TestOutageLeavesNothingUnknown, TestTooManyBackendsAreReportedAndTheRestServes.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -37,6 +37,8 @@
 	RetryDelay time.Duration
 	// WriteTimeout is the longest wait for a write's result before it is read back.
 	WriteTimeout time.Duration
+	// ReadRetry is waited after a read back that failed.
+	ReadRetry time.Duration
 	// ClearInterval gathers reports of clean buckets.
 	ClearInterval time.Duration
 	// WeightInterval is the least time between two weight steps of a service.
@@ -66,6 +68,7 @@
 		TakeOverDelay:  500 * time.Millisecond,
 		RetryDelay:     200 * time.Millisecond,
 		WriteTimeout:   10 * time.Second,
+		ReadRetry:      time.Second,
 		ClearInterval:  10 * time.Second,
 		WeightInterval: 10 * time.Second,
 		MovedPerMinute: 100,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,7 +92,7 @@
 	case event.Store == StoreDown:
 		c.storeUp = false
 	case event.Store == StoreUp:
-		c.storeUp = true
+		c.storeReturned()
 	case event.Members != nil:
 		c.takeMembers(event.Members)
 	case event.InForce != nil:
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -144,6 +144,48 @@
 	is.True(w.store.placement("wallet-core").Version > restored.Version)
 }
 
+// TestOutageLeavesNothingUnknown: a write whose answer was lost at the start of
+// an outage is resolved, and a change made meanwhile is in force, soon after it.
+func TestOutageLeavesNothingUnknown(t *testing.T) {
+	is := is.New(t)
+	w := wallet(t, 1, 3, nil)
+	p := w.publishers[0]
+	w.putBackend(3, "other")
+	p.watch(1)
+	write := p.writes[0]
+	p.writes = nil
+	p.apply(write) // it takes effect, the answer is lost
+	p.step(&Event{Store: StoreDown})
+	p.step(&Event{Result: &WriteResult{Service: racedService, WriteID: write.Placement.WriteID, Outcome: WriteUnknown}})
+	for range 600 {
+		w.now += 100 * time.Millisecond
+		p.step(&Event{Tick: true})
+		for _, name := range p.reads {
+			p.step(&Event{ReadBack: &ReadBack{Service: name, Failed: true}})
+		}
+		p.reads = nil
+		is.Equal(len(p.writes), 0) // nothing is written while the store is down
+	}
+	w.putBackend(2, "other")
+	p.step(&Event{Store: StoreUp})
+	w.run(4 * time.Second)
+	is.Equal(len(activeNames(w.store.placement(racedService))), 1)
+	is.Equal(p.controller.PublishedRevision(), w.store.revision)
+}
+
+func TestTooManyBackendsAreReportedAndTheRestServes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	for number := range placement.MaxActive + 2 {
+		w.putBackend(number, "wallet")
+	}
+	w.putService(racedService, "app=wallet")
+	w.run(5 * time.Second)
+	is.Equal(len(activeNames(w.store.placement(racedService))), placement.MaxActive)
+	is.Equal(len(w.publishers[0].problems), 1)
+	is.Equal(w.publishers[0].controller.PublishedRevision(), w.store.revision)
+}
+
 func TestStatusComesFromOneReporterOfTheZone(t *testing.T) {
 	is := is.New(t)
 	w := wallet(t, 2, 2, nil)
--- a/internal/controller/documents.go
+++ b/internal/controller/documents.go
@@ -108,6 +108,11 @@
 	s.changed = max(s.changed, revisions.last)
 	previous := s.wanted
 	s.wanted = deriveWanted(c.index.Desired(s.name))
+	if excess := len(s.wanted.backends) - placement.MaxActive; excess > 0 {
+		c.problem(catalog.ServiceKey(s.name), errors.Newf("selects %d back ends; the last %d by name take no flows, %d are the most",
+			len(s.wanted.backends), excess, placement.MaxActive))
+		s.wanted.backends = s.wanted.backends[:placement.MaxActive]
+	}
 	c.linkBackends(s, previous.backends)
 	c.noteOwner(s, previous.frontends)
 	if first {
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -64,7 +64,7 @@
 type pendingWrite struct {
 	id        string
 	placement *lb.Placement
-	expected  int64 // mod revision
+	lost      bool // its outcome is to be read back
 }
 
 // service is what the controller knows of one service.
--- a/internal/controller/writes.go
+++ b/internal/controller/writes.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"container/heap"
 	"fmt"
 
 	"robinpulley.example/robinpulley/internal/catalog"
@@ -18,7 +19,7 @@
 		c.touch(s, s.holdUntil, next.background)
 		return
 	}
-	s.pending = &pendingWrite{id: stamp.WriteID, placement: document, expected: s.modRevision}
+	s.pending = &pendingWrite{id: stamp.WriteID, placement: document}
 	c.outstanding++
 	c.deadlines.put(s, c.now+c.settings.WriteTimeout)
 	c.effects.Writes = append(c.effects.Writes, Write{
@@ -64,15 +65,20 @@
 		c.finish(s)
 		c.hold(s)
 	default:
+		s.pending.lost = true
 		c.effects.Reads = append(c.effects.Reads, s.name)
 	}
 }
 
 // takeReadBack takes in a placement read back. A read that failed is repeated
-// after WriteTimeout.
+// after ReadRetry.
 func (c *Controller) takeReadBack(answer *ReadBack) {
 	s := c.services[answer.Service]
-	if s == nil || s.pending == nil || answer.Failed {
+	if s == nil || s.pending == nil {
+		return
+	}
+	if answer.Failed {
+		c.deadlines.put(s, c.now+c.settings.ReadRetry)
 		return
 	}
 	document := answer.Document
@@ -110,9 +116,23 @@
 	c.touch(s, s.holdUntil, false)
 }
 
+// storeReturned asks at once for everything that the store's absence has kept
+// unknown.
+func (c *Controller) storeReturned() {
+	c.storeUp = true
+	c.epoch.retryAt = c.now
+	for _, s := range c.deadlines.entries.services {
+		if s.pending.lost {
+			s.places[slotDeadline].at = c.now
+		}
+	}
+	heap.Init(&c.deadlines.entries)
+}
+
 // expireWrites reads back what has had no result for too long.
 func (c *Controller) expireWrites() {
 	for s := c.deadlines.pop(c.now); s != nil; s = c.deadlines.pop(c.now) {
+		s.pending.lost = true
 		c.effects.Reads = append(c.effects.Reads, s.name)
 		c.deadlines.put(s, c.now+c.settings.WriteTimeout)
 	}
