--- a/internal/maglev/maglev.go
+++ b/internal/maglev/maglev.go
@@ -128,5 +128,8 @@
 
 // advance moves to the next bucket of the permutation.
 func (owner *claimant) advance() {
-	owner.next = (owner.next + owner.skip) % lb.BucketCount
+	owner.next += owner.skip
+	if owner.next >= lb.BucketCount {
+		owner.next -= lb.BucketCount
+	}
 }
--- a/internal/placement/lineage_test.go
+++ b/internal/placement/lineage_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 	now       time.Duration
 	committed map[lb.Version]time.Duration // when each generation became current
 	// placed holds, per bucket, the back ends that flows may be on.
-	placed [lb.BucketCount]map[lb.BackendID]struct{}
+	placed [lb.BucketCount][]lb.BackendID
 	names  map[lb.BackendID]placement.Target
 }
 
@@ -72,10 +73,10 @@
 // checkBuckets: a bucket that may have flows away from the base is in motion or has history.
 func (l *lineage) checkBuckets(t *rapid.T, table *placement.Table) {
 	for bucket := range uint16(lb.BucketCount) {
-		if current := table.Current(bucket); current != lb.NoBackend {
-			l.placed[bucket][current] = struct{}{}
+		if current := table.Current(bucket); current != lb.NoBackend && !slices.Contains(l.placed[bucket], current) {
+			l.placed[bucket] = append(l.placed[bucket], current)
 		}
-		for id := range l.placed[bucket] {
+		for _, id := range l.placed[bucket] {
 			if id != table.Base(bucket) && !table.InMotion(bucket) && !table.HasHistory(bucket) {
 				t.Fatalf("bucket %d: flows on %d, base %d, neither motion nor history", bucket, id, table.Base(bucket))
 			}
@@ -96,11 +97,7 @@
 		if !table.HasHistory(at) {
 			continue
 		}
-		for id := range l.placed[at] {
-			if id != table.Base(at) {
-				delete(l.placed[at], id)
-			}
-		}
+		l.placed[at] = slices.DeleteFunc(l.placed[at], func(id lb.BackendID) bool { return id != table.Base(at) })
 		buckets = append(buckets, at)
 	}
 	return buckets
@@ -153,9 +150,6 @@
 			committed: map[lb.Version]time.Duration{first.Generations[0].Version: 0},
 			names:     make(map[lb.BackendID]placement.Target),
 		}
-		for bucket := range l.placed {
-			l.placed[bucket] = make(map[lb.BackendID]struct{})
-		}
 		l.apply(t, placement.Collapse())
 		t.Repeat(map[string]func(*rapid.T){
 			"wait":    func(t *rapid.T) { l.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "seconds")) * time.Second },
