--- a/internal/core/caller_test.go
+++ b/internal/core/caller_test.go
@@ -86,7 +86,7 @@
 
 // answered opens the flow, unless the answer is lost.
 func (flow *caller) answered(host string) {
-	if flow.network.percent(20) && !flow.udp() {
+	if !flow.udp() && flow.network.percent(flow.network.plan.Unanswered) {
 		return
 	}
 	flow.established = true
@@ -100,7 +100,7 @@
 func (flow *caller) later() {
 	network := flow.network
 	gap := network.millis(50, 1500)
-	if flow.lostInRow == 0 && network.percent(10) {
+	if flow.lostInRow == 0 && network.percent(network.plan.Silences) {
 		gap = network.millis(2000, 9000)
 	}
 	id := flow.openingID
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -1,3 +1,4 @@
+// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
@@ -104,7 +105,7 @@
 	}
 	for _, entrant := range [...]*node{pair.head, pair.tail} {
 		if entrant != nil && entrant != core.self && !previous.has(entrant) {
-			core.handover.add(service, index, entrant)
+			core.handover.add(bucketRef{service: service, index: index}, entrant)
 		}
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,3 +1,4 @@
+// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
@@ -50,8 +51,8 @@
 	}
 	core.self = core.node(settings.Self)
 	core.self.Zone = settings.Zone
-	core.hints.limit = newLimiter(settings.PinBytesPerSecond, settings.PinBytesPerSecond)
-	core.handover.limit = newLimiter(settings.HandoverBytesPerSecond, max(settings.HandoverBytesPerSecond, batchBytes))
+	core.hints.limit = newLimiter(int64(settings.PinBytesPerSecond), int64(settings.PinBytesPerSecond))
+	core.handover.limit = newLimiter(int64(settings.HandoverBytesPerSecond), max(int64(settings.HandoverBytesPerSecond), batchBytes))
 	return core
 }
 
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -36,9 +36,12 @@
 	batches []*batch
 }
 
+// bucketRef is one bucket to be read: for the records without which flows would
+// go elsewhere, or for the young openings besides.
 type bucketRef struct {
 	service *service
 	index   uint16
+	young   bool
 }
 
 // pendingFlow is a record to hand over, with what a batch has in common.
@@ -92,12 +95,12 @@
 }
 
 // add queues the records of a bucket for a node.
-func (handover *handover) add(service *service, index uint16, to *node) {
-	if service.buckets[index].records.len() == 0 {
+func (handover *handover) add(ref bucketRef, to *node) {
+	if ref.service.buckets[ref.index].records.len() == 0 {
 		return
 	}
 	entry := handover.target(to)
-	entry.buckets = append(entry.buckets, bucketRef{service, index})
+	entry.buckets = append(entry.buckets, ref)
 }
 
 // correct tells the head that its record differs from the tail's.
@@ -168,7 +171,7 @@
 	}
 }
 
-func (sent *batch) bytes() int { return messageBytes + len(sent.content.Flows)*flowBytes }
+func (sent *batch) bytes() int64 { return messageBytes + int64(len(sent.content.Flows))*flowBytes }
 
 func (handover *handover) sendMore(core *Core, effects *Effects, entry *target) {
 	for {
@@ -214,7 +217,7 @@
 	bucket := &next.service.buckets[next.index]
 	for slot := range bucket.records.slots {
 		found := &bucket.records.slots[slot]
-		if found.flags != 0 && core.matters(next.service, next.index, found) {
+		if found.flags != 0 && core.wanted(next, found) {
 			class := core.classOf(next.service, bucket, found)
 			entry.flows = append(entry.flows, pendingFlow{class: class, record: flowRecord(found), seen: found.lastSeen})
 		}
@@ -243,6 +246,15 @@
 	return next
 }
 
+// wanted tells whether a record is what the bucket is read for.
+func (core *Core) wanted(ref bucketRef, entry *record) bool {
+	matters := core.matters(ref.service, ref.index, entry)
+	if ref.young {
+		return !matters && core.age(entry) <= core.settings.OpeningHold
+	}
+	return matters
+}
+
 // matters tells whether the next chain needs the record: without it the flow
 // would go by the table.
 func (core *Core) matters(service *service, index uint16, entry *record) bool {
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -1,3 +1,4 @@
+// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
@@ -42,13 +43,17 @@
 
 // cost gives the bytes that the hint adds: with the first of its message, those
 // of the message.
-func (queue *hintQueue) cost(added *hint) int {
+func (queue *hintQueue) cost(added *hint) int64 {
+	together := 0
 	for index := range queue.queued {
 		if queue.queued[index].together(added) {
-			return flowBytes
+			together++
 		}
 	}
-	return messageBytes + flowBytes
+	if together%hintsPerMessage == 0 {
+		return messageBytes + flowBytes
+	}
+	return flowBytes
 }
 
 // together tells whether two hints go in one message.
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -5,8 +5,9 @@
 )
 
 // leave begins the planned stop: this node is in no chain any more. It hands its
-// records to who enters the chains that it leaves, and the UDP flows that it
-// knows to the heads.
+// records to who enters the chains that it leaves, the UDP flows that it knows
+// to the heads, and then the openings that may still be retransmitted; these
+// are worth nothing after OpeningHold, so that they end by themselves.
 func (core *Core) leave() {
 	if core.leaving {
 		return
@@ -21,6 +22,17 @@
 			core.handOverAllKnown(service, uint16(index))
 		}
 	}
+	for _, target := range core.handover.targets {
+		target.addYoung()
+	}
+}
+
+// addYoung queues the buckets to be read again, for their young openings.
+func (entry *target) addYoung() {
+	for _, ref := range entry.buckets {
+		ref.young = true
+		entry.buckets = append(entry.buckets, ref)
+	}
 }
 
 // leaveChains recomputes the chains without this node.
--- a/internal/core/mutant_test.go
+++ b/internal/core/mutant_test.go
@@ -17,7 +17,7 @@
 }
 
 var mutants = []mutant{
-	{name: "the tail's record wins", off: rules{noTailRecordWins: true}, kind: "laggard", breach: oneBackend},
+	{name: "the tail's record wins", off: rules{noTailRecordWins: true}, kind: "uneven", breach: oneBackend},
 	{name: "record before forward", off: rules{noRecordBeforeForward: true}, kind: "laggard", breach: oneBackend},
 	{name: "openings through the chain", off: rules{noOpeningThroughChain: true}, kind: "laggard", breach: oneBackend},
 	{name: "vouch before not run", off: rules{noVouchBeforeNotRun: true}, kind: "two deaths", breach: notRunTrue},
@@ -27,7 +27,7 @@
 	{name: "handover to who joins", off: rules{noHandoverToJoined: true}, kind: "joins", breach: flowStays},
 	{name: "unsure after a pause", off: rules{noUnsureAfterPause: true}, kind: "pause", breach: flowStays},
 	{name: "last check of the service", off: rules{noLastServiceCheck: true}, kind: "laggard", breach: ownService},
-	{name: "records kept in history", off: rules{noRecordsInHistory: true}, kind: "planned", breach: flowStays},
+	{name: "records kept in history", off: rules{noRecordsInHistory: true}, kind: "history", breach: flowStays},
 	{name: "prepare before commit", plan: func(drawn *plan) { drawn.SkipPrepare = true }, kind: "planned", breach: flowStays},
 	{name: "settle only after idle", plan: func(drawn *plan) { drawn.SettleEarly = true }, kind: "planned", breach: flowStays},
 }
--- a/internal/core/network_test.go
+++ b/internal/core/network_test.go
@@ -325,7 +325,7 @@
 func (network *network) views() {
 	network.changed = network.now
 	for _, node := range network.nodes {
-		network.after(network.millis(1, 400), func() { network.step(node, Event{Members: network.members()}) })
+		network.after(network.millis(1, network.plan.ViewDelay), func() { network.step(node, Event{Members: network.members()}) })
 	}
 }
 
--- a/internal/core/property_test.go
+++ b/internal/core/property_test.go
@@ -1,3 +1,4 @@
+// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
@@ -14,14 +15,15 @@
 	"robinpulley.example/robinpulley/internal/placement"
 )
 
-// TestMain fixes the seed of rapid, so that every run has the same verdict.
+// TestMain fixes the seed of rapid, so that every run has the same verdict,
+// unless the command line gives others, such as -rapid.checks=1000 -rapid.seed=7.
 func TestMain(main *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.checks": "60", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse()
 	os.Exit(main.Run())
 }
 
@@ -34,6 +36,8 @@
 	actionStop  action = "stop"
 	actionDie   action = "die"
 	actionPause action = "pause"
+	// actionJoinAtBurst: a node joins while flows are being opened.
+	actionJoinAtBurst action = "join at burst"
 	// actionStopThenDie: a planned stop, and another node dies as soon as it is through.
 	actionStopThenDie action = "stop then die"
 	// actionDieTwo: two nodes die while flows are being opened.
@@ -58,6 +62,9 @@
 	Unplanned   bool // flows may move: something else than planned changes happens
 	SkipPrepare bool // moves are committed unannounced
 	SettleEarly bool // moves settle before IdleTimeout
+	Silences    int  // percent
+	Unanswered  int  // percent
+	ViewDelay   int  // milliseconds
 }
 
 // planKind draws plans of one kind.
@@ -66,6 +73,9 @@
 	actions    []action // drawn in turn, spaced by gap
 	laggard    bool
 	unplanned  bool
+	silences   int // percent of packets after which a flow is silent
+	unanswered int // percent of openings whose answer is lost
+	viewDelay  int // longest time until a node sees a change of the members, in ms
 	properties []property
 }
 
@@ -74,24 +84,29 @@
 // planKinds are the situations in which properties are checked.
 var planKinds = []planKind{
 	{name: "planned", actions: []action{actionMove, actionJoin, actionStop, actionMove, actionJoin, actionStop}, properties: always},
-	{name: "joins", actions: []action{actionMove, actionJoin, actionJoin, actionJoin, actionJoin, actionMove, actionJoin}, properties: always},
-	{name: "stop then death", actions: []action{actionMove, actionStopThenDie, actionMove}, properties: always},
+	{name: "joins", actions: []action{actionMove, actionJoin, actionJoin, actionJoin, actionJoin, actionMove, actionJoin}, silences: 50, properties: always},
+	{name: "history", actions: []action{actionMove, actionMove, actionStop}, silences: 60, properties: always},
+	{name: "stop then death", actions: []action{actionMove, actionStopThenDie, actionMove}, silences: 50, viewDelay: 1500, properties: always},
 	{name: "pause", actions: []action{actionMove, actionPause, actionMove, actionMove}, properties: always},
 	{name: "laggard", actions: []action{actionMove, actionMove, actionJoin}, laggard: true, unplanned: true, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
+	{name: "uneven", actions: []action{actionMove, actionJoinAtBurst, actionMove, actionJoinAtBurst, actionMove}, laggard: true, unplanned: true, unanswered: 70, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
 	{name: "death", actions: []action{actionMove, actionDie, actionMove}, unplanned: true, properties: []property{oneBackend, notRunTrue, ownService, versionGrows}},
-	{name: "two deaths", actions: []action{actionMove, actionDieTwo, actionMove}, unplanned: true, properties: []property{notRunTrue, ownService, versionGrows}},
+	{name: "two deaths", actions: []action{actionMove, actionDieTwo, actionMove}, unplanned: true, unanswered: 70, properties: []property{notRunTrue, ownService, versionGrows}},
 }
 
 var hostSets = []string{"ABC", "DEF", "ABCD", "BDF", "E"}
 
 func (kind *planKind) draw(t *rapid.T) plan {
 	drawn := plan{
-		Seed:      rapid.Uint64().Draw(t, "seed"),
-		Loss:      rapid.IntRange(0, 15).Draw(t, "loss"),
-		Duplicate: rapid.IntRange(0, 30).Draw(t, "duplicate"),
-		Limit:     rapid.SampledFrom([]uint32{0, 1, 5}).Draw(t, "limit"),
-		Laggard:   kind.laggard,
-		Unplanned: kind.unplanned,
+		Seed:       rapid.Uint64().Draw(t, "seed"),
+		Loss:       rapid.IntRange(0, 15).Draw(t, "loss"),
+		Duplicate:  rapid.IntRange(0, 30).Draw(t, "duplicate"),
+		Limit:      rapid.SampledFrom([]uint32{0, 1, 5}).Draw(t, "limit"),
+		Laggard:    kind.laggard,
+		Unplanned:  kind.unplanned,
+		Silences:   max(kind.silences, 10),
+		Unanswered: max(kind.unanswered, 20),
+		ViewDelay:  max(kind.viewDelay, 400),
 	}
 	at := time.Duration(0)
 	for _, wanted := range kind.actions {
@@ -170,6 +185,8 @@
 		network.move(wanted.Hosts)
 	case actionJoin:
 		network.whenIdle(network.join)
+	case actionJoinAtBurst:
+		network.atBurst(func() { network.whenIdle(network.join) })
 	case actionStop:
 		network.whenIdle(network.stop)
 	case actionDie:
@@ -180,8 +197,7 @@
 			network.stop()
 		})
 	case actionDieTwo:
-		burst := network.now.Truncate(burstEvery) + burstEvery + network.millis(50, 400)
-		network.after(burst-network.now, func() {
+		network.atBurst(func() {
 			network.die()
 			network.die()
 		})
@@ -190,6 +206,12 @@
 	}
 }
 
+// atBurst runs while many flows are being opened.
+func (network *network) atBurst(run func()) {
+	burst := network.now.Truncate(burstEvery) + burstEvery + network.millis(50, 900)
+	network.after(burst-network.now, run)
+}
+
 // whenIdle changes the membership only when the last change to it is through
 // and its records are handed over: views differ by one node.
 func (network *network) whenIdle(run func()) {
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -35,8 +35,8 @@
 	// frontendsSince is when they last changed.
 	frontendsSince time.Duration
 	admission      limiter
-	admissionRate  int // new flows a second that admission was made for
-	headed         int // buckets headed by this node
+	admissionRate  int64 // tokens a second that admission was made for
+	headed         int   // buckets headed by this node
 	buckets        []bucket
 }
 
