Regain contact only when peers of all zones agree

After a cut a node trusted its view again as soon as one peer had the same placements, be it one from its own side. Now one peer of every zone that has other members must agree, asked since the contact was lost.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
@@ -12,26 +14,36 @@
 	"robinpulley.example/robinpulley/internal/member"
 )
 
-// buildEngine makes the deterministic parts from the settings.
+// buildEngine makes the deterministic parts from the settings, on the real clock.
 func (node *Node) buildEngine() error {
 	started := time.Now()
-	settings := node.settings
-	incarnation := uint64(started.UnixMilli())
-	membership, err := member.New(memberSettings(settings, incarnation))
+	var err error
+	node.engine, err = newEngine(node.settings, node.logger, uint64(started.UnixMilli()))
 	if err != nil {
 		return err
 	}
+	node.engine.clock = func() time.Duration { return time.Since(started) }
+	node.engine.transmit = node.transmit
+	node.engine.directory = &node.directory
+	node.engine.cuts = &node.cuts
+	node.prober, err = newProber(node.settings, node.engine.takeEvidence)
+	return err
+}
+
+// newEngine makes the deterministic parts. The caller sets the clock, the
+// transmitter, the directory and the cuts.
+func newEngine(settings *config.Settings, logger zerolog.Logger, incarnation uint64) (*engine, error) {
+	membership, err := member.New(memberSettings(settings, incarnation))
+	if err != nil {
+		return nil, err
+	}
 	spread, err := gossip.New(gossip.DefaultSettings(settings.Node, settings.Zone, incarnation))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	node.engine = &engine{
+	return &engine{
 		settings:       settings,
-		logger:         node.logger,
-		clock:          func() time.Duration { return time.Since(started) },
-		transmit:       node.transmit,
-		directory:      &node.directory,
-		cuts:           &node.cuts,
+		logger:         logger,
 		core:           core.New(coreSettings(settings)),
 		member:         membership,
 		controller:     controller.New(controllerSettings(settings, incarnation)),
@@ -40,9 +52,7 @@
 		gossip:         spread,
 		check:          check{random: rand.New(rand.NewPCG(incarnation, uint64(settings.Node.Hash())))},
 		watcherChanged: make(chan struct{}, 1),
-	}
-	node.prober, err = newProber(settings, node.engine.takeEvidence)
-	return err
+	}, nil
 }
 
 // coreSettings turns the settings of the node into those of the core.
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -10,27 +10,33 @@
 	"robinpulley.example/robinpulley/internal/message"
 )
 
-// Exchanges that regain contact.
-const (
-	checkInterval = 200 * time.Millisecond // between questions
-	checkPeers    = 2                      // asked at once
-)
+// checkInterval is the time between questions to the peers of one zone.
+const checkInterval = 200 * time.Millisecond
 
 // check finds out whether this node's placements are up to date, after a pause
-// or lost contact: it asks peers for the digest of theirs. Only an answer to a
-// question asked since then counts.
+// or lost contact: it asks peers for the digest of theirs. A peer of every zone
+// must agree, since those of this node's own part of a cut know no more than
+// it does. Only an answer to a question asked since then counts.
 type check struct {
-	random   *rand.Rand
-	unsure   bool
-	sequence uint64 // of the questions since; higher for each round
-	first    uint64 // lowest sequence that counts
-	next     time.Duration
+	random    *rand.Rand
+	unsure    bool
+	sequence  uint64 // of the questions so far
+	first     uint64 // lowest sequence that counts
+	next      time.Duration
+	confirmed map[lb.Zone]bool
+}
+
+// restart makes earlier answers not count.
+func (check *check) restart() {
+	check.first = check.sequence + 1
+	check.next = 0
+	check.confirmed = make(map[lb.Zone]bool)
 }
 
 // distrust makes the core unsure of its view until a peer confirms it.
 func (engine *engine) distrust() {
 	engine.coreStep(&core.Event{Contact: core.ContactLost})
-	engine.check.first = engine.check.sequence + 1
+	engine.check.restart()
 }
 
 // noteUnsure follows the core, which becomes unsure by itself after a pause.
@@ -43,8 +49,7 @@
 	state := "regained"
 	if unsure {
 		state = "lost"
-		engine.check.first = engine.check.sequence + 1
-		engine.check.next = 0
+		engine.check.restart()
 	}
 	engine.logger.Info().
 		Str(logging.FieldEvent, string(logging.EventContactChanged)).
@@ -52,16 +57,19 @@
 		Send()
 }
 
-// askPeers asks a few random peers for their digest while this node is unsure.
+// askPeers asks a random peer of each zone that has not confirmed yet for its
+// digest while this node is unsure.
 func (engine *engine) askPeers() {
 	check := &engine.check
 	if !check.unsure || engine.last < check.next {
 		return
 	}
 	check.next = engine.last + checkInterval
-	peers := engine.directory.others(engine.settings.Node)
-	check.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(len(peers), checkPeers)] {
+	for zone, peers := range engine.directory.zones(engine.settings.Node) {
+		if check.confirmed[zone] {
+			continue
+		}
+		peer := peers[check.random.IntN(len(peers))]
 		check.sequence++
 		engine.post(peer.Control, message.Ping{
 			Sequence:    check.sequence,
@@ -71,7 +79,8 @@
 	}
 }
 
-// takeAnswer regains contact when a peer that was asked since has the same placements.
+// takeAnswer regains contact when peers of all zones that were asked since have
+// the same placements.
 func (engine *engine) takeAnswer(from lb.NodeID, answer *message.PingAck) {
 	check := &engine.check
 	if !check.unsure || answer.Sequence < check.first || answer.Sequence > check.sequence {
@@ -80,7 +89,15 @@
 	if answer.Digest != engine.gossip.Digest() {
 		return
 	}
-	if _, known := engine.directory.member(from); known {
-		engine.coreStep(&core.Event{Contact: core.ContactRegained})
+	peer, known := engine.directory.member(from)
+	if !known {
+		return
+	}
+	check.confirmed[peer.Zone] = true
+	for zone := range engine.directory.zones(engine.settings.Node) {
+		if !check.confirmed[zone] {
+			return
+		}
 	}
+	engine.coreStep(&core.Event{Contact: core.ContactRegained})
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -52,9 +52,15 @@
 	return found.Control, ok
 }
 
-// others gives all members but one, by ID.
-func (directory *directory) others(self lb.NodeID) []member.Member {
-	return slices.DeleteFunc(directory.list(), func(entry member.Member) bool { return entry.ID == self })
+// zones gives the members of each zone but one member.
+func (directory *directory) zones(self lb.NodeID) map[lb.Zone][]member.Member {
+	zones := make(map[lb.Zone][]member.Member)
+	for _, entry := range directory.list() {
+		if entry.ID != self {
+			zones[entry.Zone] = append(zones[entry.Zone], entry)
+		}
+	}
+	return zones
 }
 
 // list gives all members by ID.
