Test the critical bit and ICMPv6 errors of flows

Cause: of 44 faults put into a scratch copy of the three packages, 41 were caught by a test, one did not build, and two were not caught: the Geneve C bit of a relayed packet, and the flow of an ICMPv6 error from a router.

--- a/internal/packet/answer_test.go
+++ b/internal/packet/answer_test.go
@@ -174,3 +174,20 @@
 	err = Decode(wrap(t, builder.buffer.Bytes(), Header{}), new(Packet))
 	is.Equal(err, CauseICMP) // sent to another host than the quoted packet's source
 }
+
+// TestICMPv6ErrorBelongsToItsFlow does the same with "packet too big" of IPv6.
+func TestICMPv6ErrorBelongsToItsFlow(t *testing.T) {
+	is := is.New(t)
+	quote := udpPacket(t, service6, caller6, strings.Repeat("x", 1400))
+	tooBig := append(make([]byte, icmpv6UnusedLength), quote[:1200]...)
+	builder := newBuilder()
+	network, err := builder.setNetwork(netip.MustParseAddr("2001:db8:2::1"), service6.Addr(), layers.IPProtocolICMPv6)
+	is.NoErr(err)
+	icmp := layers.ICMPv6{TypeCode: layers.CreateICMPv6TypeCode(layers.ICMPv6TypePacketTooBig, 0)}
+	is.NoErr(icmp.SetNetworkLayerForChecksum(network))
+	is.NoErr(builder.serialize(&icmp, tooBig))
+	packet := decode(t, wrap(t, builder.buffer.Bytes(), Header{}))
+	is.Equal(packet.Key, lb.NewFlowKey(caller6, service6, lb.UDP))
+	is.Equal(packet.Kind, core.PacketUnmarked)
+	is.Equal(packet.ICMP, ICMPError{Type: 2})
+}
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -146,6 +146,18 @@
 	is.Equal(packet.Relay, testRelay)
 }
 
+// TestRelayIsMarkedCritical looks at the bytes: a host that knows no Relay must drop it.
+func TestRelayIsMarkedCritical(t *testing.T) {
+	is := is.New(t)
+	const criticalBit = 0x40 // of the header's second byte
+	inner := tcpPacket(t, caller4, service4, opening)
+	relayed := wrap(t, inner, Header{Relay: testRelay, Refusal: testRefusal})
+	is.Equal(relayed[1], uint8(criticalBit))
+	is.Equal(optionType(relayed[fixedHeaderLength+2])&optionCritical, optionCritical)
+	is.Equal(wrap(t, inner, Header{Refusal: testRefusal})[1], uint8(0))
+	is.Equal(wrap(t, inner, Header{})[1], uint8(0))
+}
+
 // TestRelayFlagsAreApart sets each flag alone.
 func TestRelayFlagsAreApart(t *testing.T) {
 	inner := tcpPacket(t, caller4, service4, opening)
