Give the data socket room for bursts; test lingering stops and counting

Cause: the default receive buffer holds few datagrams while the reader waits for a processor, and neither the lingering stop nor the counters under several readers had a test. Change: 4 MiB are asked for the receive buffer (the system may give less); tests that a stop moves what arrives until its end, and that three readers count every datagram once. Conclusion: done.

--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -24,6 +24,10 @@
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
+// receiveBufferSize is asked for the socket's receive buffer, in bytes, to hold
+// a burst while the reader waits for a processor. The system may give less.
+const receiveBufferSize = 4 << 20
+
 // Options are what a Plane needs. All fields are required unless stated otherwise.
 type Options struct {
 	// Listen is the data address of this node; port 0 takes a free port.
@@ -80,17 +84,26 @@
 		return nil, errors.Wrapf(err, "listen on data address %s", options.Listen)
 	}
 	plane := &Plane{options: options, socket: socket, local: localAddress(socket)}
-	for _, address := range options.ReplyTo {
+	if err := plane.prepare(); err != nil {
+		return nil, errors.CombineErrors(err, plane.Close())
+	}
+	return plane, nil
+}
+
+// prepare does what needs the socket.
+func (plane *Plane) prepare() error {
+	for _, address := range plane.options.ReplyTo {
 		if !plane.sendable(address) {
-			return nil, errors.CombineErrors(
-				errors.Newf("fabric address %s cannot be sent to from %s", address, plane.local),
-				socket.Close())
+			return errors.Newf("fabric address %s cannot be sent to from %s", address, plane.local)
 		}
 	}
-	for range max(options.Readers, 1) {
+	if err := plane.socket.SetReadBuffer(receiveBufferSize); err != nil {
+		return errors.Wrapf(err, "set the receive buffer of data address %s", plane.local)
+	}
+	for range max(plane.options.Readers, 1) {
 		plane.workers = append(plane.workers, newWorker(plane))
 	}
-	return plane, nil
+	return nil
 }
 
 func localAddress(socket *net.UDPConn) netip.AddrPort {
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -255,6 +255,59 @@
 	}
 }
 
+// TestStopReceivingLingers moves what arrives after the call, until its end.
+func TestStopReceivingLingers(t *testing.T) {
+	is := is.New(t)
+	bench := start(t, loopback, forwardToHost)
+	bench.plane.StopReceiving(patience)
+	inner := openingPacket(t)
+	for range 2 * batchSize {
+		bench.fabric.send(wrap(t, inner, lb.Relay{}), bench.plane.Address())
+		is.Equal(bench.host.receive().Inner, inner)
+	}
+	is.Equal(bench.stop(t).Forwarded, uint64(2*batchSize))
+}
+
+// TestEveryDatagramIsCountedOnce has three readers do all there is to do.
+func TestEveryDatagramIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	const kinds = 4
+	decide := func(bench *bench, input *core.Packet) core.Decision {
+		switch input.OpeningID % kinds {
+		case 0:
+			return forwardToHost(bench, input)
+		case 1:
+			return core.Decision{Action: core.ActionRelay, Peer: peerID, Relay: lb.Relay{Hop: lb.HopTail}}
+		case 2:
+			return core.Decision{Action: core.ActionRefuse, Refusal: lb.Refusal{Verdict: lb.NotRun}}
+		}
+		return core.Decision{Action: core.ActionDrop, Reason: core.ReasonNoBackend}
+	}
+	bench := startWith(t, Options{Listen: loopback, Readers: 3}, decide)
+	const rounds = 50
+	for round := range uint64(rounds) {
+		for kind := range uint32(kinds) {
+			inner, err := packet.BuildTCP(nil, caller, service, &packet.Segment{Flags: packet.FlagSYN, Sequence: kind})
+			is.NoErr(err)
+			bench.fabric.send(wrap(t, inner, lb.Relay{}), bench.plane.Address())
+		}
+		bench.peer.send(wrap(t, openingPacket(t), lb.Relay{Hop: lb.HopHead}), bench.plane.Address())
+		bench.fabric.send([]byte{1}, bench.plane.Address())
+		waitUntil(t, func() bool { return bench.plane.Counters().Received == (kinds+2)*(round+1) })
+	}
+	counters := bench.stop(t)
+	is.Equal(counters.FromFabric, uint64(kinds*rounds))
+	is.Equal(counters.FromPeers, uint64(rounds))
+	is.Equal(counters.Malformed[packet.CauseTruncated], uint64(rounds))
+	is.Equal(counters.Forwarded, uint64(2*rounds)) // those of the peer too
+	is.Equal(counters.Relayed, uint64(rounds))
+	is.Equal(counters.Refused, uint64(rounds))
+	is.Equal(counters.Reasons, []ReasonCount{
+		{core.ActionDrop, core.ReasonNoBackend, rounds},
+		{core.ActionRefuse, "", rounds},
+	})
+}
+
 func TestContextEndsRun(t *testing.T) {
 	is := is.New(t)
 	plane, err := New(Options{
