Choose test addresses that differ, and choose again when one is taken

TestCutZoneComesBack failed once because two addresses of one node were the same free port. Addresses are now held while others are chosen, and a node or process whose address was taken meanwhile is started with others.

--- a/cmd/robinpulley/process_test.go
+++ b/cmd/robinpulley/process_test.go
@@ -25,17 +25,43 @@
 	os.Exit(m.Run())
 }
 
-// startProcess runs a balancer without store and peers as a process of its
-// own, and gives it back once it serves its admin address.
-func startProcess(t *testing.T, drainGrace string) *exec.Cmd {
+// freeAddresses gives different loopback addresses with free ports.
+func freeAddresses(t *testing.T, count int) []string {
 	is := is.New(t)
-	addresses := make([]string, 3)
+	addresses := make([]string, count)
 	for index := range addresses {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
+		defer listener.Close() // kept until all are found
 		addresses[index] = listener.Addr().String()
-		is.NoErr(listener.Close())
 	}
+	return addresses
+}
+
+// balancer is a balancer without store and peers, as a process of its own.
+type balancer struct {
+	command *exec.Cmd
+	admin   string
+	ended   chan struct{}
+}
+
+// startBalancer gives a balancer that serves its admin address.
+func startBalancer(t *testing.T, drainGrace string) *balancer {
+	deadline := time.Now().Add(30 * time.Second)
+	for time.Now().Before(deadline) {
+		started := launch(t, drainGrace)
+		if started.serves(deadline) {
+			return started
+		}
+		// It has ended: another process took one of its addresses.
+	}
+	t.Fatal("no balancer serves its admin address")
+	return nil
+}
+
+func launch(t *testing.T, drainGrace string) *balancer {
+	is := is.New(t)
+	addresses := freeAddresses(t, 3)
 	file := filepath.Join(t.TempDir(), "node.yaml")
 	settings := strings.Join([]string{
 		"node: b1", "zone: za", "data_address: " + addresses[0], "control_address: " + addresses[1],
@@ -43,49 +69,62 @@
 		"store_endpoints: [http://127.0.0.1:9]", "timings: {drain_grace: " + drainGrace + "}", "",
 	}, "\n")
 	is.NoErr(os.WriteFile(file, []byte(settings), 0o600))
-	process := exec.Command(os.Args[0], "run", "--config", file)
-	process.Env = append(os.Environ(), runMain+"=1")
-	is.NoErr(process.Start())
-	t.Cleanup(func() { _ = process.Process.Kill() }) // it has ended, or the test has failed
-	deadline := time.Now().Add(30 * time.Second)
-	for {
-		response, err := http.Get("http://" + addresses[2] + "/healthz")
+	command := exec.Command(os.Args[0], "run", "--config", file)
+	command.Env = append(os.Environ(), runMain+"=1")
+	is.NoErr(command.Start())
+	started := &balancer{command: command, admin: addresses[2], ended: make(chan struct{})}
+	go func() {
+		defer close(started.ended)
+		_ = command.Wait() // its result is in the exit code
+	}()
+	t.Cleanup(func() {
+		_ = command.Process.Kill() // it has ended, or the test has failed
+		<-started.ended
+	})
+	return started
+}
+
+// serves waits for the admin address and gives false if the process ends before.
+func (balancer *balancer) serves(deadline time.Time) bool {
+	for time.Now().Before(deadline) {
+		response, err := http.Get("http://" + balancer.admin + "/healthz")
 		if err == nil {
 			response.Body.Close()
-			return process
+			return true
 		}
-		if time.Now().After(deadline) {
-			t.Fatal("the process does not serve its admin address")
+		select {
+		case <-balancer.ended:
+			return false
+		case <-time.After(10 * time.Millisecond):
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
+	return false
+}
+
+// exitCode waits for the end of the process.
+func (balancer *balancer) exitCode() int {
+	<-balancer.ended
+	return balancer.command.ProcessState.ExitCode()
 }
 
 func TestSignalBeginsPlannedStop(t *testing.T) {
 	is := is.New(t)
-	process := startProcess(t, "10ms")
-	is.NoErr(process.Process.Signal(syscall.SIGTERM))
-	_ = process.Wait() // its result is in the exit code
-	is.Equal(process.ProcessState.ExitCode(), exitDone)
+	balancer := startBalancer(t, "10ms")
+	is.NoErr(balancer.command.Process.Signal(syscall.SIGTERM))
+	is.Equal(balancer.exitCode(), exitDone)
 }
 
 func TestSecondSignalEndsAtOnce(t *testing.T) {
 	is := is.New(t)
-	process := startProcess(t, "200s")
-	is.NoErr(process.Process.Signal(syscall.SIGTERM))
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = process.Wait() // its result is in the exit code
-	}()
+	balancer := startBalancer(t, "200s")
 	for {
+		// Signals in quick succession may be merged, so it is repeated.
+		_ = balancer.command.Process.Signal(syscall.SIGTERM)
 		select {
-		case <-ended:
-			is.Equal(process.ProcessState.ExitCode(), exitStoppedAtOnce)
+		case <-balancer.ended:
+			is.Equal(balancer.exitCode(), exitStoppedAtOnce)
 			return
 		case <-time.After(10 * time.Millisecond):
-			// Signals in quick succession may be merged, so it is repeated.
-			_ = process.Process.Signal(syscall.SIGTERM)
 		}
 	}
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -10,6 +10,7 @@
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/member"
 )
@@ -26,6 +27,8 @@
 	node.engine.transmit = node.transmit
 	node.engine.directory = &node.directory
 	node.engine.cuts = &node.cuts
+	node.guard = dataplane.NewGuard()
+	node.engine.beforeAdoption = node.guard.Set
 	node.prober, err = newProber(node.settings, node.engine.takeEvidence)
 	return err
 }
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -10,6 +10,7 @@
 	"robinpulley.example/robinpulley/internal/controller"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/gossip"
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
 )
@@ -28,6 +29,8 @@
 	transmit  transmitter
 	directory *directory
 	cuts      *cuts
+	// beforeAdoption, if set, is told of each placement before the core is.
+	beforeAdoption func(*lb.Placement)
 
 	mutex sync.Mutex
 	last  time.Duration // of the last step
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,7 @@
 	engine    *engine
 	store     *store.Client
 	transport *transport.Transport
+	guard     *dataplane.Guard
 	plane     *dataplane.Plane
 	prober    *health.Prober
 	targets   probeTargets // owned by the watch of the store
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,9 +9,11 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
@@ -55,38 +57,53 @@
 	return &fleet{t: t, store: simulator, url: server.URL, client: client}
 }
 
-// freeAddress gives a loopback address whose port is free for UDP and TCP.
-func freeAddress(t *testing.T) string {
-	for {
+// freeAddresses gives loopback addresses, all different, whose ports are free
+// for UDP and TCP.
+func freeAddresses(t *testing.T, count int) []string {
+	var addresses []string
+	for len(addresses) < count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
+		defer listener.Close() // kept until all are found
 		address := listener.Addr().String()
 		datagrams, err := net.ListenPacket("udp", address)
-		listener.Close()
 		if err == nil {
 			datagrams.Close()
-			return address
+			addresses = append(addresses, address)
 		}
 	}
+	return addresses
 }
 
-// start runs a node that knows the nodes before it as seeds.
-func (fleet *fleet) start(name, zone string) *member {
+// build makes a node that knows the nodes before it as seeds. Another process
+// may take an address between its choice and its use; then others are chosen.
+func (fleet *fleet) build(name, zone string) (*node.Node, *config.Settings) {
 	is := is.New(fleet.t)
-	control, admin := freeAddress(fleet.t), freeAddress(fleet.t)
-	settings, err := config.Load("", config.Overrides{
-		Node: name, Zone: zone, Seeds: fleet.seeds, StoreEndpoints: []string{fleet.url},
-		DataAddress: freeAddress(fleet.t), ControlAddress: control, AdminAddress: admin,
-		FabricReply: []string{"127.0.0.1:9"}, AllowFaultInjection: fleet.faults,
-	})
-	is.NoErr(err)
-	settings.Timings.DrainGrace = time.Millisecond
-	built, err := node.New(settings, zerolog.New(io.Discard))
-	is.NoErr(err)
+	for {
+		addresses := freeAddresses(fleet.t, 3)
+		settings, err := config.Load("", config.Overrides{
+			Node: name, Zone: zone, Seeds: fleet.seeds, StoreEndpoints: []string{fleet.url},
+			DataAddress: addresses[0], ControlAddress: addresses[1], AdminAddress: addresses[2],
+			FabricReply: []string{"127.0.0.1:9"}, AllowFaultInjection: fleet.faults,
+		})
+		is.NoErr(err)
+		settings.Timings.DrainGrace = time.Millisecond
+		built, err := node.New(settings, zerolog.New(io.Discard))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		is.NoErr(err)
+		return built, settings
+	}
+}
+
+// start runs a node.
+func (fleet *fleet) start(name, zone string) *member {
+	built, settings := fleet.build(name, zone)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &member{Node: built, name: lb.NodeID(name), done: make(chan error, 1), cancel: cancel, admin: admin}
+	started := &member{Node: built, name: lb.NodeID(name), done: make(chan error, 1), cancel: cancel, admin: settings.AdminAddress.String()}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -96,7 +113,7 @@
 		cancel()
 		<-ended
 	})
-	fleet.seeds = append(fleet.seeds, control)
+	fleet.seeds = append(fleet.seeds, settings.ControlAddress.String())
 	fleet.nodes = append(fleet.nodes, started)
 	return started
 }
--- a/internal/node/placements.go
+++ b/internal/node/placements.go
@@ -47,6 +47,9 @@
 
 // adopt puts a placement into force.
 func (engine *engine) adopt(placement *lb.Placement) {
+	if engine.beforeAdoption != nil {
+		engine.beforeAdoption(placement)
+	}
 	engine.coreStep(&core.Event{Placement: placement})
 	engine.logger.Info().
 		Str(logging.FieldEvent, string(logging.EventPlacementAdopted)).
--- a/internal/node/plane.go
+++ b/internal/node/plane.go
@@ -17,6 +17,7 @@
 		Decide:      node.engine.decide,
 		PeerAddress: node.peerAddress,
 		ReplyTo:     node.settings.FabricReplyAddresses,
+		Guard:       node.guard,
 	}
 }
 
@@ -40,7 +41,7 @@
 	metricMalformed = newMetric(prometheus.CounterValue, "malformed_packets_total",
 		"Datagrams dropped because they are malformed, by cause.", "cause")
 	metricUnsent = newMetric(prometheus.CounterValue, "unsent_packets_total",
-		"Packets that could not be sent, by cause (unanswered, unknown_peer, unsendable, loop).", "cause")
+		"Packets that could not be sent, by cause (unanswered, unknown_peer, unsendable, wrong_service, loop).", "cause")
 	metricSocketErrors = newMetric(prometheus.CounterValue, "socket_errors_total",
 		"Errors of the data socket, by direction (read, write).", "direction")
 )
@@ -61,6 +62,7 @@
 	output.count(metricUnsent, counters.Unanswered, "unanswered")
 	output.count(metricUnsent, counters.UnknownPeer, "unknown_peer")
 	output.count(metricUnsent, counters.Unsendable, "unsendable")
+	output.count(metricUnsent, counters.WrongService, "wrong_service")
 	output.count(metricUnsent, counters.Loops, "loop")
 	output.count(metricSocketErrors, counters.ReadErrors, "read")
 	output.count(metricSocketErrors, counters.WriteErrors, "write")
