--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/store"
 )
 
@@ -84,6 +85,16 @@
 		"Writes whose answer was lost.")
 	metricStoreResolved = newMetric(prometheus.CounterValue, "store_resolved_answers_total",
 		"Writes whose lost answer was resolved.")
+	metricWrites = newMetric(prometheus.CounterValue, "placement_writes_total",
+		"Placements this node tried to publish, by kind and outcome (done, conflict, unknown, not_run).", "kind", "outcome")
+	metricPublished = newMetric(prometheus.GaugeValue, "published_revision",
+		"Store revision up to which every configuration change is published, as this node has seen it as a watcher.")
+	metricInForce = newMetric(prometheus.GaugeValue, "in_force_revision",
+		"Store revision up to which every configuration change is in force at all live nodes of this zone; at watchers only.")
+	metricZoneNodes = newMetric(prometheus.GaugeValue, "zone_nodes",
+		"Live nodes of this zone that the last statement speaks of; at watchers only.")
+	metricZoneBehind = newMetric(prometheus.GaugeValue, "zone_nodes_behind",
+		"Nodes of this zone not known to have the newest placements; at watchers only.")
 	metricWatcher = newMetric(prometheus.GaugeValue, "watcher",
 		"1 while this node watches the store and may publish.")
 	metricProbes = newMetric(prometheus.CounterValue, "probes_total",
@@ -99,7 +110,8 @@
 	metricRecords, metricPins, metricKnownUDP, metricFlowBytes, metricVersion, metricMoving,
 	metricMembers, metricControlBytes, metricControlMessages, metricControlFaults, metricStoreUp,
 	metricStoreRequests, metricStoreFailures, metricStoreThrottled, metricStoreRetries,
-	metricStoreLostAnswers, metricStoreResolved, metricWatcher, metricProbes, metricReady,
+	metricStoreLostAnswers, metricStoreResolved, metricWrites, metricPublished, metricInForce,
+	metricZoneNodes, metricZoneBehind, metricWatcher, metricProbes, metricReady,
 	metricReceived, metricReceivedBytes, metricSent, metricMalformed, metricUnsent, metricSocketErrors,
 }
 
@@ -133,6 +145,7 @@
 	output.members(node)
 	output.control(node)
 	output.store(node.store.Stats())
+	output.publisher(node, &snapshot)
 	output.add(metricWatcher, flag(snapshot.watcher))
 	output.add(metricReady, flag(node.ready.Load()))
 	probes := node.prober.Counters()
@@ -146,12 +159,21 @@
 	stats   core.Stats
 	state   core.State
 	watcher bool
+	// published is the configuration revision that is published.
+	published int64
+	zone      *message.InForce // nil: none yet
 }
 
 func (engine *engine) snapshot() snapshot {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	return snapshot{stats: engine.core.Stats(), state: engine.core.State(), watcher: engine.watcher}
+	return snapshot{
+		stats:     engine.core.Stats(),
+		state:     engine.core.State(),
+		watcher:   engine.watcher,
+		published: engine.published,
+		zone:      engine.zoneReport,
+	}
 }
 
 // sampler writes samples of metrics.
@@ -209,6 +231,19 @@
 	}
 }
 
+func (output sampler) publisher(node *Node, snapshot *snapshot) {
+	node.writes.each(func(kind, outcome string, count uint64) {
+		output.count(metricWrites, count, kind, outcome)
+	})
+	output.add(metricPublished, float64(snapshot.published))
+	if snapshot.zone == nil || !snapshot.watcher {
+		return
+	}
+	output.add(metricInForce, float64(snapshot.zone.ConfigRevision))
+	output.add(metricZoneNodes, float64(snapshot.zone.Nodes))
+	output.add(metricZoneBehind, float64(snapshot.zone.Behind))
+}
+
 func (output sampler) control(node *Node) {
 	counters := node.transport.Counters()
 	for _, traffic := range counters.Traffic {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,7 @@
 	guard     *dataplane.Guard
 	plane     *dataplane.Plane
 	prober    *health.Prober
+	writes    writeCounts
 	targets   probeTargets // owned by the watch of the store
 	admin     *http.Server
 
--- a/internal/node/operations_test.go
+++ b/internal/node/operations_test.go
@@ -35,8 +35,9 @@
 		expect("metric", metric.name)
 	}
 	for _, word := range strings.Split(page, "`") {
-		if strings.HasPrefix(word, metricPrefix) && !known[word] {
-			t.Errorf("the operations page has the metric %s, which does not exist", word)
+		name, _, _ := strings.Cut(word, "{") // labels may follow
+		if strings.HasPrefix(name, metricPrefix) && !known[name] {
+			t.Errorf("the operations page has the metric %s, which does not exist", name)
 		}
 	}
 }
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -119,6 +119,7 @@
 		Puts: []store.Put{{Key: key, Value: value}},
 	})
 	result.Outcome = writeOutcome(err)
+	node.writes.add(write.Kind, result.Outcome)
 	result.ModRevision = revision
 	if err != nil {
 		node.logStoreWrite(err, key)
