--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -25,6 +25,7 @@
 
 	Experiment labcommand.Experiment `cmd:"" help:"Run scenarios in virtual time on the decision core."`
 	Report     labcommand.Report     `cmd:"" help:"Make a table and plots of results."`
+	Scale      labcommand.Scale      `cmd:"" help:"Run hollow nodes at growing sizes in virtual time."`
 }
 
 func main() {
