--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -43,6 +43,7 @@
 	Write  *controller.Write   // answer with a controller.WriteResult
 	Read   lb.ServiceName      // answer with a controller.ReadBack
 	Status *catalog.ZoneStatus // no answer
+	Epoch  string              // to be put under controller.EpochKey; the watch shows it
 }
 
 // NewHollow makes a hollow node.
@@ -81,7 +82,7 @@
 	taken := hollow.engine.work.take()
 	requests := make([]StoreRequest, len(taken))
 	for index, work := range taken {
-		requests[index] = StoreRequest{Write: work.write, Read: work.read, Status: work.status}
+		requests[index] = StoreRequest{Write: work.write, Read: work.read, Status: work.status, Epoch: work.epoch}
 	}
 	return requests
 }
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -31,8 +31,8 @@
 func (engine *engine) takeMembers(members []member.Member) {
 	engine.logMembers(members)
 	engine.directory.set(members)
-	for _, entry := range members {
-		engine.cuts.learn(entry.Machine)
+	if engine.settings.AllowFaultInjection {
+		engine.cuts.learn(machinesOf(members)...)
 	}
 	list := coreMembers(members)
 	engine.coreStep(&core.Event{Members: list})
@@ -45,6 +45,15 @@
 	engine.setWatcher(isWatcher(engine.settings.Node, members))
 }
 
+// machinesOf gives the machines of the members.
+func machinesOf(members []member.Member) []member.Machine {
+	list := make([]member.Machine, len(members))
+	for index, entry := range members {
+		list[index] = entry.Machine
+	}
+	return list
+}
+
 // coreMembers gives the members in the form of the core.
 func coreMembers(members []member.Member) []core.Member {
 	list := make([]core.Member, len(members))
