Report a prepared placement only when its flows have been handed over

Change: SetHandoverBusy holds back prepared versions, of a reporter's own as well; prepared changes count only when named. A change is named in statements for 10 s from when all nodes have it, not from its adoption: a trial of the new test showed that one held for longer than that was never named. TestPreparedPlacementWaitsForHandover holds at each of 12 nodes in turn and passes at once with the rule off.

--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -43,7 +43,9 @@
 	nextRound  time.Duration
 	nextReport time.Duration
 	reporter   *reporter // nil unless this node is one
-	revision   int64
+
+	handoverBusy bool
+	revision     int64
 
 	// Rules switched off by tests, to show that the tests need them.
 	acceptLower bool // a lower version is adopted
@@ -216,8 +218,13 @@
 func (core *Core) takePlacements(documents []*lb.Placement, effects *Effects) {
 	news := core.entropy.synced && len(documents) <= maxNews
 	for _, document := range documents {
-		if core.adopt(document, effects) && news {
+		if !core.adopt(document, effects) {
+			continue
+		}
+		if news {
 			core.announce(document)
+		}
+		if news || isPrepared(document) {
 			core.noteAdopted(document)
 		}
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -10,6 +10,7 @@
 	"robinpulley.example/robinpulley/internal/gossip"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/placement"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 )
 
@@ -341,3 +342,35 @@
 	is.Equal(node.core.Counters().Unknown, uint64(2))
 	is.True(fmt.Sprint(node.inForce["zone-2"].ConfigRevision) != "99")
 }
+
+// heldByHandover publishes a prepared placement while one node still hands over
+// records, and tells whether the publishers take it as in force; then the node
+// is done.
+func heldByHandover(t *testing.T, id int, busy bool) (meanwhile, afterwards bool) {
+	document := newDocument(t, 1)
+	fleet := settled(t, 12, 3, document)
+	node := fleet.nodes[id]
+	node.core.SetHandoverBusy(busy)
+	prepared, err := placement.Next(document, stamp(2), placement.Prepare(targets(2, 14)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fleet.publish(fleet.nodes[0], prepared)
+	_, meanwhile = fleet.runUntil(10*time.Second, func() bool { return fleet.acknowledged(prepared, 3) })
+	node.core.SetHandoverBusy(false)
+	_, afterwards = fleet.runUntil(2*time.Second, func() bool { return fleet.acknowledged(prepared, 3) })
+	return meanwhile, afterwards
+}
+
+// TestPreparedPlacementWaitsForHandover: at each node in turn, reporters
+// included. Without the rule it is in force at once.
+func TestPreparedPlacementWaitsForHandover(t *testing.T) {
+	is := is.New(t)
+	for id := range 12 {
+		meanwhile, afterwards := heldByHandover(t, id, true)
+		is.True(!meanwhile)
+		is.True(afterwards)
+	}
+	meanwhile, _ := heldByHandover(t, 3, false)
+	is.True(meanwhile) // rule off
+}
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -22,14 +22,39 @@
 // adopted is an adoption that is still being reported.
 type adopted struct {
 	message.ServiceVersion
+	// prepared: the placement announces a generation, and is reported only
+	// when this node has handed over what that asks for.
+	prepared  bool
 	remaining int
 }
 
+// isPrepared tells whether a placement announces a generation that new flows
+// do not use yet.
+func isPrepared(document *lb.Placement) bool {
+	return document.Current < len(document.Generations)-1
+}
+
+// SetHandoverBusy tells whether records of flows still wait to be handed over.
+// Meanwhile prepared placements are not reported as in force (docs/DESIGN.md,
+// "The chain"). It is to be set before each Step.
+func (core *Core) SetHandoverBusy(busy bool) {
+	if core.handoverBusy && !busy {
+		core.reportDue = true
+	}
+	core.handoverBusy = busy
+}
+
+// held tells whether an adoption is not to be reported yet.
+func (core *Core) held(recent *adopted) bool { return recent.prepared && core.handoverBusy }
+
 // noteAdopted puts an adoption into the next reports.
 func (core *Core) noteAdopted(document *lb.Placement) {
 	core.recent = slices.DeleteFunc(core.recent, func(older adopted) bool { return older.Service == document.Service })
-	version := message.ServiceVersion{Service: document.Service, Version: document.Version}
-	core.recent = slices.Insert(core.recent, 0, adopted{ServiceVersion: version, remaining: reportRepeats})
+	core.recent = slices.Insert(core.recent, 0, adopted{
+		ServiceVersion: message.ServiceVersion{Service: document.Service, Version: document.Version},
+		prepared:       isPrepared(document),
+		remaining:      reportRepeats,
+	})
 	core.recent = core.recent[:min(len(core.recent), maxRecent)]
 	core.reportDue = true
 }
@@ -37,12 +62,7 @@
 // report tells the zone's reporters what this node has.
 func (core *Core) report(effects *Effects) {
 	versions := core.takeRecent()
-	core.nextReport = core.now + core.settings.ReportInterval
-	if len(core.recent) > 0 {
-		core.nextReport = core.now + core.settings.ReportRepeat
-	}
-	// What did not fit is told with the next tick.
-	core.reportDue = len(core.recent) > 0 && core.recent[0].remaining == reportRepeats
+	core.scheduleReport()
 	for _, to := range core.nearby {
 		if to != core.settings.Self {
 			core.send(effects, to, message.InForce{Zone: core.settings.Zone, Digest: core.digest, Nodes: 1, Versions: versions})
@@ -50,27 +70,41 @@
 	}
 }
 
+// scheduleReport makes the next report due: with the next tick while there is
+// something not told yet, soon while something is to be told again.
+func (core *Core) scheduleReport() {
+	core.reportDue = false
+	core.nextReport = core.now + core.settings.ReportInterval
+	for index := range core.recent {
+		recent := &core.recent[index]
+		if core.held(recent) {
+			continue
+		}
+		core.nextReport = core.now + core.settings.ReportRepeat
+		core.reportDue = core.reportDue || recent.remaining == reportRepeats
+	}
+}
+
 // takeRecent gives the adoptions for one report and puts them behind the others.
 func (core *Core) takeRecent() []message.ServiceVersion {
 	var versions []message.ServiceVersion
+	var rest, taken []adopted
 	bytes := 0
 	for _, recent := range core.recent {
 		size := serviceVersionBytes + len(recent.Service)
-		if len(versions) == maxReported || (len(versions) > 0 && bytes+size > maxReportedBytes) {
-			break
+		full := len(versions) == maxReported || (len(versions) > 0 && bytes+size > maxReportedBytes)
+		if full || core.held(&recent) {
+			rest = append(rest, recent)
+			continue
 		}
 		bytes += size
 		versions = append(versions, recent.ServiceVersion)
-	}
-	taken := len(versions)
-	rest := slices.Clone(core.recent[taken:])
-	for _, recent := range core.recent[:taken] {
 		recent.remaining--
 		if recent.remaining > 0 {
-			rest = append(rest, recent)
+			taken = append(taken, recent)
 		}
 	}
-	core.recent = rest
+	core.recent = append(rest, taken...)
 	return versions
 }
 
@@ -101,7 +135,7 @@
 func (core *Core) noteChange(document *lb.Placement) {
 	if core.reporter != nil {
 		version := message.ServiceVersion{Service: document.Service, Version: document.Version}
-		core.reporter.addChange(change{ServiceVersion: version, at: core.now}, core.digest)
+		core.reporter.addChange(change{ServiceVersion: version, at: core.now, prepared: isPrepared(document)}, core.digest)
 	}
 }
 
@@ -128,6 +162,9 @@
 	if core.reporter == nil {
 		return
 	}
+	if !core.handoverBusy {
+		core.reporter.handedOver()
+	}
 	statement, due := core.reporter.state(core.now, &core.settings)
 	if !due {
 		return
--- a/internal/gossip/reporter.go
+++ b/internal/gossip/reporter.go
@@ -16,8 +16,10 @@
 	// countInterval is the shortest time between statements in which only
 	// the count of nodes behind differs.
 	countInterval = 250 * time.Millisecond
-	// changeWindow is how long a change is named in statements.
-	changeWindow = 10 * time.Second
+	// namedFor is how long a change is named in statements once all nodes
+	// have it, and awaitedFor how long that is waited for.
+	namedFor   = 10 * time.Second
+	awaitedFor = 5 * time.Minute
 	// maxReportedVersions bounds the memory of one node's reports.
 	maxReportedVersions = 256
 )
@@ -46,6 +48,14 @@
 type change struct {
 	message.ServiceVersion
 	at time.Duration
+	// prepared: in force at a node only when the node has named it in a
+	// report; a digest tells that it is adopted, not what was handed over.
+	prepared bool
+	// everywhere: all nodes have had it since everywhereAt.
+	everywhere   bool
+	everywhereAt time.Duration
+	// handedOver: this node itself has it in force, when prepared.
+	handedOver bool
 }
 
 type digestAt struct{ digest, serial uint64 }
@@ -110,6 +120,21 @@
 	}
 }
 
+// handedOver notes that this node has handed over what its placements ask for.
+func (reporter *reporter) handedOver() {
+	for index := len(reporter.changes) - 1; index >= 0; index-- {
+		change := &reporter.changes[index]
+		if !change.prepared {
+			continue
+		}
+		if change.handedOver {
+			return
+		}
+		change.handedOver = true
+		reporter.dirty = true
+	}
+}
+
 // addRevision notes that the placements up to now reflect a revision.
 func (reporter *reporter) addRevision(revision int64) {
 	last := len(reporter.revisions) - 1
@@ -161,13 +186,27 @@
 		node.place++
 	}
 	if len(node.versions) > maxReportedVersions {
-		node.versions = nil
+		reporter.pruneVersions(node)
 	}
 }
 
+// pruneVersions forgets reported versions of services that have not changed lately.
+func (reporter *reporter) pruneVersions(node *reported) {
+	recent := make(map[lb.ServiceName]lb.Version)
+	for _, change := range reporter.changes[max(0, len(reporter.changes)-maxReportedVersions):] {
+		if version, found := node.versions[change.Service]; found {
+			recent[change.Service] = version
+		}
+	}
+	node.versions = recent
+}
+
 // has tells whether a node has the change of a serial.
 func (node *reported) has(change *change, serial uint64) bool {
-	return (node.matched && node.place >= serial) || node.versions[change.Service] >= change.Version
+	if node.versions[change.Service] >= change.Version {
+		return true
+	}
+	return !change.prepared && node.matched && node.place >= serial
 }
 
 // state gives the statement on the zone, and whether it is due to be sent.
@@ -240,18 +279,20 @@
 	}
 }
 
-// everywhere lists the versions adopted within changeWindow that all nodes
-// have, newest first.
+// everywhere lists the versions that all nodes have lately got, newest first.
 func (reporter *reporter) everywhere(now time.Duration) []message.ServiceVersion {
 	var versions []message.ServiceVersion
 	bytes := 0
 	for index := len(reporter.changes) - 1; index >= 0 && len(versions) < maxReported; index-- {
 		change := &reporter.changes[index]
-		if now-change.at > changeWindow {
+		if now-change.at > awaitedFor {
 			break
 		}
+		if !change.everywhere && reporter.allHave(change, reporter.first+uint64(index)) {
+			change.everywhere, change.everywhereAt = true, now
+		}
 		named := slices.ContainsFunc(versions, func(version message.ServiceVersion) bool { return version.Service == change.Service })
-		if named || !reporter.allHave(change, reporter.first+uint64(index)) {
+		if named || !change.everywhere || now-change.everywhereAt > namedFor {
 			continue
 		}
 		bytes += serviceVersionBytes + len(change.Service)
@@ -264,6 +305,9 @@
 }
 
 func (reporter *reporter) allHave(change *change, serial uint64) bool {
+	if change.prepared && !change.handedOver {
+		return false
+	}
 	lacking := 0
 	for _, node := range reporter.nodes {
 		if !node.has(change, serial) {
