--- a/internal/node/placements.go
+++ b/internal/node/placements.go
@@ -13,6 +13,7 @@
 
 // gossipStep gives one event to the gossip and passes on its effects.
 func (engine *engine) gossipStep(event *gossip.Event) {
+	engine.gossip.SetHandoverBusy(!engine.core.HandoverIdle())
 	engine.gossip.Step(engine.now(), event, &engine.gossipEffects)
 	effects := &engine.gossipEffects
 	for _, outgoing := range effects.Messages {
