--- a/internal/node/machinelist.go
+++ b/internal/node/machinelist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -14,22 +15,28 @@
 
 // Reading of the machine list.
 const (
-	machinesInterval = 2 * time.Second
-	machinesTimeout  = time.Second
+	machinesInterval = 2 * time.Second // while this node knows no other member
+	// joinedInterval spares the platform once the membership has taken over.
+	joinedInterval  = 10 * time.Second
+	machinesTimeout = time.Second
 )
 
 // followMachines reads the platform's machine list until ctx ends.
 func (node *Node) followMachines(ctx context.Context) {
 	client := &http.Client{Timeout: machinesTimeout}
-	ticker := time.NewTicker(machinesInterval)
-	defer ticker.Stop()
 	failed := false
 	for {
 		failed = node.readMachines(ctx, client, failed)
+		interval := machinesInterval
+		if len(node.directory.all()) > 1 {
+			interval = joinedInterval
+		}
+		// Half of it at random, so that nodes started together do not ask together.
+		interval = interval/2 + rand.N(interval)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(interval):
 		}
 	}
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -12,9 +12,15 @@
 // and lets its last messages go.
 const endLinger = 300 * time.Millisecond
 
+// Why a planned stop ended, in the log.
+const (
+	stoppedQuiet   = "quiet"       // handed over, and the fabric silent
+	stoppedByLimit = "drain_limit" // timings.drain_limit has passed
+)
+
 // endPlanned tells the others that this node ends, and waits for what is still
 // under way.
-func (node *Node) endPlanned(ctx context.Context) error {
+func (node *Node) endPlanned(ctx context.Context, reason string) error {
 	node.engine.end()
 	select {
 	case <-ctx.Done():
@@ -22,7 +28,10 @@
 		return ErrStoppedAtOnce
 	case <-time.After(endLinger):
 	}
-	node.logEvent(logging.EventStopped)
+	node.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventStopped)).
+		Str(logging.FieldReason, reason).
+		Send()
 	return nil
 }
 
@@ -44,12 +53,7 @@
 			node.logEvent(logging.EventStoppedAtOnce)
 			return ErrStoppedAtOnce
 		case <-limit.C:
-			node.logger.Warn().
-				Str(logging.FieldEvent, string(logging.EventStopped)).
-				Str(logging.FieldReason, "drain_limit").
-				Send()
-			node.engine.end()
-			return nil
+			return node.endPlanned(ctx, stoppedByLimit)
 		case <-ticker.C:
 		}
 		if now := node.fabricPackets(); now != packets {
@@ -62,7 +66,7 @@
 		}
 		quiet := time.Since(quietSince) >= node.settings.Timings.DrainGrace
 		if quiet && handedOver {
-			return node.endPlanned(ctx)
+			return node.endPlanned(ctx, stoppedQuiet)
 		}
 	}
 }
