--- a/internal/transport/pack_test.go
+++ b/internal/transport/pack_test.go
@@ -1,6 +1,7 @@
 package transport_test
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/netip"
@@ -76,6 +77,29 @@
 	receiver.waitFault(transport.FaultDecode, 1)
 }
 
+// FuzzUnpack gives outside bytes to the decompression: no panic, a bounded
+// result, and what Pack makes of the result is read back.
+func FuzzUnpack(f *testing.F) {
+	line, err := message.Encode(nil, "one", message.Placements{Placements: []lb.Placement{document(f)}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(transport.Pack(message.TypePlacements, line))
+	f.Add(line)
+	f.Add([]byte("\x01\xff\xff"))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		plain, err := transport.Unpack(packed)
+		if err != nil || len(plain) == 0 || plain[0] == 1 {
+			return
+		}
+		again, err := transport.Unpack(transport.Pack(message.TypePlacements, plain))
+		if err != nil || !bytes.Equal(plain, again) {
+			t.Fatalf("%d bytes came back as %d (%v)", len(plain), len(again), err)
+		}
+	})
+}
+
 func BenchmarkPack(b *testing.B) {
 	line, err := message.Encode(nil, "one", message.Placements{Placements: []lb.Placement{document(b)}})
 	if err != nil {
