--- a/internal/member/update.go
+++ b/internal/member/update.go
@@ -76,7 +76,8 @@
 // here, which that node can refute.
 func (core *Core) applyUnknown(update *message.MemberUpdate, known *entry) bool {
 	against := update.State == message.MemberSuspect || update.State == message.MemberDead
-	if !against || !known.live() || known.suspect() && update.State == message.MemberSuspect {
+	knownAlready := known.suspect() && update.State == message.MemberSuspect
+	if !against || !known.live() || knownAlready {
 		return false
 	}
 	if known.incarnation == 0 {
