Do not let records that are handed over stand for the tail's answer

Cause: a head that had just joined was handed a record of a closed flow, confirmed, after it had proposed the flow that reuses the 5-tuple; it took the record for the present tail's and forwarded by it (TestProperties/joins). Change: a handed-over record is no sign that the tail has it; of two openings the one seen later counts, also against an unconfirmed record; a confirmation of another opening is ignored; tails' answers count anew after a pause.

--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -71,10 +71,10 @@
 		return
 	}
 	bucket.chain = pair
-	if previous.tail != pair.tail {
+	wasMember, isMember := previous.has(core.self), pair.has(core.self)
+	if previous.tail != pair.tail || !wasMember {
 		bucket.tailSince = core.stamp + 1
 	}
-	wasMember, isMember := previous.has(core.self), pair.has(core.self)
 	switch {
 	case isMember && !wasMember:
 		bucket.memberSince = core.now
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -116,8 +116,18 @@
 		core.distrust()
 	case ContactRegained:
 		if !core.sure {
-			core.sure = true
-			core.sureSince = core.now
+			core.regain()
+		}
+	}
+}
+
+// regain makes the node trust its view again. Tails may have changed meanwhile.
+func (core *Core) regain() {
+	core.sure = true
+	core.sureSince = core.now
+	for _, service := range core.ordered {
+		for index := range service.buckets {
+			service.buckets[index].tailSince = core.stamp + 1
 		}
 	}
 }
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -51,9 +51,12 @@
 }
 
 func (core *Core) takeConfirmation(service *service, bucket *bucket, from *node, flow message.FlowRecord) {
-	if from == bucket.chain.tail {
-		core.merge(service, bucket, flow, incoming{confirmed: true, fromTail: true})
+	entry := bucket.records.get(flow.Flow)
+	if from != bucket.chain.tail || entry == nil || entry.openingID != flow.OpeningID {
+		return // of another chain, or of an earlier flow of the 5-tuple
 	}
+	core.merge(service, bucket, flow, incoming{confirmed: true, fromTail: true})
+	entry.confirmedAt = core.stamp
 }
 
 // takeRecords keeps records that a node hands over, and tells whether it could:
@@ -123,21 +126,23 @@
 	}
 	if origin.confirmed {
 		entry.flags |= recordConfirmed
-		entry.confirmedAt = core.stamp
+		// Certain, but no sign that the present tail has it.
+		entry.confirmedAt = min(core.stamp, bucket.tailSince-1)
 	}
 	core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
 }
 
-// replaces tells whether the incoming record replaces this node's own. Of two
-// certain records of different openings of a 5-tuple, the one seen later counts.
+// replaces tells whether the incoming record replaces this node's own. Of
+// records of different openings of a 5-tuple, the one seen later counts.
 func (core *Core) replaces(bucket *bucket, entry *record, openingID uint32, seen stamp, origin incoming) bool {
+	confirmed := core.confirmed(bucket, entry)
 	switch {
 	case !origin.confirmed:
 		return false
-	case !core.confirmed(bucket, entry):
+	case !confirmed && entry.openingID == 0: // a guess for a later packet
 		return true
 	case openingID != entry.openingID:
 		return seen > entry.lastSeen
 	}
-	return origin.fromTail
+	return !confirmed || origin.fromTail
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -45,7 +45,7 @@
 	chain       chain
 	memberSince time.Duration // notInChain outside the chain
 	memberStamp stamp         // when this node last entered the chain
-	tailSince   stamp         // when the present tail was first known
+	tailSince   stamp         // answers of the present tail are later than this
 	records     flowTable
 	pins        *flowTable // hints of heads, at an ingress
 	known       *flowTable // UDP flows seen by this node as ingress, with their back end
