--- a/internal/core/expiry.go
+++ b/internal/core/expiry.go
@@ -1,72 +1,67 @@
 package core
 
-import "time"
+import (
+	"time"
 
-// sweepPeriod is the time in which all records are looked at once.
-const sweepPeriod = 15 * time.Second
+	"robinpulley.example/robinpulley/internal/lb"
+)
 
-// sweepMinimum is the least number of slots that are looked at in one tick.
-const sweepMinimum = 1024
+// sweepShare is the part of OpeningHold in which all records are looked at once.
+const sweepShare = 4
 
-// bucketsPerSweep bounds the buckets visited in one tick.
-const bucketsPerSweep = 4096
-
-// sweeper ends records, a few buckets at each tick.
+// sweeper ends records, some buckets at each tick.
 type sweeper struct {
-	service  int // index in Core.ordered
-	bucket   int
-	estimate int // slots counted in the present round
-	slots    int // slots counted in the last round
+	service int // index in Core.ordered
+	bucket  int
+	sweptAt time.Duration
 }
 
-// run looks at the next buckets.
+// run looks at the next buckets: as many as make a round in the time of a round.
 func (sweeper *sweeper) run(core *Core) {
-	if len(core.ordered) == 0 {
+	total := len(core.ordered) * lb.BucketCount
+	period := core.settings.OpeningHold / sweepShare
+	elapsed := min(core.now-sweeper.sweptAt, period)
+	due := total * int(elapsed/time.Millisecond) / int(period/time.Millisecond)
+	if due == 0 {
 		return
 	}
-	work := max(sweepMinimum, sweeper.slots*int(TickInterval)/int(sweepPeriod))
-	for visited := 0; work > 0 && visited < bucketsPerSweep; visited++ {
-		looked := sweeper.next(core)
-		sweeper.estimate += looked
-		work -= max(looked, 1)
+	sweeper.sweptAt = core.now
+	for range due {
+		sweeper.next(core)
 	}
 }
 
-// next looks at one bucket and gives the number of its slots.
-func (sweeper *sweeper) next(core *Core) int {
+// next looks at one bucket.
+func (sweeper *sweeper) next(core *Core) {
 	if sweeper.service >= len(core.ordered) {
 		sweeper.service = 0
-		sweeper.slots, sweeper.estimate = sweeper.estimate, 0
 	}
 	service := core.ordered[sweeper.service]
-	looked := core.sweepBucket(service, uint16(sweeper.bucket))
+	core.sweepBucket(service, uint16(sweeper.bucket))
 	sweeper.bucket++
 	if sweeper.bucket == len(service.buckets) {
 		sweeper.bucket = 0
 		sweeper.service++
 	}
-	return looked
 }
 
-func (core *Core) sweepBucket(service *service, index uint16) int {
+func (core *Core) sweepBucket(service *service, index uint16) {
 	bucket := &service.buckets[index]
-	looked := 0
 	if bucket.records.count > 0 {
-		looked = bucket.records.sweep(func(entry *record) bool { return core.recordOver(service, index, entry) })
+		bucket.records.sweep(func(entry *record) bool { return core.recordOver(service, index, entry) })
 	}
 	if bucket.pins != nil {
-		looked += bucket.pins.sweep(func(entry *record) bool { return core.age(entry) > core.settings.PinLifetime })
+		bucket.pins.sweep(func(entry *record) bool { return core.age(entry) > core.settings.PinLifetime })
 		if bucket.pins.count == 0 {
 			bucket.pins = nil
 		}
 	}
 	if bucket.known != nil {
-		looked += bucket.known.sweep(func(entry *record) bool { return core.age(entry) > core.settings.IdleTimeout })
+		bucket.known.sweep(func(entry *record) bool { return core.age(entry) > core.settings.IdleTimeout })
 		if bucket.known.count == 0 {
 			bucket.known = nil
 		}
 	}
-	return looked
 }
 
 // recordOver tells whether a record has ended. Tombstones, and records of flows
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -123,13 +123,9 @@
 	table.slots[slot] = record{}
 }
 
-// sweep removes the records that are over and gives the number of slots looked
-// at. A table that has become nearly empty is made smaller.
-func (table *flowTable) sweep(over func(*record) bool) int {
-	if table == nil {
-		return 0
-	}
-	looked := len(table.slots)
+// sweep removes the records that are over. A table that has become nearly
+// empty is made smaller.
+func (table *flowTable) sweep(over func(*record) bool) {
 	for slot := 0; slot < len(table.slots); {
 		entry := &table.slots[slot]
 		if entry.flags != 0 && over(entry) {
@@ -139,7 +135,6 @@
 		slot++
 	}
 	table.shrink()
-	return looked
 }
 
 func (table *flowTable) shrink() {
