--- /dev/null
+++ b/internal/core/fault_test.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// The tests of this file are named after faults that random schedules found.
+
+// movingFlow gives a core that heads a moving bucket, and a flow of it.
+func movingFlow(t *testing.T) (*Core, lb.FlowKey) {
+	t.Helper()
+	calm, prepared, committed, _ := testPlacements(t, "ABCDEF", "ABCDE")
+	core := New(DefaultSettings("a", "1"))
+	var effects Effects
+	for _, event := range []Event{{Members: testMembers}, {Placement: calm}, {Placement: prepared}, {Placement: committed}} {
+		core.Step(0, &event, &effects)
+	}
+	service := core.services[testService]
+	packets := flowsWhere(1, PacketMiddle, func(index uint16) bool {
+		return service.table.InMotion(index) && service.buckets[index].chain.head == core.self
+	})
+	return core, packets[0].Key
+}
+
+func decide(core *Core, now time.Duration, packet Packet) Decision {
+	var effects Effects
+	core.Step(now, &Event{Packet: &packet}, &effects)
+	return effects.Decision
+}
+
+func give(core *Core, now time.Duration, from lb.NodeID, content message.Message) {
+	var effects Effects
+	core.Step(now, &Event{Peer: &PeerEvent{From: from, Message: content}}, &effects)
+}
+
+func TestHeadRefusesNoOpeningByItsGuessForALaterPacket(t *testing.T) {
+	is := is.New(t)
+	core, key := movingFlow(t)
+	later := decide(core, time.Second, Packet{Key: key, Kind: PacketMiddle})
+	is.Equal(later.Action, ActionRelay) // the base back end is a guess
+	opening := decide(core, time.Second, Packet{Key: key, Kind: PacketOpening, OpeningID: 7})
+	is.Equal(opening.Action, ActionRelay) // the tail may know better
+}
+
+func TestRecordOfAnEarlierFlowKeepsOutNoLaterOne(t *testing.T) {
+	earlier := message.Records{
+		Service: testService, Sequence: 1, IdleSeconds: []uint32{9},
+		Flows: []message.FlowRecord{{Backend: 1, OpeningID: 7}},
+	}
+	later := message.Records{
+		Service: testService, Sequence: 2, IdleSeconds: []uint32{0},
+		Flows: []message.FlowRecord{{Backend: 2, OpeningID: 8}},
+	}
+	for _, order := range [][]message.Records{{earlier, later}, {later, earlier}} {
+		is := is.New(t)
+		core, key := movingFlow(t)
+		for _, records := range order {
+			records.Flows[0].Flow = key.ID()
+			give(core, 20*time.Second, "d", records)
+		}
+		entry := core.services[testService].buckets[key.ID().Bucket()].records.get(key.ID())
+		is.Equal(entry.backend, lb.BackendID(2))
+		is.Equal(entry.openingID, uint32(8))
+	}
+}
+
+func TestRecordHandedOverIsNotTheTailsAnswer(t *testing.T) {
+	is := is.New(t)
+	core, key := movingFlow(t)
+	bucket := &core.services[testService].buckets[key.ID().Bucket()]
+	records := message.Records{Service: testService, Flows: []message.FlowRecord{{Flow: key.ID(), Backend: 1, OpeningID: 7}}}
+	give(core, 20*time.Second, "d", records)
+	is.Equal(decide(core, 20*time.Second, Packet{Key: key, Kind: PacketMiddle}).Action, ActionRelay)
+	answer := message.Pins{Service: testService, Confirm: true, Flows: records.Flows}
+	give(core, 20*time.Second, bucket.chain.tail.ID, answer)
+	is.Equal(decide(core, 20*time.Second, Packet{Key: key, Kind: PacketMiddle}).Action, ActionForward)
+}
+
+func TestLeavingNodeHandsOverKnownUDPFlowsAndYoungOpenings(t *testing.T) {
+	is := is.New(t)
+	calm, _, _, _ := testPlacements(t, "ABC", "AB")
+	core := New(DefaultSettings("a", "1"))
+	var effects Effects
+	core.Step(0, &Event{Members: testMembers}, &effects)
+	core.Step(0, &Event{Placement: calm}, &effects)
+	service := core.services[testService]
+	opening := flowsWhere(1, PacketOpening, func(index uint16) bool { return service.buckets[index].chain.head == core.self })[0]
+	is.Equal(decide(core, time.Second, opening).Action, ActionRelay)
+	udp := testKey(1)
+	udp.Protocol = lb.UDP
+	is.Equal(decide(core, time.Second, Packet{Key: udp, Kind: PacketUnmarked}).Action, ActionForward)
+	core.Step(time.Second, &Event{Leave: true}, &effects)
+	is.True(!effects.HandoverDone)
+	core.Step(time.Second, &Event{Tick: true}, &effects)
+	handed := make(map[lb.FlowID]bool)
+	for _, outgoing := range effects.Messages {
+		records := outgoing.Message.(message.Records)
+		handed[records.Flows[0].Flow] = records.Established
+		give(core, time.Second, outgoing.To, message.RecordsAck{Sequence: records.Sequence})
+	}
+	is.Equal(handed, map[lb.FlowID]bool{udp.ID(): true, opening.Key.ID(): false})
+	core.Step(time.Second, &Event{Tick: true}, &effects)
+	is.True(effects.HandoverDone)
+}
