--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -32,14 +32,13 @@
 	Mixed        []string            // answers to another request
 	Truncated    []string            // uploads that did not land whole
 
-	// Imbalance is, per service, the highest number of openings at a host
-	// over the mean.
+	// Imbalance is that of Imbalance.
 	Imbalance map[string]float64
 }
 
 // Run checks the reports of all callers and hosts of one run.
 func Run(callers []callersim.Report, hosts []hostsim.Report) Result {
-	result := Result{Imbalance: imbalance(hosts)}
+	result := Result{Imbalance: Imbalance(hosts)}
 	for i := range callers {
 		result.addCaller(&callers[i])
 	}
@@ -128,7 +127,8 @@
 	return slices.Compact(found)
 }
 
-func imbalance(hosts []hostsim.Report) map[string]float64 {
+// Imbalance gives, per service, the highest number of openings at a host over the mean.
+func Imbalance(hosts []hostsim.Report) map[string]float64 {
 	openings := map[string][]int{}
 	for i := range hosts {
 		openings[hosts[i].Service] = append(openings[hosts[i].Service], len(hosts[i].Openings))
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// runProgram runs a program to its end and gives what it printed.
+func runProgram(ctx context.Context, program string, arguments ...string) ([]byte, error) {
+	command := exec.CommandContext(ctx, program, arguments...)
+	command.SysProcAttr = attributes()
+	output, err := command.Output()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return output, errors.Newf("%s: exit code %d: %s", command, exit.ExitCode(), exit.Stderr)
+	}
+	return output, errors.Wrapf(err, "%s", command)
+}
+
 // end stops the process whatever its state.
 func (process *Process) end() {
 	if process.Ended() {
--- a/internal/lab/runs/faultset.go
+++ b/internal/lab/runs/faultset.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"robinpulley.example/robinpulley/internal/lab/cluster"
+	"robinpulley.example/robinpulley/internal/lab/hostsim"
 	"robinpulley.example/robinpulley/internal/lab/storesim"
 	"robinpulley.example/robinpulley/internal/lb"
 )
@@ -21,6 +22,13 @@
 	storeHealthy = storesim.Faults{}
 )
 
+// roughFabric loses 1 % of the packets, sends 2 % twice, holds back 5 %, and
+// has different delays to the zones.
+var roughFabric = []string{
+	"--loss=10", "--duplicate=20", "--reorder=50", "--reorder-us=5000",
+	"--delay-us=zone-a=500,zone-b=1000,zone-c=1500",
+}
+
 // AllFaults is the long set, in the order of running.
 func AllFaults() []Fault {
 	return []Fault{
@@ -31,6 +39,12 @@
 		{Name: "slow-store", Guarantee: "changes come in force with a slow store", run: slowStore},
 		{Name: "lost-answers", Guarantee: "changes come in force and stay with answers lost", run: lostAnswers},
 		{Name: "racing-operators", Guarantee: "one of racing changes wins, the others are told; none reverts", run: racingOperators},
+		{
+			Name: "rough-fabric", Guarantee: "drain and planned stop with loss, duplication, reordering and delay",
+			Fabric: roughFabric, run: roughChanges,
+		},
+		{Name: "false-alarm", Guarantee: "service goes on when every host looks unhealthy", Probe: true, run: falseAlarm},
+		{Name: "host-freeze", Guarantee: "a frozen host is taken out and comes back", Unplanned: true, Probe: true, run: freezeHost},
 		{Name: "kill", Guarantee: "a killed balancer leads to no double run and no false not-run", Unplanned: true, run: killOne},
 		{Name: "kill-watchers", Guarantee: "a change is in force although a zone's watcher is killed", Unplanned: true, run: killWatcher},
 		{Name: "freeze", Guarantee: "a balancer frozen during a change does not act on its old view", Unplanned: true, run: freeze},
@@ -319,3 +333,76 @@
 	}
 	return run.change(ctx, run.Hosts[0])
 }
+
+// roughChanges drains a host and stops a balancer at once.
+func roughChanges(ctx context.Context, run *faultRun) error {
+	changed := time.Now()
+	if _, err := run.drain(ctx, run.Hosts[0]); err != nil {
+		return err
+	}
+	if err := run.StopPlanned(ctx, run.Balancers[0]); err != nil {
+		return err
+	}
+	return run.noNewFlows(ctx, run.Hosts[0], changed.Add(drainedWithin))
+}
+
+// falseAlarm has every host's health endpoint fail for longer than it takes to
+// take one host out.
+func falseAlarm(ctx context.Context, run *faultRun) error {
+	for _, host := range run.Hosts {
+		if err := host.SetHealth(ctx, hostsim.HealthFaults{Down: true}); err != nil {
+			return err
+		}
+	}
+	if err := underLoad(ctx, alarmTime); err != nil {
+		return err
+	}
+	for _, host := range run.Hosts {
+		if err := host.SetHealth(ctx, hostsim.HealthFaults{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// alarmTime is several times the probing interval.
+const alarmTime = 8 * time.Second
+
+// freezeHost stops a host's process until its back end has failed, and lets it
+// go on until it is active again.
+func freezeHost(ctx context.Context, run *faultRun) error {
+	frozen := run.Hosts[0]
+	if err := frozen.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := run.becomes(ctx, frozen, lb.BackendFailed); err != nil {
+		return err
+	}
+	run.figure("out after %s", time.Since(began).Round(time.Millisecond))
+	if err := run.progress(ctx); err != nil {
+		return err
+	}
+	if err := frozen.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	began = time.Now()
+	if err := run.becomes(ctx, frozen, lb.BackendActive); err != nil {
+		return err
+	}
+	run.figure("back after %s", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// becomes waits until the placement has the host's back end in a state.
+func (run *faultRun) becomes(ctx context.Context, host *cluster.Host, wanted lb.BackendState) error {
+	return cluster.Until(ctx, fmt.Sprintf("%s is %s", host.Name, wanted), func() (bool, error) {
+		placement, err := run.Operator.Placement(ctx, serviceWallet)
+		for _, backend := range placement.Backends {
+			if backend.Name == host.Backend.Name && backend.State == wanted {
+				return true, err
+			}
+		}
+		return false, err
+	})
+}
--- a/internal/lab/runs/world.go
+++ b/internal/lab/runs/world.go
@@ -66,7 +66,7 @@
 	if err := running.startBalancers(ctx); err != nil {
 		return err
 	}
-	_, err = running.Operator.InForce(ctx, revision, zones)
+	_, err = running.Operator.InForce(ctx, revision, zones, time.Now())
 	return err
 }
 
