Go on from the placement in force when the store has lost it

Cause: when a placement's key was lost and every publisher that had seen it was gone, a new one began at version 1, which nodes that know a higher version never adopt: the service would have stood still.

Change: the publisher asks its node for the placement in force and restores it, one version higher, where the store has less. A watch that only lags makes the same look; the write then has no effect. One line in internal/node passes the lookup.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -33,6 +33,9 @@
 	PrepareLimit time.Duration
 	// TakeOverDelay is the advance that a service's publisher has before the next one acts.
 	TakeOverDelay time.Duration
+	// RestoreDelay is waited before what the store seems to have lost is
+	// written again: normally the watch shows it soon.
+	RestoreDelay time.Duration
 	// RetryDelay is waited after a write that failed.
 	RetryDelay time.Duration
 	// WriteTimeout is the longest wait for a write's result before it is read back.
@@ -53,6 +56,9 @@
 	MaxBackground  int
 	// StatusInterval is the least time between two reports of the zone's state.
 	StatusInterval time.Duration
+	// InForce, when set, gives the placement that this node has in force for a
+	// service, or nil: from a peer, it may be newer than what the store has kept.
+	InForce func(lb.ServiceName) *lb.Placement
 	Weights        weight.Settings
 }
 
@@ -66,6 +72,7 @@
 		SettleMargin:   10 * time.Second,
 		PrepareLimit:   2 * time.Second,
 		TakeOverDelay:  500 * time.Millisecond,
+		RestoreDelay:   time.Second,
 		RetryDelay:     200 * time.Millisecond,
 		WriteTimeout:   10 * time.Second,
 		ReadRetry:      time.Second,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -136,6 +136,7 @@
 	if service.pending != nil {
 		return // its result brings the service back
 	}
+	c.recall(service)
 	next, found := c.propose(service)
 	switch {
 	case !found:
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -145,6 +147,31 @@
 	is.True(restored.Version <= newer.Version) // the rule is what makes the difference
 }
 
+// TestNewPublisherGoesOnFromWhatIsInForce: the store has lost a placement, and
+// no publisher is left that saw it there; nodes still have it.
+func TestNewPublisherGoesOnFromWhatIsInForce(t *testing.T) {
+	is := is.New(t)
+	w := wallet(t, 1, 3, nil)
+	w.putBackend(3, "other")
+	w.run(3 * time.Second)
+	inForce := w.store.placement(racedService)
+	w.store.remove(catalog.PlacementKey(racedService))
+	restart := func(known func(lb.ServiceName) *lb.Placement) *lb.Placement {
+		fresh := newWorld(1, func(settings *Settings) { settings.InForce = known })
+		for _, key := range slices.Sorted(maps.Keys(w.store.values)) {
+			fresh.store.values[key] = w.store.values[key]
+		}
+		fresh.store.revision = w.store.revision
+		fresh.publishers[0].list()
+		fresh.run(5 * time.Second)
+		return fresh.store.placement(racedService)
+	}
+	restored := restart(func(lb.ServiceName) *lb.Placement { return inForce })
+	is.Equal(restored.Version, inForce.Version+1)
+	is.Equal(restored.Backends, inForce.Backends)    // the one that drains is not forgotten
+	is.True(restart(nil).Version <= inForce.Version) // the rule is what makes the difference
+}
+
 // restoreOlder puts an older placement into the store, and gives the newer one
 // that was there and what is there in the end.
 func (w *world) restoreOlder() (newer, restored *lb.Placement) {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -74,7 +74,7 @@
 	if !s.regressed || s.stored == nil {
 		return proposal{}, false
 	}
-	return keep(s, KindRestore, c.turn(s, s.regressedAt)), true
+	return keep(s, KindRestore, c.turn(s, s.regressedAt+c.settings.RestoreDelay)), true
 }
 
 // proposeCreate writes the first placement of a service.
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -182,6 +182,27 @@
 	c.reconsider(s)
 }
 
+// recall takes the placement that is in force at this node where it is newer
+// than what the store is known to have: either this node's watch lags, or the
+// store has lost it. In the first case the write to restore it has no effect.
+func (c *Controller) recall(s *service) {
+	if c.settings.InForce == nil || c.off.noVersionMemory {
+		return
+	}
+	known := c.settings.InForce(s.name)
+	if known == nil || s.stored != nil && known.Version <= s.stored.Version {
+		return
+	}
+	s.stored = known
+	s.unreadable = false
+	c.noteGenerations(s)
+	c.noteFailures(s)
+	s.clean = nil
+	c.noteRetired(s)
+	c.noteReflection(s, known.ConfigRevision+1)
+	c.markRegressed(s)
+}
+
 // isLower tells whether document must not take the place of known.
 func isLower(document, known *lb.Placement) bool {
 	return document.Version < known.Version ||
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -44,12 +44,14 @@
 	if err != nil {
 		return nil, err
 	}
+	publishing := controllerSettings(settings, incarnation)
+	publishing.InForce = spread.Placement
 	return &engine{
 		settings:       settings,
 		logger:         logger,
 		core:           core.New(coreSettings(settings)),
 		member:         membership,
-		controller:     controller.New(controllerSettings(settings, incarnation)),
+		controller:     controller.New(publishing),
 		work:           newStoreQueue(),
 		evidence:       newEvidence(),
 		gossip:         spread,
