Leave out a zone that answers only through a third one

Cause: two zones cut from each other stayed in each other's views, since SWIM's indirect probes succeed through the third, and packets relayed over the cut would be lost. Ruled out: suspecting the nodes, who are alive. Change: a probe answered through others only is a doubt on its zone; after three silent seconds and three doubts the zone is unreachable in this node's view.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -134,6 +134,40 @@
 	}
 }
 
+// TestCutBetweenTwoZones: a third zone still speaks to both. Packets cannot be
+// relayed over the cut, so each side must leave the other out; nobody is dead, as
+// the third zone's views show.
+func TestCutBetweenTwoZones(t *testing.T) {
+	for _, size := range []int{3, 6, 24} {
+		is := is.New(t)
+		fleet := settled(t, size, 3)
+		fleet.network.Cut("zone-0", "zone-1", true)
+		apart := func() bool {
+			for _, viewer := range fleet.nodes {
+				for _, other := range fleet.nodes {
+					_, seen := viewer.view[other.machine.ID]
+					bothAway := viewer.machine.Zone != "zone-2" && other.machine.Zone != "zone-2"
+					if seen == (bothAway && viewer.machine.Zone != other.machine.Zone) {
+						return false
+					}
+				}
+			}
+			return true
+		}
+		took, ok := fleet.runUntil(20*time.Second, apart)
+		is.True(ok)
+		t.Logf("%d nodes: apart after %s", size, took)
+		for range 20 {
+			fleet.runFor(time.Second)
+			is.True(apart())
+		}
+		fleet.network.Cut("zone-0", "zone-1", false)
+		took, ok = fleet.runUntil(10*time.Second, fleet.agreed)
+		is.True(ok)
+		t.Logf("%d nodes: together after %s", size, took)
+	}
+}
+
 func TestWholeZoneDies(t *testing.T) {
 	is := is.New(t)
 	fleet := settled(t, 48, 3)
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -131,7 +131,7 @@
 }
 
 // askOthers asks a few nodes to probe the target: one of its own zone, one of
-// this node's zone, and others from anywhere.
+// this node's zone, and others from other zones, or from anywhere.
 func (core *Core) askOthers(id lb.NodeID, sequence uint64, effects *Effects) {
 	target := core.entries[id]
 	if target == nil {
@@ -146,7 +146,7 @@
 		case 1:
 			helper = core.randomIn(core.ownZone)
 		default:
-			helper = core.randomIn(core.zones[core.random.IntN(len(core.zones))])
+			helper = core.randomIn(core.bridgeZone(target.zone))
 		}
 		if helper == nil || slices.Contains(asked, helper) {
 			continue
@@ -159,6 +159,18 @@
 	}
 }
 
+// bridgeZone picks a zone that is neither the own nor the other one, if there is any.
+func (core *Core) bridgeZone(other *zone) *zone {
+	offset := core.random.IntN(len(core.zones))
+	for index := range core.zones {
+		candidate := core.zones[(offset+index)%len(core.zones)]
+		if candidate != core.ownZone && candidate != other && len(candidate.live) > 0 {
+			return candidate
+		}
+	}
+	return core.zones[offset]
+}
+
 // randomIn gives a random live node of a reachable zone, or nil.
 func (core *Core) randomIn(zone *zone) *entry {
 	if zone.unreachable || len(zone.live) == 0 {
@@ -225,10 +237,14 @@
 // acknowledge ends the probe that an answer belongs to, or passes the answer on.
 func (core *Core) acknowledge(from lb.NodeID, sequence uint64, effects *Effects) {
 	for index := range core.probes {
-		if core.probes[index].sequence == sequence {
-			core.probes[index].done = true
-			return
+		if core.probes[index].sequence != sequence || core.probes[index].done {
+			continue
 		}
+		core.probes[index].done = true
+		if answered := core.probes[index]; answered.target != from {
+			core.probeBridged(&answered, effects)
+		}
+		return
 	}
 	for index := range core.forwarded {
 		forwarded := core.forwarded[index]
--- a/internal/member/zone.go
+++ b/internal/member/zone.go
@@ -11,7 +11,9 @@
 // zone is what this node knows of one zone. A zone that is cut off is not
 // suspected node by node: when a probe fails and nothing has been heard from
 // the zone since, two more of its nodes are probed at once; when they fail too
-// the whole zone is unreachable, in this node's view only, until it is heard again.
+// the whole zone is unreachable, in this node's view only, until it is heard
+// again. A zone that answers through other zones only is unreachable as well,
+// once it has been silent for directSilence: packets could not be relayed to it.
 type zone struct {
 	name lb.Zone
 	live []*entry // live entries sorted by hash, self not included
@@ -23,11 +25,17 @@
 	since       time.Duration // start of unreachable
 }
 
+// doubt is one probe without a direct answer.
 type doubt struct {
-	target  lb.NodeID
-	started time.Duration
+	target lb.NodeID
+	// bridged: it was answered through another node, so the target is alive.
+	bridged bool
 }
 
+// directSilence is how long a zone that answers through others may be silent
+// itself; it covers several lost probes.
+const directSilence = 3 * time.Second
+
 // followUpProbes is the number of further nodes probed before a zone is given up.
 const followUpProbes = 2
 
@@ -87,7 +95,7 @@
 		core.rejoined = true
 	}
 	for _, doubt := range zone.doubts {
-		if target := core.entries[doubt.target]; target != nil && doubt.target != from {
+		if target := core.entries[doubt.target]; target != nil && doubt.target != from && !doubt.bridged {
 			core.suspect(target)
 		}
 	}
@@ -108,18 +116,58 @@
 		core.suspect(target)
 		return
 	}
-	zone.doubts = append(zone.doubts, doubt{target: failed.target, started: failed.started})
-	if !failed.followUp && !core.followingUp(zone) {
-		core.followUp(zone, effects)
+	core.addDoubt(failed, false, effects)
+	switch {
+	case zone.bridged():
+		core.giveUpBridged(zone)
+	case !core.followingUp(zone):
+		core.giveUp(zone)
 	}
-	if !core.followingUp(zone) {
-		zone.doubts = zone.doubts[:0]
-		zone.unreachable = true
-		zone.since = core.now
-		core.changed = true
+}
+
+// probeBridged takes a probe that was answered through another node only.
+func (core *Core) probeBridged(answered *probe, effects *Effects) {
+	zone := answered.zone
+	if zone == core.ownZone || zone.unreachable || zone.heard > answered.started {
+		return
+	}
+	core.addDoubt(answered, true, effects)
+	core.giveUpBridged(zone)
+}
+
+// giveUpBridged gives up a zone that answers through others, when enough of
+// its nodes are in doubt and it has been silent itself for long enough.
+func (core *Core) giveUpBridged(zone *zone) {
+	enough := len(zone.doubts) >= min(1+followUpProbes, len(zone.live))
+	if enough && core.now-zone.heard >= directSilence {
+		core.giveUp(zone)
 	}
 }
 
+// addDoubt notes a probe without direct answer and probes others of its zone.
+func (core *Core) addDoubt(unanswered *probe, bridged bool, effects *Effects) {
+	zone := unanswered.zone
+	if !zone.doubted(unanswered.target) {
+		zone.doubts = append(zone.doubts, doubt{target: unanswered.target, bridged: bridged})
+	}
+	if !unanswered.followUp && !core.followingUp(zone) {
+		core.followUp(zone, effects)
+	}
+}
+
+// giveUp takes a zone as unreachable.
+func (core *Core) giveUp(zone *zone) {
+	zone.doubts = zone.doubts[:0]
+	zone.unreachable = true
+	zone.since = core.now
+	core.changed = true
+}
+
+// bridged tells whether a node of the zone has lately been found alive, but only through others.
+func (zone *zone) bridged() bool {
+	return slices.ContainsFunc(zone.doubts, func(doubt doubt) bool { return doubt.bridged })
+}
+
 // followUp probes nodes of a zone that are not in doubt yet.
 func (core *Core) followUp(zone *zone, effects *Effects) {
 	offset := core.random.IntN(len(zone.live))
