Count only wanted back ends against the limit of failed ones; test determinism

A back end that failed and was replaced by the operators no longer takes up the room of those that serve. go test -race ./internal/controller passes.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -59,7 +59,7 @@
 	// InForce, when set, gives the placement that this node has in force for a
 	// service, or nil: from a peer, it may be newer than what the store has kept.
 	InForce func(lb.ServiceName) *lb.Placement
-	Weights        weight.Settings
+	Weights weight.Settings
 }
 
 // DefaultSettings gives the defaults for a node. Run is random, chosen once per process.
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -11,11 +10,6 @@
 	"robinpulley.example/robinpulley/internal/weight"
 )
 
-// compareTargets orders targets by name and host.
-func compareTargets(a, b placement.Target) int {
-	return cmp.Or(cmp.Compare(a.Name, b.Name), a.Host.Compare(b.Host))
-}
-
 // takeLoad takes in reports of health and load, and reconsiders the services
 // of back ends that do not answer.
 func (c *Controller) takeLoad(load *message.Load) {
@@ -47,19 +41,27 @@
 	if s.stored == nil || s.stored.Deleted || len(s.wanted.backends) == 0 {
 		return nil
 	}
-	room := weight.MaxFailed(len(s.wanted.backends)) - len(s.failures)
+	room := weight.MaxFailed(len(s.wanted.backends))
 	var ids []lb.BackendID
 	for _, wanted := range s.wanted.backends {
-		backend := c.backends[wanted.name]
-		if room <= len(ids) || backend == nil || !backend.Unanswered(c.now, &c.settings.Weights) {
+		placed, found := findPlaced(s.stored, wanted)
+		if !found {
 			continue
 		}
-		placed, found := findPlaced(s.stored, wanted)
-		if found && placed.State == lb.BackendActive && currentWeight(s.stored, placed.ID) != 0 {
+		if placed.State == lb.BackendFailed {
+			room--
+		}
+		if placed.State == lb.BackendActive && currentWeight(s.stored, placed.ID) != 0 && c.isUnanswering(wanted.name) {
 			ids = append(ids, placed.ID)
 		}
 	}
-	return ids
+	return ids[:min(len(ids), max(room, 0))]
+}
+
+// isUnanswering tells whether the data path shows that the back end does not answer.
+func (c *Controller) isUnanswering(name lb.BackendName) bool {
+	backend := c.backends[name]
+	return backend != nil && backend.Unanswered(c.now, &c.settings.Weights)
 }
 
 // mayReturn tells whether a failed back end may take flows again.
--- a/internal/controller/racing_test.go
+++ b/internal/controller/racing_test.go
@@ -374,3 +374,15 @@
 	is.True(claimer.controller.isEpochConfirmed())
 	is.True(claimer.controller.PublishedRevision() <= joined)
 }
+
+// TestSameEventsGiveSameWrites: the controller is deterministic.
+func TestSameEventsGiveSameWrites(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		var logs [2][]Document
+		for index := range logs {
+			is.NoErr(seededRace(seed, rules{}, func(r *race) { r.store.keep = &logs[index] }))
+		}
+		is.Equal(logs[0], logs[1])
+	}
+}
--- a/internal/controller/targets.go
+++ b/internal/controller/targets.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 
 	"robinpulley.example/robinpulley/internal/catalog"
@@ -78,6 +79,11 @@
 	return append(targets, keptUnknown(s)...)
 }
 
+// compareTargets orders targets by name and host.
+func compareTargets(a, b placement.Target) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), a.Host.Compare(b.Host))
+}
+
 // findPlaced finds the back end in the stored document, by name and host.
 func findPlaced(document *lb.Placement, backend wantedBackend) (lb.PlacedBackend, bool) {
 	if document == nil {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -36,6 +36,7 @@
 	values   map[string]Document
 	log      []Document
 	decoded  map[int64]*lb.Placement // by mod revision
+	keep     *[]Document             // when set, is given the log
 	// ignoreRevision and ignoreEpoch switch off the conditions of writes.
 	ignoreRevision, ignoreEpoch bool
 }
@@ -53,6 +54,9 @@
 	document := Document{Key: key, Value: encoded, ModRevision: store.revision}
 	store.values[key] = document
 	store.log = append(store.log, document)
+	if store.keep != nil {
+		*store.keep = store.log
+	}
 }
 
 func (store *fakeStore) remove(key string) {
