--- a/spec/check.sh
+++ b/spec/check.sh
@@ -23,7 +23,10 @@
 
 # One line a verification: model, property (for a mutant the only one that is
 # checked), mutant or "-", options.
-grep -v -e '^#' -e '^$' "$here/checks.txt" >"$work/checks" || exit 2
+if ! grep -v -e '^#' -e '^$' "$here/checks.txt" >"$work/checks"; then
+	echo "spec/check.sh: no verification in $here/checks.txt" >&2
+	exit 2
+fi
 
 cat >"$work/verify.sh" <<'END'
 # verify.sh NUMBER MODEL PROPERTY MUTANT [OPTION...]: writes one line of the table.
@@ -39,7 +42,13 @@
 [ "$mutant" = - ] || set -- "$@" "-D$mutant"
 case $property in
 all) ;;
-*) set -- "$@" "-DONLY_$property" ;;
+*)
+	if ! grep -q "ONLY_$property\$" "$HERE/$model.pml"; then
+		report "FAILED: the model has no such property" - -
+		exit 0
+	fi
+	set -- "$@" "-DONLY_$property"
+	;;
 esac
 
 if ! spin "$@" -a "$HERE/$model.pml" >spin.log 2>&1 || grep -q -i 'error' spin.log; then
@@ -86,7 +95,7 @@
 
 failed=0
 row=0
-printf '%-9s %-12s %-26s %-14s %9s %7s  %s\n' model property mutant options states depth verdict
+printf '%-8s %-15s %-27s %-30s %9s %6s  %s\n' model property mutant options states depth verdict
 while [ "$row" -lt "$number" ]; do
 	row=$((row + 1))
 	if [ ! -f "$work/result.$row" ]; then
@@ -95,8 +104,8 @@
 		continue
 	fi
 	IFS='|' read -r model property mutant options states reached verdict <"$work/result.$row"
-	printf '%-9s %-12s %-26s %-14s %9s %7s  %s\n' \
-		"$model" "$property" "$mutant" "${options#-D}" "$states" "$reached" "$verdict"
+	printf '%-8s %-15s %-27s %-30s %9s %6s  %s\n' \
+		"$model" "$property" "$mutant" "$options" "$states" "$reached" "$verdict"
 	case $verdict in
 	FAILED*) failed=$((failed + 1)) ;;
 	esac
