Bound the handover's work in a tick and its queue of corrections

Cause: a head that lacks records would have been corrected at every packet, a leaving node handed the same record over at every packet, and a tick could walk all buckets of a chain.

--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -13,6 +13,11 @@
 	recordsPerBatch = 40
 	// batchBytes is the size of a full Records.
 	batchBytes = messageBytes + recordsPerBatch*flowBytes
+	// correctionsLimit bounds the corrections of a head that wait to be sent.
+	// Others are made again at the flow's next packet.
+	correctionsLimit = 256
+	// bucketsPerRun bounds the buckets read in one tick for one node.
+	bucketsPerRun = 256
 	// resendAfter is the time after which an unacknowledged Records is repeated.
 	resendAfter = 500 * time.Millisecond
 )
@@ -105,7 +110,9 @@
 
 // correct tells the head that its record differs from the tail's.
 func (handover *handover) correct(service *service, head *node, entry *record) {
-	handover.queue(head, batchClass{service: service}, entry)
+	if len(handover.target(head).flows) < correctionsLimit {
+		handover.queue(head, batchClass{service: service}, entry)
+	}
 }
 
 // queue adds one flow to what is sent to the node.
@@ -174,8 +181,9 @@
 func (sent *batch) bytes() int64 { return messageBytes + int64(len(sent.content.Flows))*flowBytes }
 
 func (handover *handover) sendMore(core *Core, effects *Effects, entry *target) {
+	unread := bucketsPerRun
 	for {
-		entry.readBuckets(core)
+		unread -= entry.readBuckets(core, unread)
 		if len(entry.flows) == 0 {
 			return
 		}
@@ -192,15 +200,18 @@
 	}
 }
 
-// readBuckets takes records from the next buckets until there is a batch.
-func (entry *target) readBuckets(core *Core) {
-	for len(entry.flows) < recordsPerBatch && len(entry.buckets) > 0 {
+// readBuckets takes records from the next buckets, at most limit, until there is
+// a batch. It gives the number of buckets read.
+func (entry *target) readBuckets(core *Core, limit int) int {
+	read := 0
+	for ; read < limit && len(entry.flows) < recordsPerBatch && len(entry.buckets) > 0; read++ {
 		next := entry.buckets[0]
 		entry.buckets = entry.buckets[1:]
 		before := len(entry.flows)
 		entry.readBucket(core, next)
 		slices.SortStableFunc(entry.flows[before:], confirmedFirst)
 	}
+	return read
 }
 
 func confirmedFirst(a, b pendingFlow) int {
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -117,6 +117,7 @@
 	if entry == nil {
 		entry = bucket.records.put(flow.Flow)
 	}
+	previous := *entry
 	entry.lastSeen = max(entry.lastSeen, seen)
 	entry.backend = flow.Backend
 	entry.openingID = flow.OpeningID
@@ -129,7 +130,9 @@
 		// Certain, but no sign that the present tail has it.
 		entry.confirmedAt = min(core.stamp, bucket.tailSince-1)
 	}
-	core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
+	if !previous.sameAs(entry) {
+		core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
+	}
 }
 
 // replaces tells whether the incoming record replaces this node's own. Of
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -31,6 +31,11 @@
 
 func (entry *record) refused() bool { return entry.flags&recordRefused != 0 }
 
+// sameAs tells whether two records say the same of the flow, whenever it was seen.
+func (entry *record) sameAs(other *record) bool {
+	return entry.backend == other.backend && entry.openingID == other.openingID && entry.flags == other.flags
+}
+
 // recordBytes is the size of a record in memory.
 const recordBytes = 24
 
--- a/internal/core/tail.go
+++ b/internal/core/tail.go
@@ -107,6 +107,7 @@
 		return
 	}
 	entry := current.bucket.records.put(current.flow)
+	previous := *entry
 	entry.backend = answer.backend
 	entry.lastSeen = core.stamp
 	entry.flags = recordUsed
@@ -120,7 +121,9 @@
 	if current.opening() {
 		entry.openingID = current.packet.OpeningID
 	}
-	core.handover.recorded(core, current.service, current.index, entry)
+	if !previous.sameAs(entry) {
+		core.handover.recorded(core, current.service, current.index, entry)
+	}
 }
 
 // confirmed tells whether a tail is known to have answered with the record
