--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -365,12 +365,19 @@
 // TestPreparedPlacementWaitsForHandover: at each node in turn, reporters
 // included. Without the rule it is in force at once.
 func TestPreparedPlacementWaitsForHandover(t *testing.T) {
-	is := is.New(t)
 	for id := range 12 {
-		meanwhile, afterwards := heldByHandover(t, id, true)
-		is.True(!meanwhile)
-		is.True(afterwards)
+		t.Run(fmt.Sprint(id), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			meanwhile, afterwards := heldByHandover(t, id, true)
+			is.True(!meanwhile)
+			is.True(afterwards)
+		})
 	}
-	meanwhile, _ := heldByHandover(t, 3, false)
-	is.True(meanwhile) // rule off
+	t.Run("rule off", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		meanwhile, _ := heldByHandover(t, 3, false)
+		is.True(meanwhile)
+	})
 }
