--- a/internal/transport/pack.go
+++ b/internal/transport/pack.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/flate"
 	"io"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,14 +31,29 @@
 	`"generations":[{"v":1,"b":[{"id":1,"w":100},{"id":2,"w":100},{"id":3,"w":100},{"id":4,"w":100}]},{"v":2,"b":[{"id":5,"w":100}]}],` +
 	`"current":1,"history":"AAAAAAAA","opens_per_second":1000,"deleted":true,"next_backend_id":5,"config_revision":1}]}}`
 
-// packers holds idle writers, each of which keeps about a megabyte of tables.
-var packers = sync.Pool{New: func() any {
+// idlePackers keeps a few writers for use again: each takes about a megabyte
+// of tables, whose allocation costs more than most lines.
+var idlePackers = make(chan *flate.Writer, 4)
+
+func takePacker() *flate.Writer {
+	select {
+	case writer := <-idlePackers:
+		return writer
+	default:
+	}
 	writer, err := flate.NewWriterDict(nil, flate.DefaultCompression, []byte(packDictionary))
 	if err != nil {
 		panic(err) // the level is a constant
 	}
 	return writer
-}}
+}
+
+func returnPacker(writer *flate.Writer) {
+	select {
+	case idlePackers <- writer:
+	default:
+	}
+}
 
 // packable tells which types are worth compressing: flow records and hashes are not.
 func packable(kind message.Type) bool {
@@ -59,8 +73,8 @@
 	}
 	packed := bytes.NewBuffer(make([]byte, 0, len(line)))
 	packed.WriteByte(packedMark)
-	writer := packers.Get().(*flate.Writer)
-	defer packers.Put(writer)
+	writer := takePacker()
+	defer returnPacker(writer)
 	writer.Reset(packed)
 	_, writeError := writer.Write(line)
 	if err := errors.CombineErrors(writeError, writer.Close()); err != nil || packed.Len() >= len(line) {
