Tell publishers of unanswered openings within a second

What is left is the half-life of the evidence (10 s, internal/weight): answered openings from before the freeze weigh against it.

--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -92,6 +92,16 @@
 	evidence.order = slices.Delete(evidence.order, 0, done)
 }
 
+// hasUnanswered tells whether any counted opening was not answered.
+func (evidence *evidence) hasUnanswered() bool {
+	for _, count := range evidence.counts {
+		if count.Unanswered > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // take gives the counts since the last call, by back end name.
 func (evidence *evidence) take(placementOf func(lb.ServiceName) *lb.Placement) []health.Evidence {
 	var list []health.Evidence
--- a/internal/node/evidence_test.go
+++ b/internal/node/evidence_test.go
@@ -26,12 +26,14 @@
 	note(0, 3, 2, core.ActionRefuse)            // never reached the back end
 	note(time.Second, 4, 1, core.ActionForward) // still watched
 	evidence.judge(evidenceWindow)
+	is.True(evidence.hasUnanswered())
 	taken := evidence.take(func(lb.ServiceName) *lb.Placement { return placement })
 	is.Equal(taken, []health.Evidence{
 		{Backend: "good", Openings: 1},
 		{Backend: "silent", Openings: 1, Unanswered: 1},
 	})
 	evidence.judge(evidenceWindow + time.Second)
+	is.True(!evidence.hasUnanswered())
 	taken = evidence.take(func(lb.ServiceName) *lb.Placement { return placement })
 	is.Equal(taken, []health.Evidence{{Backend: "good", Openings: 1}})
 }
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -14,9 +14,13 @@
 	"robinpulley.example/robinpulley/internal/rendezvous"
 )
 
-// loadInterval is the time between two reports of health and load: often
-// enough for slow steps of weights, seldom enough for the byte budget.
-const loadInterval = 4 * time.Second
+// Times between two reports of health and load: often enough for slow steps of
+// weights, seldom enough for the byte budget. Openings that were not answered
+// are told sooner.
+const (
+	loadInterval       = 4 * time.Second
+	unansweredInterval = time.Second
+)
 
 // probeTargets holds the probe URLs of the back ends, as the watch of the
 // store gives them. Only watchers know them, so that only watchers probe.
@@ -73,18 +77,30 @@
 
 // reportLoad reports health, load and evidence until ctx ends.
 func (node *Node) reportLoad(ctx context.Context) {
-	ticker := time.NewTicker(loadInterval)
+	ticker := time.NewTicker(unansweredInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		}
+		if time.Since(last) >= loadInterval || node.engine.hasUnanswered() {
+			last = time.Now()
 			node.engine.reportLoad(node.prober.Report())
 		}
 	}
 }
 
+// hasUnanswered tells whether some back end has lately left openings unanswered.
+func (engine *engine) hasUnanswered() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.evidence.judge(engine.now())
+	return engine.evidence.hasUnanswered()
+}
+
 // takeEvidence gives what the data path has shown since the last call.
 func (engine *engine) takeEvidence() []health.Evidence {
 	engine.mutex.Lock()
