Return a packet to the head where the tail's answer is not the proposal

Change: HopReturn carries the tail's answer back on the packet itself; the head records it and carries it out, so that both have the record before any back end has the packet, at no control byte. The relay option and the hop ranks of the data plane know the new hop.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -91,7 +91,9 @@
 type Effects struct {
 	Decision Decision // valid after a packet event
 	Messages []Outgoing
-	// HandoverDone is set when a planned stop has no record left to hand over.
+	// HandoverDone is set while a planned stop has no record left to hand over.
+	// Others may go on sending until they know of the stop, so the node should
+	// end only when it has been set for a few seconds on end.
 	HandoverDone bool
 	// Unsure is set while the core distrusts its view and waits for ContactRegained.
 	Unsure bool
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -13,9 +13,6 @@
 	recordsPerBatch = 40
 	// batchBytes is the size of a full Records.
 	batchBytes = messageBytes + recordsPerBatch*flowBytes
-	// correctionsLimit bounds the corrections of a head that wait to be sent.
-	// Others are made again at the flow's next packet.
-	correctionsLimit = 256
 	// bucketsPerRun bounds the buckets read in one tick for one node.
 	bucketsPerRun = 256
 	// resendAfter is the time after which an unacknowledged Records is repeated.
@@ -108,13 +105,6 @@
 	entry.buckets = append(entry.buckets, ref)
 }
 
-// correct tells the head that its record differs from the tail's.
-func (handover *handover) correct(service *service, head *node, entry *record) {
-	if len(handover.target(head).flows) < correctionsLimit {
-		handover.queue(head, batchClass{service: service}, entry)
-	}
-}
-
 // queue adds one flow to what is sent to the node.
 func (handover *handover) queue(to *node, class batchClass, entry *record) {
 	queued := handover.target(to)
--- a/internal/core/ingress.go
+++ b/internal/core/ingress.go
@@ -63,8 +63,12 @@
 	base := current.service.table.Base(current.index)
 	if current.packet.Kind == PacketUnmarked {
 		entry := current.core.known(current.bucket, current.flow)
+		learned := entry.backend != base
 		entry.backend = base
 		entry.lastSeen = current.core.stamp
+		if learned {
+			current.core.handover.learned(current.core, current.service, current.bucket, entry)
+		}
 	}
 	current.forward(base)
 }
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// learned hands over at once a UDP flow that a leaving node has just seen.
+func (handover *handover) learned(core *Core, service *service, bucket *bucket, entry *record) {
+	head := bucket.chain.head
+	if core.leaving && !core.off.noHandoverBeforeLeave && head != nil && head != core.self {
+		handover.queue(head, batchClass{service: service, unconfirmed: true, established: true}, entry)
+	}
+}
+
 // handOverKnown gives the chains the UDP flows that this node knows in buckets
 // that begin to move: all of them are on the previous base back end.
 func (core *Core) handOverKnown(service *service, previous *placement.Table) {
@@ -103,8 +111,7 @@
 			core.merge(service, bucket, flowRecord(entry), incoming{idle: core.age(entry)})
 			continue
 		}
-		class := core.classOf(service, bucket, entry)
-		class.established = true
+		class := batchClass{service: service, unconfirmed: true, established: true}
 		core.handover.queue(to, class, entry)
 	}
 }
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -43,6 +43,8 @@
 		current.relayedToHead()
 	case lb.HopTail:
 		current.tail()
+	case lb.HopReturn:
+		current.returned()
 	default:
 		current.drop(ReasonUnknownPeer)
 	}
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -8,6 +8,8 @@
 	noTailRecordWins bool
 	// noRecordBeforeForward: the tail forwards without recording the proposal.
 	noRecordBeforeForward bool
+	// noReturnToHead: the tail carries its answer out although the head has another record.
+	noReturnToHead bool
 	// noVouchBeforeNotRun: every refusal is called NotRun.
 	noVouchBeforeNotRun bool
 	// noRefusalRecord: refusals leave no tombstone.
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -15,6 +15,7 @@
 
 	PinnedPackets     uint64 // forwarded by a pin
 	Rerouted          uint64 // passed on by a node that is not the head
+	Returned          uint64 // sent back to the head by the tail
 	HintsSent         uint64 // pins and confirmations
 	HintsSuppressed   uint64 // for want of budget
 	HandoverSent      uint64 // records handed over
--- a/internal/core/tail.go
+++ b/internal/core/tail.go
@@ -55,26 +55,57 @@
 	return recorded
 }
 
-// answer records the tail's answer, tells the head of it, and carries it out.
+// answer records the tail's answer and carries it out. Where it is not the
+// proposal, the head records it first: a head that forgot, or that never knew,
+// must not propose something else to the next tail.
 func (current *turn) answer(answer proposal) {
 	core, relay := current.core, &current.packet.Relay
-	current.conclude(answer, relay.Vouched)
 	head := current.bucket.chain.head
 	if head == nil || head == core.self {
+		current.conclude(answer, relay.Vouched)
 		return
 	}
-	entry := current.bucket.records.get(current.flow)
-	if entry == nil {
+	differs := answer.backend != relay.Proposal || answer.refuse != relay.Refuse
+	if differs && !core.off.noReturnToHead {
+		current.keep(answer, true)
+		current.returnToHead(head, answer)
 		return
 	}
-	if answer.backend != relay.Proposal || answer.refuse != relay.Refuse {
-		core.handover.correct(current.service, head, entry)
-		return
+	current.conclude(answer, relay.Vouched)
+	current.confirm(head)
+}
+
+// returnToHead sends the packet back with the tail's answer.
+func (current *turn) returnToHead(head *node, answer proposal) {
+	core := current.core
+	relay := current.packet.Relay
+	relay.Hop = lb.HopReturn
+	relay.Version = current.service.table.Version()
+	relay.Proposal = answer.backend
+	relay.Refuse = answer.refuse
+	relay.Known = true
+	relay.Vouched = relay.Vouched || core.vouches(current.service, current.bucket)
+	core.stats.Returned++
+	current.relay(head, relay)
+}
+
+// returned records the tail's answer at the head and carries it out.
+func (current *turn) returned() {
+	relay := current.packet.Relay
+	current.conclude(proposal{backend: relay.Proposal, refuse: relay.Refuse}, relay.Vouched)
+	if entry := current.bucket.records.get(current.flow); entry != nil {
+		current.pinIngress(relay, entry)
 	}
-	if stateless(current.service.table, current.index) {
-		return // no later packet will ask the head
+}
+
+// confirm tells the head, within the byte budget, that the tail has the record,
+// where a later packet of the flow may ask the head.
+func (current *turn) confirm(head *node) {
+	entry := current.bucket.records.get(current.flow)
+	if entry == nil || stateless(current.service.table, current.index) {
+		return
 	}
-	core.hints.add(core, hint{
+	current.core.hints.add(current.core, hint{
 		to: head, service: current.service, confirm: true,
 		flow: entry.flow, backend: entry.backend, openingID: entry.openingID,
 	})
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -121,10 +121,13 @@
 	rankHead
 	rankReroutedHead
 	rankTail
+	rankReturn
 )
 
 func hopRank(relay *lb.Relay) int {
 	switch {
+	case relay.Hop == lb.HopReturn:
+		return rankReturn
 	case relay.Hop == lb.HopTail:
 		return rankTail
 	case relay.Hop == lb.HopHead && relay.Rerouted:
--- a/internal/lb/relay.go
+++ b/internal/lb/relay.go
@@ -24,6 +24,9 @@
 	HopHead
 	// HopTail: relayed by the head to the tail of the bucket's chain.
 	HopTail
+	// HopReturn: returned by the tail to the head, because its answer is not
+	// the head's proposal. Proposal and Refuse are the answer.
+	HopReturn
 )
 
 // Relay travels with a packet that one balancer relays to another (a Geneve option).
@@ -31,7 +34,8 @@
 	Hop     Hop
 	Ingress NodeHash // the node that took the packet from the fabric
 	Version Version  // placement version of the relaying node
-	// Proposal is the head's choice (HopTail only); NoBackend with Refuse set means refusal.
+	// Proposal is the head's choice (HopTail) or the tail's answer (HopReturn);
+	// NoBackend with Refuse set means refusal.
 	Proposal BackendID
 	// Known: the proposal comes from a record confirmed by an earlier tail, not from a table.
 	Known bool
--- a/internal/packet/option.go
+++ b/internal/packet/option.go
@@ -78,7 +78,7 @@
 		return CauseRelayOption
 	}
 	hop := lb.Hop(data[1])
-	if hop != lb.HopHead && hop != lb.HopTail {
+	if hop != lb.HopHead && hop != lb.HopTail && hop != lb.HopReturn {
 		return CauseRelayOption
 	}
 	flags := data[2]
