Drop messages that arrive while the endpoints are being opened

The transport handed over messages before the node had it, so that an answer would have met a nil transport. A planned stop also checks again at its end that nothing is left to hand over.

--- a/internal/node/decide_test.go
+++ b/internal/node/decide_test.go
@@ -15,6 +15,7 @@
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/placement"
+	"robinpulley.example/robinpulley/internal/transport"
 )
 
 var frontend = netip.MustParseAddrPort("192.0.2.10:443")
@@ -79,3 +80,24 @@
 		engine.decide(packets[index%len(packets)])
 	}
 }
+
+// TestMessageBeforeOpeningIsDropped sends a request whose answer would need
+// the transport that is still being opened.
+func TestMessageBeforeOpeningIsDropped(t *testing.T) {
+	is := is.New(t)
+	engine := newTestEngine(t)
+	node := &Node{settings: engine.settings, engine: engine}
+	engine.transmit = node.transmit
+	request := transport.Incoming{
+		From:    "b",
+		Address: netip.MustParseAddrPort("127.0.0.1:9"),
+		Message: message.Ping{Incarnation: 1, Full: true},
+	}
+	node.receive(request)
+	is.Equal(len(engine.outbox), 0)
+	answers := 0
+	engine.transmit = func(netip.AddrPort, message.Message) { answers++ }
+	node.opened.Store(true)
+	node.receive(request)
+	is.True(answers > 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	admin     *http.Server
 
 	adminListener net.Listener
+	opened        atomic.Bool // all endpoints are open
 	ready         atomic.Bool
 	stopping      chan struct{} // closed when the planned stop begins
 	stopOnce      sync.Once
@@ -98,6 +99,7 @@
 		return err
 	}
 	node.plane, err = dataplane.New(node.planeOptions())
+	node.opened.Store(err == nil)
 	return err
 }
 
@@ -122,7 +124,12 @@
 	node.transport.Send(to, outgoing)
 }
 
+// receive takes a message from a peer. Those that come while this node is
+// still opening its endpoints are lost, as if sent before it was there.
 func (node *Node) receive(from transport.Incoming) {
+	if !node.opened.Load() {
+		return
+	}
 	node.engine.receive(incoming{from: from.From, address: from.Address, message: from.Message})
 }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -65,7 +65,7 @@
 			node.logEvent(logging.EventHandedOver)
 		}
 		quiet := time.Since(quietSince) >= node.settings.Timings.DrainGrace
-		if quiet && handedOver {
+		if quiet && node.engine.handoverDone() {
 			return node.endPlanned(ctx, stoppedQuiet)
 		}
 	}
