Test that a watch never goes back behind its listing

A mutant without the filter of events older than the listing survived: no test changed a key between two pages. The new test does. Watch tests now fail instead of waiting for ever when a watch stands still.

--- a/internal/store/watch_test.go
+++ b/internal/store/watch_test.go
@@ -24,9 +24,13 @@
 func (view *view) consume(t *testing.T, batches <-chan Batch, revision int64) {
 	t.Helper()
 	for view.revision < revision {
-		batch, open := <-batches
-		if !open {
-			t.Fatalf("watch ended at revision %d, before %d", view.revision, revision)
+		var batch Batch
+		select {
+		case batch = <-batches: // zero when the watch has ended
+		case <-time.After(time.Hour): // in the bubble's time
+		}
+		if batch.Revision == 0 {
+			t.Fatalf("watch ended or stands still at revision %d, before %d", view.revision, revision)
 		}
 		if batch.Reset {
 			view.resets++
@@ -143,3 +147,41 @@
 		is.Equal(seen.events, 1)
 	})
 }
+
+// TestWatchDoesNotGoBackAfterListing changes a key while it is being listed:
+// the listing has its newest state, the watch then gives older ones again.
+func TestWatchDoesNotGoBackAfterListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := newStandIn()
+		client, transport := newTestClient(t, server, 1)
+		client.settings.PageSize = 1
+		writer, _ := newTestClient(t, server, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		writeBy(t, writer, "/k/a", "1")
+		writeBy(t, writer, "/k/b", "2")
+		pages := 0
+		transport.set(func(path string) fault {
+			if path != pathRange {
+				return faultNone
+			}
+			pages++
+			if pages == 2 {
+				writeBy(t, writer, "/k/b", "3")
+				writeBy(t, writer, "/k/b", "4")
+			}
+			return faultNone
+		})
+		var given []string
+		for batch := range client.Watch(ctx, "/k/", 0) {
+			for _, event := range batch.Events {
+				given = append(given, event.KeyValue.Key+"="+string(event.KeyValue.Value))
+			}
+			if batch.Revision >= 5 {
+				break
+			}
+		}
+		is.Equal(given, []string{"/k/a=1", "/k/b=4"})
+	})
+}
