A record from before its node left the chain does not win

Change: what a node recorded before it last entered or left the chain loses to any proposal; handed over, it keeps the mark it had while the node was in.

--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -81,6 +81,9 @@
 		bucket.memberStamp = core.stamp
 	case !isMember:
 		bucket.memberSince = notInChain
+		if wasMember {
+			bucket.leftStamp = core.stamp
+		}
 	}
 	core.countHeaded(service, previous, pair)
 	if wasMember || isMember || core.leaving {
--- a/internal/core/fault_test.go
+++ b/internal/core/fault_test.go
@@ -108,3 +108,45 @@
 	core.Step(time.Second, &Event{Tick: true}, &effects)
 	is.True(effects.HandoverDone)
 }
+
+// TestReturnToTheHead checks that a head knows the tail's answer before any back
+// end has the packet, so that it proposes the same when the tail is gone, and
+// that it would not if the tail just carried its answer out.
+func TestReturnToTheHead(t *testing.T) {
+	for _, off := range []rules{{}, {noReturnToHead: true}} {
+		is := is.New(t)
+		head, key := movingFlow(t)
+		service := head.services[testService]
+		index := key.ID().Bucket()
+		base := service.table.Base(index)
+		tail := New(DefaultSettings(service.buckets[index].chain.tail.ID, service.buckets[index].chain.tail.Zone))
+		tail.off = off
+		var effects Effects
+		tail.Step(0, &Event{Members: testMembers}, &effects)
+		tail.Step(0, &Event{Placement: service.table.Document()}, &effects)
+		give(tail, 0, "d", message.Records{Service: testService, Flows: []message.FlowRecord{{Flow: key.ID(), Backend: base, OpeningID: 7}}})
+
+		opening := Packet{Key: key, Kind: PacketOpening, OpeningID: 7}
+		relayed := opening
+		relayed.Relay = decide(head, 0, opening).Relay
+		is.True(relayed.Relay.Proposal != base) // the head would have it elsewhere
+		answer := decide(tail, 0, relayed)
+		if !off.noReturnToHead {
+			is.Equal(answer.Action, ActionRelay)
+			is.Equal(answer.Peer, head.self.ID)
+			relayed.Relay = answer.Relay
+			answer = decide(head, 0, relayed)
+		}
+		is.Equal(answer.Action, ActionForward)
+		is.Equal(answer.Backend, base)
+
+		var left []Member
+		for _, member := range testMembers {
+			if member.ID != tail.self.ID {
+				left = append(left, member)
+			}
+		}
+		head.Step(0, &Event{Members: left}, &effects)
+		is.Equal(decide(head, 0, opening).Relay.Proposal == base, !off.noReturnToHead)
+	}
+}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -226,7 +226,7 @@
 }
 
 func (core *Core) classOf(service *service, bucket *bucket, entry *record) batchClass {
-	return batchClass{service: service, unconfirmed: !core.confirmed(bucket, entry)}
+	return batchClass{service: service, unconfirmed: !core.wasConfirmed(bucket, entry)}
 }
 
 // nextBatch makes a Records of the first flows that are of one class.
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -139,10 +139,10 @@
 	if current.bucket.chain.tail == nil {
 		return true
 	}
-	if entry.confirmedAt < current.bucket.tailSince {
+	if entry.learnedAt < current.bucket.tailSince {
 		return false
 	}
-	return core.stamp-entry.confirmedAt < toStamp(core.settings.PinLifetime)
+	return core.stamp-entry.learnedAt < toStamp(core.settings.PinLifetime)
 }
 
 // pinIngress tells the ingress node the flow's back end, within the byte budget.
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -56,7 +56,7 @@
 		return // of another chain, or of an earlier flow of the 5-tuple
 	}
 	core.merge(service, bucket, flow, incoming{confirmed: true, fromTail: true})
-	entry.confirmedAt = core.stamp
+	entry.learnedAt = core.stamp
 }
 
 // takeRecords keeps records that a node hands over, and tells whether it could:
@@ -127,9 +127,9 @@
 	}
 	if origin.confirmed {
 		entry.flags |= recordConfirmed
-		// Certain, but no sign that the present tail has it.
-		entry.confirmedAt = min(core.stamp, bucket.tailSince-1)
 	}
+	// However certain, it is no sign that the present tail has the record.
+	entry.learnedAt = min(core.stamp, bucket.tailSince-1)
 	if !previous.sameAs(entry) {
 		core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -21,12 +21,12 @@
 
 // record places one flow on one back end (24 bytes).
 type record struct {
-	flow        lb.FlowID
-	openingID   uint32
-	lastSeen    stamp
-	confirmedAt stamp
-	backend     lb.BackendID
-	flags       recordFlags
+	flow      lb.FlowID
+	openingID uint32
+	lastSeen  stamp
+	learnedAt stamp
+	backend   lb.BackendID
+	flags     recordFlags
 }
 
 func (entry *record) refused() bool { return entry.flags&recordRefused != 0 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -45,6 +45,7 @@
 	chain       chain
 	memberSince time.Duration // notInChain outside the chain
 	memberStamp stamp         // when this node last entered the chain
+	leftStamp   stamp         // when this node last left the chain
 	tailSince   stamp         // answers of the present tail are later than this
 	records     flowTable
 	pins        *flowTable // hints of heads, at an ingress
--- a/internal/core/tail.go
+++ b/internal/core/tail.go
@@ -49,7 +49,7 @@
 // prevailing gives the record, or the proposal where that is the more certain.
 func (current *turn) prevailing(entry *record, proposed proposal) proposal {
 	recorded := current.proposalOf(entry)
-	if proposed.known && !recorded.known {
+	if proposed.known && !recorded.known || current.bucket.outdates(entry) {
 		return proposed
 	}
 	return recorded
@@ -147,8 +147,8 @@
 	}
 	if confirmed {
 		entry.flags |= recordConfirmed
-		entry.confirmedAt = core.stamp
 	}
+	entry.learnedAt = core.stamp
 	if current.opening() {
 		entry.openingID = current.packet.OpeningID
 	}
@@ -158,10 +158,21 @@
 }
 
 // confirmed tells whether a tail is known to have answered with the record
-// since this node last entered the chain or lost trust in its view.
+// since this node last entered or left the chain or lost trust in its view.
 func (core *Core) confirmed(bucket *bucket, entry *record) bool {
+	return core.wasConfirmed(bucket, entry) && !bucket.outdates(entry)
+}
+
+// wasConfirmed is confirmed as of when this node left the chain, if it has.
+func (core *Core) wasConfirmed(bucket *bucket, entry *record) bool {
 	if entry.flags&recordConfirmed == 0 {
 		return false
 	}
-	return entry.confirmedAt >= max(bucket.memberStamp, toStamp(core.sureSince))
+	return entry.learnedAt >= max(bucket.memberStamp, toStamp(core.sureSince))
+}
+
+// outdates tells whether the record is from before this node last entered or
+// left the chain: the chain may have placed the flow anew since.
+func (bucket *bucket) outdates(entry *record) bool {
+	return entry.learnedAt < max(bucket.memberStamp, bucket.leftStamp)
 }
