Let a write id be committed again after a refusal

Ruled out: asking every caller for a new write id, as the publisher may send one placement again. The key now holds the number of the call too.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -29,7 +29,7 @@
 	PageSize int
 	// WatchIdleLimit renews a watch on which nothing came for so long.
 	WatchIdleLimit time.Duration
-	// Seed decides the jitter.
+	// Seed decides the jitter. It differs from client to client.
 	Seed uint64
 	// Transport sends the requests.
 	Transport http.RoundTripper
@@ -115,6 +115,7 @@
 	http     *http.Client
 	guard    *guard
 	endpoint atomic.Uint32 // index of the endpoint in use
+	commits  atomic.Uint64 // calls of Commit so far
 }
 
 // New gives a client. It sends nothing.
--- a/internal/store/resolve.go
+++ b/internal/store/resolve.go
@@ -5,14 +5,11 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-func integerText(value int) string { return strconv.Itoa(value) }
-
 // resolve finds out whether a copy of the transaction ran: it gives the
 // revision at which it did, or 0 if none did and none will. Copies sent after
 // that depend on another fence.
--- a/internal/store/transaction.go
+++ b/internal/store/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,7 +51,8 @@
 
 // Transaction is a set of writes that take effect together, if all conditions hold.
 type Transaction struct {
-	// WriteID is unique to this transaction.
+	// WriteID is unique to this transaction; the same one may be committed
+	// again, by the same client, after an error.
 	WriteID string
 	// Conditions: the first one is on a key that the transaction puts or
 	// deletes, and not OfCreation.
@@ -146,7 +148,7 @@
 		return 0, notRun(err)
 	}
 	client.guard.first()
-	commit := commit{client: client, txn: &txn}
+	commit := commit{client: client, txn: &txn, number: client.commits.Add(1)}
 	for retry := 0; ; retry++ {
 		revision, err := commit.attempt(ctx)
 		if err == nil {
@@ -165,12 +167,13 @@
 type commit struct {
 	client *Client
 	txn    *Transaction
-	fence  int // number of the fence that copies sent now depend on
+	number uint64 // of this call, so that a write id may be used by a later call again
+	fence  int    // number of the fence that copies sent now depend on
 	lost   bool
 }
 
 func (commit *commit) fenceKey() string {
-	return FencePrefix + commit.txn.WriteID + "." + integerText(commit.fence)
+	return fmt.Sprintf("%s%s.%x.%d.%d", FencePrefix, commit.txn.WriteID, commit.client.settings.Seed, commit.number, commit.fence)
 }
 
 // attempt sends the transaction once and resolves a loss where that is needed.
@@ -226,7 +229,7 @@
 			return notRun(&ConflictError{Condition: condition, Current: current})
 		}
 	}
-	return notRun(errors.Wrapf(ErrRefused, "transaction %s: no condition fails, yet it did not run; is the write id used twice?", commit.txn.WriteID))
+	return notRun(errors.Wrapf(ErrRefused, "transaction %s: no condition fails, yet it did not run", commit.txn.WriteID))
 }
 
 // prepareRetry waits before the next attempt, or says that there is none. A
--- a/internal/store/transaction_test.go
+++ b/internal/store/transaction_test.go
@@ -166,6 +166,32 @@
 	})
 }
 
+// TestWriteIDMayBeUsedAgain commits a transaction again after one that was
+// resolved as not run, which left a fence.
+func TestWriteIDMayBeUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := newStandIn()
+		client, transport := newTestClient(t, server, 1)
+		other, _ := newTestClient(t, server, 2)
+		ctx := testContext(t, time.Minute)
+		read, err := client.Get(ctx, "/robinpulley/k")
+		is.NoErr(err)
+		transport.set(onceOn(pathTxn, faultLate))
+		go func() {
+			time.Sleep(time.Millisecond)
+			overwrite(t, other)
+		}()
+		_, err = client.CompareAndSwap(ctx, &read, []byte("mine"), "mine", 0)
+		is.True(errors.Is(err, ErrConflict))
+		remove(t, other)
+		read, err = client.Get(ctx, "/robinpulley/k")
+		is.NoErr(err)
+		_, err = client.CompareAndSwap(ctx, &read, []byte("mine"), "mine", 0)
+		is.NoErr(err)
+	})
+}
+
 func TestUnresolvedLossIsUnknownAndNeverSuccess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
