--- a/internal/gossip/core.go
+++ b/internal/gossip/core.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -63,6 +64,7 @@
 		documents: make(map[lb.ServiceName]*lb.Placement),
 		members:   make(map[lb.NodeID]lb.Zone),
 		asked:     make(map[lb.ServiceName]question),
+		entropy:   entropy{differs: make(map[lb.NodeID]time.Duration)},
 	}, nil
 }
 
@@ -169,6 +171,10 @@
 	}
 	slices.Sort(core.near)
 	slices.Sort(core.far)
+	maps.DeleteFunc(core.entropy.differs, func(id lb.NodeID, _ time.Duration) bool {
+		_, present := core.members[id]
+		return !present
+	})
 	var reporters, nearby []lb.NodeID
 	for _, watcher := range rendezvous.Watchers(candidates) {
 		reporters = append(reporters, watcher.ID)
--- a/internal/gossip/entropy.go
+++ b/internal/gossip/entropy.go
@@ -32,28 +32,31 @@
 	next         time.Duration // earliest next exchange
 	nextLarge    time.Duration // earliest next large answer
 	nextSnapshot time.Duration
-	differing    bool
-	differs      time.Duration // when digests began to differ
+	// differs tells since when a peer's digest differs from this node's. It is
+	// kept by peer: a few nodes that lack the same placements agree with each
+	// other, and differ from all others no less.
+	differs map[lb.NodeID]time.Duration
 }
 
 // compareDigest looks at the digest on a probe. It differs for a moment after
 // each change, so an exchange begins only when it has differed for a while.
 func (core *Core) compareDigest(from lb.NodeID, digest uint64, effects *Effects) {
 	if digest == core.digest {
-		core.entropy.differing = false
+		delete(core.entropy.differs, from)
 		// A peer without placements may be starting as well.
 		if digest != 0 || core.now-core.began >= core.settings.ContactTimeout {
 			core.markSynced(effects)
 		}
 		return
 	}
-	if !core.entropy.differing {
-		core.entropy.differing = true
-		core.entropy.differs = core.now
+	since, known := core.entropy.differs[from]
+	if !known {
+		since = core.now
+		core.entropy.differs[from] = since
 	}
 	calm := core.now-core.lastAdopted >= core.settings.CalmInterval &&
-		core.now-core.entropy.differs >= core.settings.CalmInterval
-	overdue := core.now-core.entropy.differs >= entropyPatience
+		core.now-since >= core.settings.CalmInterval
+	overdue := core.now-since >= entropyPatience
 	if (!calm && !overdue) || core.now < core.entropy.next {
 		return
 	}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -381,3 +381,28 @@
 		is.True(meanwhile)
 	})
 }
+
+// TestAgreementWithOnePeerDoesNotHideAnother: a node whose neighbour lacks the
+// same placements compares with the others all the same. Found by the scale
+// run: two neighbours of 48 nodes lacked 12 placements for good.
+func TestAgreementWithOnePeerDoesNotHideAnother(t *testing.T) {
+	is := is.New(t)
+	core, err := gossip.New(gossip.DefaultSettings("self", "zone", 1))
+	is.NoErr(err)
+	var effects gossip.Effects
+	core.Step(0, &gossip.Event{Members: []gossip.Member{{ID: "self", Zone: "zone"}, {ID: "same", Zone: "zone"}, {ID: "other", Zone: "zone"}}}, &effects)
+	core.Step(0, &gossip.Event{Placements: []*lb.Placement{newDocument(t, 1)}}, &effects)
+	asked := false
+	for now := time.Second; now < 10*time.Second; now += time.Second {
+		ping := func(from lb.NodeID, digest uint64) {
+			core.Step(now, &gossip.Event{Peer: &gossip.PeerEvent{From: from, Message: message.Ping{Sequence: 1, Incarnation: 1, Digest: digest}}}, &effects)
+			for _, outgoing := range effects.Messages {
+				_, isDigest := outgoing.Message.(message.Digest)
+				asked = asked || isDigest && outgoing.To == "other"
+			}
+		}
+		ping("other", core.Digest()+1)
+		ping("same", core.Digest())
+	}
+	is.True(asked)
+}
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -170,6 +170,9 @@
 		return
 	}
 	effects.InForce = append(effects.InForce, statement)
+	if core.nearby[0] != core.settings.Self {
+		return // the zone's first reporter tells the others; this one is there for when it is gone
+	}
 	for _, to := range core.reporters {
 		if to != core.settings.Self {
 			core.send(effects, to, statement)
--- a/internal/gossip/reporter.go
+++ b/internal/gossip/reporter.go
@@ -13,9 +13,15 @@
 	maxChanges   = 1024
 	maxDigests   = 256
 	maxRevisions = 256
+	// newsInterval is the shortest time between statements: what several nodes
+	// report in it makes one statement, which goes to every publisher.
+	newsInterval = 150 * time.Millisecond
 	// countInterval is the shortest time between statements in which only
 	// the count of nodes behind differs.
-	countInterval = 250 * time.Millisecond
+	countInterval = 2 * time.Second
+	// calmReports is how many report intervals pass between statements
+	// without news.
+	calmReports = 5
 	// namedFor is how long a change is named in statements once all nodes
 	// have it, and awaitedFor how long that is waited for.
 	namedFor   = 10 * time.Second
@@ -211,11 +217,11 @@
 
 // state gives the statement on the zone, and whether it is due to be sent.
 func (reporter *reporter) state(now time.Duration, settings *Settings) (message.InForce, bool) {
-	age, interval := now-reporter.lastSent, settings.ReportInterval
+	age, interval := now-reporter.lastSent, calmReports*settings.ReportInterval
 	if reporter.repeat {
 		interval = settings.ReportRepeat
 	}
-	if !reporter.dirty && age < interval {
+	if age < newsInterval || !reporter.dirty && age < interval {
 		return message.InForce{}, false
 	}
 	lowest, behind := reporter.places()
--- a/internal/node/hollow.go
+++ b/internal/node/hollow.go
@@ -109,5 +109,3 @@
 
 // Members is the number of nodes that this node takes as alive, itself included.
 func (hollow *Hollow) Members() int { return len(hollow.directory.all()) }
-
-func (hollow *Hollow) Counters() any { return hollow.engine.gossip.Counters() }
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -21,6 +21,9 @@
 	ClassState
 	// ClassDocument is placements; they wait behind ClassState.
 	ClassDocument
+	// ClassReport is what is in force where. It waits behind the placements
+	// that it speaks of: ahead of them it would hold up what it waits for.
+	ClassReport
 	// ClassHint only saves hops; it is dropped when bytes are short.
 	ClassHint
 	// ClassBulk is a line longer than BulkLineBytes, as in the snapshot of a
@@ -109,6 +112,8 @@
 		return ClassMember
 	case message.TypePins:
 		return ClassHint
+	case message.TypeInForce:
+		return ClassReport
 	}
 	if lineBytes > BulkLineBytes {
 		return ClassBulk
@@ -154,10 +159,12 @@
 
 // mostUrgent is the class that waits for its bytes next.
 func (queue *Queue) mostUrgent() Class {
-	if len(queue.waiting[ClassState]) > 0 {
-		return ClassState
+	for _, class := range [...]Class{ClassState, ClassDocument} {
+		if len(queue.waiting[class]) > 0 {
+			return class
+		}
 	}
-	return ClassDocument
+	return ClassReport
 }
 
 // popMember sends ahead of the budget, and drops what would be too far ahead.
--- a/internal/transport/queue_test.go
+++ b/internal/transport/queue_test.go
@@ -30,11 +30,11 @@
 func TestQueueOrdersClasses(t *testing.T) {
 	is := is.New(t)
 	queue := transport.NewQueue(transport.DefaultBudget())
-	for _, kind := range []message.Type{message.TypePins, message.TypeRecords, message.TypePing} {
+	for _, kind := range []message.Type{message.TypePins, message.TypeInForce, message.TypePlacements, message.TypeRecords, message.TypePing} {
 		is.True(queue.Push(queued(kind, 100)))
 	}
 	_, kinds := drain(queue, time.Unix(0, 0))
-	is.Equal(kinds, []message.Type{message.TypePing, message.TypeRecords, message.TypePins})
+	is.Equal(kinds, []message.Type{message.TypePing, message.TypeRecords, message.TypePlacements, message.TypeInForce, message.TypePins})
 }
 
 func TestQueueDropsHintsFirst(t *testing.T) {
