Read the machine list fast while alone; repeat the zone's report until written

A report of what is in force that could not be written was lost until the next one, up to 10 s later. It is now repeated after 1 s unless there is a newer one.

--- a/internal/node/machinelist.go
+++ b/internal/node/machinelist.go
@@ -15,22 +15,25 @@
 
 // Reading of the machine list.
 const (
-	machinesInterval = 2 * time.Second // while this node knows no other member
-	// joinedInterval spares the platform once the membership has taken over.
-	joinedInterval  = 10 * time.Second
+	// aloneInterval is short: a node that knows no other member takes itself
+	// for the only one, and decides on flows as such.
+	aloneInterval = 300 * time.Millisecond
+	// startInterval holds for startTime, in which a fleet that starts comes together.
+	startInterval = time.Second
+	startTime     = 30 * time.Second
+	// settledInterval spares the platform once the membership has taken over.
+	settledInterval = 10 * time.Second
 	machinesTimeout = time.Second
 )
 
 // followMachines reads the platform's machine list until ctx ends.
 func (node *Node) followMachines(ctx context.Context) {
 	client := &http.Client{Timeout: machinesTimeout}
+	started := time.Now()
 	failed := false
 	for {
 		failed = node.readMachines(ctx, client, failed)
-		interval := machinesInterval
-		if len(node.directory.all()) > 1 {
-			interval = joinedInterval
-		}
+		interval := machinesInterval(len(node.directory.all()), time.Since(started))
 		// Half of it at random, so that nodes started together do not ask together.
 		interval = interval/2 + rand.N(interval)
 		select {
@@ -41,6 +44,17 @@
 	}
 }
 
+// machinesInterval gives the mean time between two reads of the list.
+func machinesInterval(members int, sinceStart time.Duration) time.Duration {
+	switch {
+	case members < 2:
+		return aloneInterval
+	case sinceStart < startTime:
+		return startInterval
+	}
+	return settledInterval
+}
+
 // readMachines reads the list once and tells whether that failed. Of failures
 // in a row only the first is logged as a problem.
 func (node *Node) readMachines(ctx context.Context, client *http.Client, failedBefore bool) (failed bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	targets   probeTargets // owned by the watch of the store
 	admin     *http.Server
 
+	statusMutex   sync.Mutex // held while the zone's report is written
 	adminListener net.Listener
 	opened        atomic.Bool // all endpoints are open
 	ready         atomic.Bool
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -29,9 +29,10 @@
 // storeQueue holds the publisher's requests. The publisher bounds the writes
 // and reads outstanding; of the zone's reports only the latest is kept.
 type storeQueue struct {
-	mutex sync.Mutex
-	queue []storeWork
-	wake  chan struct{} // has one element when there may be work
+	mutex  sync.Mutex
+	queue  []storeWork
+	latest *catalog.ZoneStatus // the last report added
+	wake   chan struct{}       // has one element when there may be work
 }
 
 func newStoreQueue() *storeQueue { return &storeQueue{wake: make(chan struct{}, 1)} }
@@ -41,15 +42,36 @@
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	if work.status != nil {
+		queue.latest = work.status
 		queue.queue = slices.DeleteFunc(queue.queue, func(old storeWork) bool { return old.status != nil })
 	}
+	queue.append(work)
+}
+
+// repeat adds a report again, unless there is a later one.
+func (queue *storeQueue) repeat(status *catalog.ZoneStatus) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	if queue.latest == status {
+		queue.append(storeWork{status: status})
+	}
+}
+
+func (queue *storeQueue) append(work storeWork) {
 	queue.queue = append(queue.queue, work)
 	select {
 	case queue.wake <- struct{}{}:
-	default:
+	default: // whoever takes the work is to be woken already
 	}
 }
 
+// isLatest tells whether no later report was added.
+func (queue *storeQueue) isLatest(status *catalog.ZoneStatus) bool {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.latest == status
+}
+
 // take gives all work that waits.
 func (queue *storeQueue) take() []storeWork {
 	queue.mutex.Lock()
@@ -63,6 +85,7 @@
 const (
 	storeRequests    = 16              // at a time, as many as the publisher has outstanding
 	storeWorkTimeout = 8 * time.Second // below the publisher's WriteTimeout
+	statusRetry      = time.Second     // after a report that could not be written
 )
 
 // workStore carries out the publisher's requests until ctx ends.
@@ -84,14 +107,16 @@
 	}
 }
 
-func (node *Node) do(ctx context.Context, work storeWork) {
-	ctx, cancel := context.WithTimeout(ctx, storeWorkTimeout)
+func (node *Node) do(running context.Context, work storeWork) {
+	ctx, cancel := context.WithTimeout(running, storeWorkTimeout)
 	defer cancel()
 	switch {
 	case work.write != nil:
 		node.engine.publisherInput(&controller.Event{Result: node.write(ctx, work.write)})
 	case work.status != nil:
-		node.writeStatus(ctx, work.status)
+		if !node.writeStatus(ctx, work.status) {
+			node.repeatStatus(running, work.status)
+		}
 	case work.epoch != "":
 		node.overwrite(ctx, controller.EpochKey, []byte(work.epoch), work.epoch)
 	default:
@@ -150,23 +175,41 @@
 	return &controller.ReadBack{Service: service, Document: documentOf(&kv, false)}
 }
 
-// writeStatus writes the zone's report.
-func (node *Node) writeStatus(ctx context.Context, status *catalog.ZoneStatus) {
+// writeStatus writes the zone's report, unless there is a later one, and tells
+// whether that is done. One report is written at a time, so that a late write
+// does not put an older one in place of a newer one.
+func (node *Node) writeStatus(ctx context.Context, status *catalog.ZoneStatus) bool {
+	node.statusMutex.Lock()
+	defer node.statusMutex.Unlock()
+	if !node.engine.work.isLatest(status) {
+		return true
+	}
 	report := *status
 	report.UnixMillis = time.Now().UnixMilli()
 	key := catalog.StatusKey(report.Zone)
 	value, err := catalog.EncodeZoneStatus(&report)
 	if err != nil {
 		node.logStoreWrite(err, key)
-		return
+		return true // would be no better the next time
 	}
 	writeID := fmt.Sprintf("%s/%s/%d", report.Writer, report.Zone, report.UnixMillis)
-	node.overwrite(ctx, key, value, writeID)
+	return node.overwrite(ctx, key, value, writeID)
+}
+
+// repeatStatus puts a report that could not be written back into the queue
+// after a while, unless there is a later one.
+func (node *Node) repeatStatus(running context.Context, status *catalog.ZoneStatus) {
+	select {
+	case <-running.Done():
+	case <-time.After(statusRetry):
+		if node.engine.isWatcher() {
+			node.engine.work.repeat(status)
+		}
+	}
 }
 
-// overwrite puts a value whatever is there. A lost race is not repeated: who
-// asked for the write asks again while it is needed.
-func (node *Node) overwrite(ctx context.Context, key string, value []byte, writeID string) {
+// overwrite puts a value whatever is there, and tells whether it did.
+func (node *Node) overwrite(ctx context.Context, key string, value []byte, writeID string) bool {
 	current, err := node.store.Get(ctx, key)
 	if err == nil {
 		_, err = node.store.CompareAndSwap(ctx, &current, value, writeID, 0)
@@ -174,6 +217,7 @@
 	if err != nil {
 		node.logStoreWrite(err, key)
 	}
+	return err == nil
 }
 
 // logStoreWrite logs a write that failed. That another publisher was first is
