--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -78,11 +78,10 @@
 	switch {
 	case isMember && !wasMember:
 		bucket.memberSince = core.now
-		bucket.memberStamp = core.stamp
 	case !isMember:
 		bucket.memberSince = notInChain
 		if wasMember {
-			bucket.leftStamp = core.stamp
+			bucket.leftBefore, bucket.leftStamp = bucket.leftStamp, core.stamp
 		}
 	}
 	core.countHeaded(service, previous, pair)
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -44,8 +44,8 @@
 type bucket struct {
 	chain       chain
 	memberSince time.Duration // notInChain outside the chain
-	memberStamp stamp         // when this node last entered the chain
 	leftStamp   stamp         // when this node last left the chain
+	leftBefore  stamp         // when it left the time before
 	tailSince   stamp         // answers of the present tail are later than this
 	records     flowTable
 	pins        *flowTable // hints of heads, at an ingress
--- a/internal/core/tail.go
+++ b/internal/core/tail.go
@@ -158,21 +158,25 @@
 }
 
 // confirmed tells whether a tail is known to have answered with the record
-// since this node last entered or left the chain or lost trust in its view.
+// since this node last left the chain or lost trust in its view.
 func (core *Core) confirmed(bucket *bucket, entry *record) bool {
-	return core.wasConfirmed(bucket, entry) && !bucket.outdates(entry)
+	return core.confirmedSince(bucket.leftStamp, entry)
 }
 
-// wasConfirmed is confirmed as of when this node left the chain, if it has.
+// wasConfirmed is confirmed as of when this node left the chain, if it is out of it.
 func (core *Core) wasConfirmed(bucket *bucket, entry *record) bool {
-	if entry.flags&recordConfirmed == 0 {
-		return false
+	if bucket.memberSince != notInChain {
+		return core.confirmed(bucket, entry)
 	}
-	return entry.learnedAt >= max(bucket.memberStamp, toStamp(core.sureSince))
+	return core.confirmedSince(bucket.leftBefore, entry)
 }
 
-// outdates tells whether the record is from before this node last entered or
-// left the chain: the chain may have placed the flow anew since.
+func (core *Core) confirmedSince(since stamp, entry *record) bool {
+	return entry.flags&recordConfirmed != 0 && entry.learnedAt >= max(since, toStamp(core.sureSince))
+}
+
+// outdates tells whether the record is from before this node last left the
+// chain: the chain may have placed the flow anew since.
 func (bucket *bucket) outdates(entry *record) bool {
-	return entry.learnedAt < max(bucket.memberStamp, bucket.leftStamp)
+	return entry.learnedAt < bucket.leftStamp
 }
