--- a/internal/lab/runs/fault.go
+++ b/internal/lab/runs/fault.go
@@ -16,7 +16,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
-// mostListed is how many broken flows a run lists.
+// mostListed is how many broken flows, and flows never opened, a run lists.
 const mostListed = 5
 
 // Limits of a fault run.
@@ -128,7 +128,11 @@
 		run.violate("%d flows broken", len(checked.Broken))
 	}
 	for _, failure := range checked.Broken[:min(mostListed, len(checked.Broken))] {
-		run.figure("broken: %s %s at %s by %s", failure.Kind, failure.ID, failure.Host, failure.Cause)
+		run.figure("broken: %s %s (%s) at %s by %s", failure.Kind, failure.ID, failure.Local, failure.Host, failure.Cause)
+	}
+	for _, failure := range checked.Unanswered[:min(mostListed, len(checked.Unanswered))] {
+		at := time.UnixMilli(failure.UnixMillis).UTC().Format(time.TimeOnly)
+		run.figure("never opened: %s %s (%s), given up at %s", failure.Kind, failure.ID, failure.Local, at)
 	}
 	lists := []struct {
 		name  string
