--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -54,9 +54,10 @@
 	}
 }
 
-// recorded hands over at once what a leaving node still records.
+// recorded hands over at once what a leaving node still records, be it an
+// opening in a bucket at rest: others may still take this node for the tail.
 func (handover *handover) recorded(core *Core, service *service, index uint16, entry *record) {
-	if !core.leaving || core.off.noHandoverBeforeLeave || !core.matters(service, index, entry) {
+	if !core.leaving || core.off.noHandoverBeforeLeave {
 		return
 	}
 	bucket := &service.buckets[index]
