Share chains between buckets; take in what the models found

Cause: internal/scale: a chain per service and bucket is 3.37 million buckets of state at 3,300 services, walked at every change of the membership and at each new service (rank: half of all processor time at 48 nodes; heap 18 MB a node with 188 services). And spec/: F4 vouching while a node is missing, F6 packets that waited over a pause, F7 a guess counted as clean, F8 clean reported before the history was watched, F9 the head takes any returned answer, F3 a node that has just joined. Ruled out: chains of pointers allocated when needed (still a walk over all buckets); fewer buckets (imbalance). Change: 4,096 chain groups shared by all services; buckets exist only while something is held of them; front ends are indexed one by one.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -19,7 +19,7 @@
 	if limit == 0 {
 		return true
 	}
-	rate := limit * openingTokens * int64(service.headed) / lb.BucketCount
+	rate := limit * openingTokens * int64(core.headed(service)) / lb.BucketCount
 	if rate != service.admissionRate {
 		service.admission = resized(service.admission, rate, core.now, service.admissionRate == 0)
 		service.admissionRate = rate
--- a/internal/core/chain.go
+++ b/internal/core/chain.go
@@ -1,14 +1,22 @@
-// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
 	"time"
 
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 )
 
-// chain is the head and the tail of one bucket in this node's view. Both are
-// nil when no node may be in chains; the tail alone when there is one node.
+// ChainGroups is the number of chains. Every bucket of every service belongs
+// to one of them, so that the cost of a change of the membership and the
+// memory for chains do not grow with the services (docs/DESIGN.md, "The chain").
+const ChainGroups = 4096
+
+// groupsKey is the name under which the chains of groups are ranked.
+const groupsKey = "chain-groups"
+
+// chain is the head and the tail of a group in this node's view. Both are nil
+// when no node may be in chains; the tail alone when there is one node.
 type chain struct {
 	head, tail *node
 }
@@ -17,27 +25,72 @@
 	return member != nil && (pair.head == member || pair.tail == member)
 }
 
-// notInChain is the value of bucket.memberSince outside the chain.
+// group is a chain and this node's part in it, shared by the buckets that hash to it.
+type group struct {
+	chain       chain
+	memberSince time.Duration // notInChain outside the chain
+	leftStamp   stamp         // when this node last left the chain
+	leftBefore  stamp         // when it left the time before
+	tailSince   stamp         // answers of the present tail are later than this
+}
+
+// notInChain is the value of group.memberSince outside the chain.
 const notInChain = time.Duration(-1)
 
-// updateChains recomputes the chains of the service that the changed nodes may
-// be in, or enter.
-func (core *Core) updateChains(service *service, changed []*node) {
+// newGroups gives groups without chains.
+func newGroups() []group {
+	groups := make([]group, ChainGroups)
+	for index := range groups {
+		groups[index].memberSince = notInChain
+	}
+	return groups
+}
+
+// groupOf gives the group of a bucket.
+func (core *Core) groupOf(service *service, index uint16) *group {
+	return &core.groups[uint64(service.key.BucketKey(index))%ChainGroups]
+}
+
+// updateChains recomputes the chains that the changed nodes are in, or enter,
+// and hands records over to those who enter.
+func (core *Core) updateChains(changed []*node) {
 	if len(changed) == 0 {
 		return
 	}
-	for index := range service.buckets {
-		bucket := &service.buckets[index]
-		key := service.key.BucketKey(uint16(index))
-		if bucket.affectedBy(key, changed) {
-			core.setChain(service, uint16(index), core.rank(key))
+	previous := make(map[*group]chain)
+	for index := range core.groups {
+		member := &core.groups[index]
+		key := core.groupsKey.BucketKey(uint16(index))
+		if !member.affectedBy(key, changed) {
+			continue
+		}
+		before := member.chain
+		if core.setChain(member, core.rank(key)) {
+			previous[member] = before
 		}
 	}
+	core.chainChanges++
+	core.handOverChanged(previous)
+}
+
+// handOverChanged hands records of the buckets whose chains changed over to the entrants.
+func (core *Core) handOverChanged(previous map[*group]chain) {
+	if len(previous) == 0 {
+		return
+	}
+	for _, service := range core.ordered {
+		service.each(func(index uint16, bucket *bucket) {
+			before, found := previous[bucket.group]
+			if found && (before.has(core.self) || bucket.group.chain.has(core.self) || core.leaving) {
+				core.handOverToEntrants(service, index, before, bucket.group.chain)
+			}
+		})
+	}
 }
 
 // affectedBy tells whether any of the nodes is in the chain or would be by its score.
-func (bucket *bucket) affectedBy(key rendezvous.Key, changed []*node) bool {
-	pair := bucket.chain
+func (member *group) affectedBy(key rendezvous.Key, changed []*node) bool {
+	pair := member.chain
 	if pair.head == nil || pair.tail == nil || pair.head.Zone == pair.tail.Zone {
 		return true
 	}
@@ -62,43 +115,27 @@
 	return pair
 }
 
-// setChain takes a bucket's new chain. A node of the old or the new chain hands
-// its records to whoever enters.
-func (core *Core) setChain(service *service, index uint16, pair chain) {
-	bucket := &service.buckets[index]
-	previous := bucket.chain
+// setChain takes a group's new chain and tells whether it differs.
+func (core *Core) setChain(member *group, pair chain) bool {
+	previous := member.chain
 	if previous == pair {
-		return
+		return false
 	}
-	bucket.chain = pair
+	member.chain = pair
 	wasMember, isMember := previous.has(core.self), pair.has(core.self)
 	if previous.tail != pair.tail || !wasMember {
-		bucket.tailSince = core.stamp + 1
+		member.tailSince = core.stamp + 1
 	}
 	switch {
 	case isMember && !wasMember:
-		bucket.memberSince = core.now
+		member.memberSince = core.now
 	case !isMember:
-		bucket.memberSince = notInChain
+		member.memberSince = notInChain
 		if wasMember {
-			bucket.leftBefore, bucket.leftStamp = bucket.leftStamp, core.stamp
+			member.leftBefore, member.leftStamp = member.leftStamp, core.stamp
 		}
 	}
-	core.countHeaded(service, previous, pair)
-	if wasMember || isMember || core.leaving {
-		core.handOverToEntrants(service, index, previous, pair)
-	}
-}
-
-// countHeaded keeps the number of buckets that this node heads: its share of
-// the service's limit of new flows.
-func (core *Core) countHeaded(service *service, previous, pair chain) {
-	if previous.head == core.self {
-		service.headed--
-	}
-	if pair.head == core.self {
-		service.headed++
-	}
+	return true
 }
 
 func (core *Core) handOverToEntrants(service *service, index uint16, previous, pair chain) {
@@ -112,22 +149,39 @@
 	}
 }
 
-// heads tells whether this node decides openings of the bucket: it is the
+// headed is the number of the service's buckets that this node heads: its share
+// of the service's limit of new flows.
+func (core *Core) headed(service *service) int {
+	if service.headedAt == core.chainChanges {
+		return service.headedBuckets
+	}
+	service.headedAt = core.chainChanges
+	service.headedBuckets = 0
+	for index := range uint16(lb.BucketCount) {
+		if core.groupOf(service, index).chain.head == core.self {
+			service.headedBuckets++
+		}
+	}
+	return service.headedBuckets
+}
+
+// heads tells whether this node decides openings of the group: it is the
 // head, or no node may be.
-func (core *Core) heads(bucket *bucket) bool {
-	return bucket.chain.head == core.self || bucket.chain.head == nil
+func (core *Core) heads(member *group) bool {
+	return member.chain.head == core.self || member.chain.head == nil
 }
 
 // vouches tells whether this node knows every opening of the bucket that may
 // still be retransmitted: it has been in the chain for OpeningHold, without a
-// pause or loss of contact.
-func (core *Core) vouches(service *service, bucket *bucket) bool {
+// pause or loss of contact, and no node is missing that may have forwarded a
+// copy on the other side of a cut.
+func (core *Core) vouches(service *service, member *group) bool {
 	if core.off.noVouchBeforeNotRun {
 		return true
 	}
-	if !core.sure || bucket.memberSince == notInChain {
+	if !core.sure || member.memberSince == notInChain || core.isNodeMissing() {
 		return false
 	}
-	since := max(bucket.memberSince, core.sureSince, service.frontendsSince)
+	since := max(member.memberSince, core.sureSince, service.frontendsSince)
 	return core.now-since >= core.settings.OpeningHold
 }
--- a/internal/core/clean.go
+++ b/internal/core/clean.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 )
@@ -36,10 +37,13 @@
 	if !core.sure || core.leaving {
 		return
 	}
+	if len(service.table.Document().History) == 0 {
+		return
+	}
 	var buckets []uint16
-	for index := range service.buckets {
-		if core.isClean(service, uint16(index)) {
-			buckets = append(buckets, uint16(index))
+	for index := range uint16(lb.BucketCount) {
+		if core.isClean(service, index) {
+			buckets = append(buckets, index)
 		}
 	}
 	if len(buckets) == 0 {
@@ -51,22 +55,41 @@
 	}
 }
 
-// isClean tells whether this node heads the bucket, has done so for the life of
-// a record, and knows of no flow away from the base.
+// isClean tells whether this node heads the bucket, has done so, with the
+// history as it is, for the life of a record, and knows of no flow away from
+// the base. A guess that no tail has confirmed may be wrong, and counts as one.
 func (core *Core) isClean(service *service, index uint16) bool {
-	bucket := &service.buckets[index]
-	if bucket.chain.head != core.self || !service.table.HasHistory(index) || service.table.InMotion(index) {
+	member := core.groupOf(service, index)
+	if member.chain.head != core.self || !service.table.HasHistory(index) || service.table.InMotion(index) {
 		return false
 	}
-	if core.now-max(bucket.memberSince, core.sureSince) < core.recordLifetime() {
+	if core.now-core.completeSince(service, member) < core.recordLifetime() {
 		return false
 	}
+	bucket := service.buckets[index]
+	if bucket == nil {
+		return true
+	}
 	base := service.table.Base(index)
 	for slot := range bucket.records.slots {
 		entry := &bucket.records.slots[slot]
-		if entry.flags != 0 && !entry.refused() && entry.backend != base {
+		if entry.flags == 0 || entry.refused() {
+			continue
+		}
+		guess := !core.confirmed(member, entry) && entry.openingID == 0 && !core.off.noCleanOnlyConfirmed
+		if entry.backend != base || guess {
 			return false
 		}
 	}
 	return true
 }
+
+// completeSince is the time since when every flow of the bucket that sent a
+// packet away from the base went by this node.
+func (core *Core) completeSince(service *service, member *group) time.Duration {
+	since := max(member.memberSince, core.sureSince)
+	if core.off.noCleanWait {
+		return since
+	}
+	return max(since, service.historySince)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,10 +1,10 @@
-// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
 	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/rendezvous"
 )
 
 // Core decides for one balancer. It is not safe for concurrent use: one
@@ -20,14 +20,26 @@
 	nodes   map[lb.NodeID]*node
 	byHash  map[lb.NodeHash]*node
 	members memberList
+	// groups are the chains; chainChanges counts their changes.
+	groups       []group
+	groupsKey    rendezvous.Key
+	chainChanges uint64
 
-	services  map[lb.ServiceName]*service
-	ordered   []*service // by name, so that walks are deterministic
-	frontends map[frontendKey]*service
+	services map[lb.ServiceName]*service
+	ordered  []*service // by name, so that walks are deterministic
+	// bucketCount is the number of buckets of which something is held, over all services.
+	bucketCount int
+	frontends   map[frontendKey]*service
 
 	sure      bool          // the view may be trusted
 	sureSince time.Duration // when it last became so
-	leaving   bool
+	// drainUntil: packets up to then may have waited in a socket over a pause.
+	drainUntil time.Duration
+	// joinedAt is when this node first saw others; zero before that.
+	joinedAt time.Duration
+	// missing are nodes that vanished without having left, and when.
+	missing map[lb.NodeID]time.Duration
+	leaving bool
 
 	hints    hintQueue
 	handover handover
@@ -47,6 +59,9 @@
 		byHash:    make(map[lb.NodeHash]*node),
 		services:  make(map[lb.ServiceName]*service),
 		frontends: make(map[frontendKey]*service),
+		groups:    newGroups(),
+		groupsKey: rendezvous.NewKey(groupsKey),
+		missing:   make(map[lb.NodeID]time.Duration),
 		sure:      true,
 	}
 	core.self = core.node(settings.Self)
@@ -98,6 +113,7 @@
 	core.stamp = toStamp(now)
 	if paused && !core.off.noUnsureAfterPause {
 		core.stats.Pauses++
+		core.drainUntil = now + TickInterval
 		core.distrust()
 	}
 }
@@ -125,10 +141,8 @@
 func (core *Core) regain() {
 	core.sure = true
 	core.sureSince = core.now
-	for _, service := range core.ordered {
-		for index := range service.buckets {
-			service.buckets[index].tailSince = core.stamp + 1
-		}
+	for index := range core.groups {
+		core.groups[index].tailSince = core.stamp + 1
 	}
 }
 
--- a/internal/core/expiry.go
+++ b/internal/core/expiry.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"robinpulley.example/robinpulley/internal/lb"
 )
 
 // sweepShare is the part of OpeningHold in which all records are looked at once.
@@ -11,14 +9,14 @@
 
 // sweeper ends records, some buckets at each tick.
 type sweeper struct {
-	service int // index in Core.ordered
-	bucket  int
+	service int      // index in Core.ordered
+	indexes []uint16 // of its buckets that are still to be looked at
 	sweptAt time.Duration
 }
 
 // run looks at the next buckets: as many as make a round in the time of a round.
 func (sweeper *sweeper) run(core *Core) {
-	total := len(core.ordered) * lb.BucketCount
+	total := core.bucketCount
 	period := core.settings.OpeningHold / sweepShare
 	elapsed := min(core.now-sweeper.sweptAt, period)
 	due := total * int(elapsed/time.Millisecond) / int(period/time.Millisecond)
@@ -33,20 +31,25 @@
 
 // next looks at one bucket.
 func (sweeper *sweeper) next(core *Core) {
-	if sweeper.service >= len(core.ordered) {
-		sweeper.service = 0
+	for range core.ordered {
+		if len(sweeper.indexes) > 0 {
+			break
+		}
+		sweeper.service = (sweeper.service + 1) % len(core.ordered)
+		sweeper.indexes = core.ordered[sweeper.service].indexes()
 	}
-	service := core.ordered[sweeper.service]
-	core.sweepBucket(service, uint16(sweeper.bucket))
-	sweeper.bucket++
-	if sweeper.bucket == len(service.buckets) {
-		sweeper.bucket = 0
-		sweeper.service++
+	if len(sweeper.indexes) == 0 {
+		return
 	}
+	core.sweepBucket(core.ordered[sweeper.service], sweeper.indexes[0])
+	sweeper.indexes = sweeper.indexes[1:]
 }
 
 func (core *Core) sweepBucket(service *service, index uint16) {
-	bucket := &service.buckets[index]
+	bucket := service.buckets[index]
+	if bucket == nil {
+		return
+	}
 	if bucket.records.count > 0 {
 		bucket.records.sweep(func(entry *record) bool { return core.recordOver(service, index, entry) })
 	}
@@ -62,6 +65,7 @@
 			bucket.known = nil
 		}
 	}
+	core.forgetEmpty(service, index)
 }
 
 // recordOver tells whether a record has ended. Tombstones, and records of flows
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -98,7 +98,7 @@
 
 // add queues the records of a bucket for a node.
 func (handover *handover) add(ref bucketRef, to *node) {
-	if ref.service.buckets[ref.index].records.len() == 0 {
+	if bucket := ref.service.buckets[ref.index]; bucket == nil || bucket.records.len() == 0 {
 		return
 	}
 	entry := handover.target(to)
@@ -215,7 +215,10 @@
 }
 
 func (entry *target) readBucket(core *Core, next bucketRef) {
-	bucket := &next.service.buckets[next.index]
+	bucket := next.service.buckets[next.index]
+	if bucket == nil {
+		return
+	}
 	for slot := range bucket.records.slots {
 		found := &bucket.records.slots[slot]
 		if found.flags != 0 && core.wanted(next, found) {
@@ -226,7 +229,7 @@
 }
 
 func (core *Core) classOf(service *service, bucket *bucket, entry *record) batchClass {
-	return batchClass{service: service, unconfirmed: !core.wasConfirmed(bucket, entry)}
+	return batchClass{service: service, unconfirmed: !core.wasConfirmed(bucket.group, entry)}
 }
 
 // nextBatch makes a Records of the first flows that are of one class.
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -14,7 +14,7 @@
 // to decide, two chains without a common node could.
 func (current *turn) relayedToHead() {
 	core, relay := current.core, current.packet.Relay
-	if core.heads(current.bucket) {
+	if core.heads(current.group) {
 		current.head(relay)
 		return
 	}
@@ -27,13 +27,13 @@
 	}
 	relay.Rerouted = true
 	core.stats.Rerouted++
-	current.relay(current.bucket.chain.head, relay)
+	current.relay(current.group.chain.head, relay)
 }
 
 // forwardByRecord forwards a later packet of a flow whose back end is certain.
 func (current *turn) forwardByRecord() bool {
-	entry := current.bucket.records.get(current.flow)
-	if entry == nil || entry.refused() || !current.core.confirmed(current.bucket, entry) {
+	entry := current.record()
+	if entry == nil || entry.refused() || !current.core.confirmed(current.group, entry) {
 		return false
 	}
 	current.forward(entry.backend)
@@ -52,7 +52,7 @@
 // headOpening handles an opening.
 func (current *turn) headOpening(relay lb.Relay) {
 	core := current.core
-	entry := current.bucket.records.get(current.flow)
+	entry := current.record()
 	if entry != nil && entry.openingID == current.packet.OpeningID {
 		entry.lastSeen = core.stamp
 		current.propose(relay, current.proposalOf(entry))
@@ -65,7 +65,7 @@
 			current.propose(relay, current.proposalOf(entry))
 			return
 		}
-		if core.confirmed(current.bucket, entry) && current.maybePinned(entry) {
+		if core.confirmed(current.group, entry) && current.maybePinned(entry) {
 			current.refuse(lb.MayHaveRun, ReasonTupleReuse)
 			return
 		}
@@ -95,20 +95,20 @@
 	return proposal{
 		backend: entry.backend,
 		refuse:  entry.refused(),
-		known:   current.core.confirmed(current.bucket, entry),
+		known:   current.core.confirmed(current.group, entry),
 	}
 }
 
 // headLater handles a packet after the opening, or a UDP packet.
 func (current *turn) headLater(relay lb.Relay) {
 	core := current.core
-	entry := current.bucket.records.get(current.flow)
+	entry := current.record()
 	switch {
 	case entry == nil:
 		chosen := proposal{backend: current.unrecorded(relay)}
 		current.keep(chosen, false)
 		current.propose(relay, chosen)
-	case entry.refused() && core.confirmed(current.bucket, entry):
+	case entry.refused() && core.confirmed(current.group, entry):
 		current.drop(ReasonStray)
 	default:
 		entry.lastSeen = core.stamp
@@ -133,13 +133,13 @@
 // seenByTail tells whether the present tail has the record and saw the flow lately.
 func (current *turn) seenByTail(entry *record) bool {
 	core := current.core
-	if !core.confirmed(current.bucket, entry) {
+	if !core.confirmed(current.group, entry) {
 		return false
 	}
-	if current.bucket.chain.tail == nil {
+	if current.group.chain.tail == nil {
 		return true
 	}
-	if entry.learnedAt < current.bucket.tailSince {
+	if entry.learnedAt < current.group.tailSince {
 		return false
 	}
 	return core.stamp-entry.learnedAt < toStamp(core.settings.PinLifetime)
@@ -160,7 +160,7 @@
 // there is none.
 func (current *turn) propose(relay lb.Relay, chosen proposal) {
 	core := current.core
-	if current.bucket.chain.tail == nil {
+	if current.group.chain.tail == nil {
 		current.conclude(chosen, false)
 		return
 	}
@@ -169,7 +169,7 @@
 	relay.Proposal = chosen.backend
 	relay.Refuse = chosen.refuse
 	relay.Known = chosen.known
-	relay.Vouched = core.vouches(current.service, current.bucket)
+	relay.Vouched = core.vouches(current.service, current.group)
 	relay.Rerouted = false
-	current.relay(current.bucket.chain.tail, relay)
+	current.relay(current.group.chain.tail, relay)
 }
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -1,4 +1,3 @@
-// NOTE(lead to core helper): read internal/core/FINDINGS-*.txt and /tmp/spec-findings.md now, then delete this line.
 package core
 
 import (
--- a/internal/core/ingress.go
+++ b/internal/core/ingress.go
@@ -23,11 +23,11 @@
 		return
 	}
 	established := current.established()
-	if core.heads(current.bucket) {
+	if core.heads(current.group) {
 		current.head(lb.Relay{Ingress: core.self.Hash, Established: established})
 		return
 	}
-	if pin := current.bucket.pins.get(current.flow); pin != nil && core.stamp-pin.lastSeen < toStamp(core.settings.PinLifetime) {
+	if pin := current.pin(); pin != nil && core.stamp-pin.lastSeen < toStamp(core.settings.PinLifetime) {
 		core.stats.PinnedPackets++
 		current.forward(pin.backend)
 		return
@@ -38,7 +38,33 @@
 // calm tells whether every flow of the bucket is on the base back end, as far
 // as this node can tell.
 func (current *turn) calm() bool {
-	return current.core.sure && stateless(current.service.table, current.index)
+	core := current.core
+	return core.sure && !core.justJoined() && stateless(current.service.table, current.index)
+}
+
+// joinHold is longer than any placement waits to be acknowledged (docs/DESIGN.md,
+// "Placement"). A placement that was prepared before this node counted as a
+// member did not wait for it.
+const joinHold = 3 * time.Second
+
+func (core *Core) justJoined() bool {
+	return core.joinedAt != 0 && core.now-core.joinedAt < joinHold && !core.members.alone()
+}
+
+// pin gives the pin of the flow, or nil.
+func (current *turn) pin() *record {
+	if current.bucket == nil {
+		return nil
+	}
+	return current.bucket.pins.get(current.flow)
+}
+
+// knownFlow gives the entry of the UDP flow among those that this node knows, or nil.
+func (current *turn) knownFlow() *record {
+	if current.bucket == nil {
+		return nil
+	}
+	return current.bucket.known.get(current.flow)
 }
 
 // throughChain passes a packet from the fabric to the head.
@@ -50,11 +76,11 @@
 		Version:     current.service.table.Version(),
 		Established: established,
 	}
-	if core.heads(current.bucket) {
+	if core.heads(current.group) {
 		current.head(relay)
 		return
 	}
-	current.relay(current.bucket.chain.head, relay)
+	current.relay(current.group.chain.head, relay)
 }
 
 // forwardToBase forwards a packet of a bucket that needs no records. UDP flows
@@ -62,12 +88,12 @@
 func (current *turn) forwardToBase() {
 	base := current.service.table.Base(current.index)
 	if current.packet.Kind == PacketUnmarked {
-		entry := current.core.known(current.bucket, current.flow)
+		entry := current.core.known(current.held(), current.flow)
 		learned := entry.backend != base
 		entry.backend = base
 		entry.lastSeen = current.core.stamp
 		if learned {
-			current.core.handover.learned(current.core, current.service, current.bucket, entry)
+			current.core.handover.learned(current.core, current.service, current.held(), entry)
 		}
 	}
 	current.forward(base)
@@ -88,7 +114,7 @@
 		return false
 	}
 	core := current.core
-	entry := current.bucket.known.get(current.flow)
+	entry := current.knownFlow()
 	if entry == nil || entry.backend != current.service.table.Base(current.index) {
 		return false
 	}
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -18,9 +18,7 @@
 		return
 	}
 	for _, service := range core.ordered {
-		for index := range service.buckets {
-			core.handOverAllKnown(service, uint16(index))
-		}
+		service.each(func(index uint16, bucket *bucket) { core.handOverAllKnown(service, index, bucket) })
 	}
 	for _, target := range core.handover.targets {
 		target.addYoung()
@@ -47,10 +45,9 @@
 
 // handOverAllKnown gives the head the UDP flows that this node knows: another
 // node may not have seen them.
-func (core *Core) handOverAllKnown(service *service, index uint16) {
-	bucket := &service.buckets[index]
-	if bucket.known.len() > 0 && bucket.chain.head != nil {
-		core.handOverKnownTo(service, index, bucket.chain.head)
+func (core *Core) handOverAllKnown(service *service, index uint16, bucket *bucket) {
+	if head := bucket.group.chain.head; bucket.known.len() > 0 && head != nil {
+		core.handOverKnownTo(service, index, head)
 	}
 }
 
@@ -60,8 +57,9 @@
 	if !core.leaving || core.off.noHandoverBeforeLeave {
 		return
 	}
-	bucket := &service.buckets[index]
-	for _, successor := range [...]*node{bucket.chain.head, bucket.chain.tail} {
+	bucket := service.buckets[index]
+	pair := bucket.group.chain
+	for _, successor := range [...]*node{pair.head, pair.tail} {
 		if successor != nil && successor != core.self {
 			handover.queue(successor, core.classOf(service, bucket, entry), entry)
 		}
@@ -70,7 +68,7 @@
 
 // learned hands over at once a UDP flow that a leaving node has just seen.
 func (handover *handover) learned(core *Core, service *service, bucket *bucket, entry *record) {
-	head := bucket.chain.head
+	head := bucket.group.chain.head
 	if core.leaving && !core.off.noHandoverBeforeLeave && head != nil && head != core.self {
 		handover.queue(head, batchClass{service: service, unconfirmed: true, established: true}, entry)
 	}
@@ -79,19 +77,18 @@
 // handOverKnown gives the chains the UDP flows that this node knows in buckets
 // that begin to move: all of them are on the previous base back end.
 func (core *Core) handOverKnown(service *service, previous *placement.Table) {
-	for index := range service.buckets {
-		bucket := &service.buckets[index]
-		begins := stateless(previous, uint16(index)) && !stateless(service.table, uint16(index))
+	service.each(func(index uint16, bucket *bucket) {
+		begins := stateless(previous, index) && !stateless(service.table, index)
 		if begins && bucket.known.len() > 0 {
-			core.handOverKnownIn(service, uint16(index))
+			core.handOverKnownIn(service, index)
 		}
-	}
+	})
 }
 
 // handOverKnownIn records the known flows of the bucket here if this node is in
 // the chain, and gives them to the others that are.
 func (core *Core) handOverKnownIn(service *service, index uint16) {
-	pair := service.buckets[index].chain
+	pair := core.groupOf(service, index).chain
 	for _, member := range [...]*node{pair.head, pair.tail} {
 		if member != nil {
 			core.handOverKnownTo(service, index, member)
@@ -101,7 +98,7 @@
 
 // handOverKnownTo gives one node the known flows of the bucket that are on the base back end.
 func (core *Core) handOverKnownTo(service *service, index uint16, to *node) {
-	bucket := &service.buckets[index]
+	bucket := service.buckets[index]
 	base := service.table.Base(index)
 	for slot := range bucket.known.slots {
 		entry := &bucket.known.slots[slot]
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -42,16 +42,52 @@
 	previous := core.members.eligible
 	core.members = core.newMemberList(members)
 	core.forgetNodes()
-	changed := symmetricDifference(previous, core.members.eligible)
-	for _, service := range core.ordered {
-		core.updateChains(service, changed)
-	}
+	core.noteMissing(previous)
+	core.updateChains(symmetricDifference(previous, core.members.eligible))
 	core.handover.dropAbsent()
 	if core.members.alone() {
 		core.sure = true
 	}
 }
 
+// missingHold is how many times OpeningHold a node that vanished counts as
+// missing: it may be alive behind a cut. After that it is taken as dead.
+const missingHold = 10
+
+// noteMissing notes the nodes that have vanished without leaving by plan, and
+// those that are back.
+func (core *Core) noteMissing(previous []*node) {
+	for _, known := range previous {
+		if !known.member && known != core.self {
+			core.missing[known.ID] = core.now
+		}
+	}
+	for id, since := range core.missing {
+		known := core.nodes[id]
+		if known != nil && known.member {
+			// It may have forwarded openings meanwhile, for as long as they are retransmitted.
+			core.missing[id] = min(since, core.now-(missingHold-1)*core.settings.OpeningHold)
+		}
+	}
+	if core.joinedAt == 0 && !core.members.alone() {
+		core.joinedAt = max(core.now, 1)
+	}
+}
+
+// isNodeMissing tells whether some node may be alive, and forward, unseen by this one.
+func (core *Core) isNodeMissing() bool {
+	if core.off.noVouchOnlyComplete {
+		return false
+	}
+	for id, since := range core.missing {
+		if core.now-since < missingHold*core.settings.OpeningHold {
+			return true
+		}
+		delete(core.missing, id)
+	}
+	return false
+}
+
 // newMemberList marks the nodes. A node whose zone changes is taken for
 // another one: chains depend on it.
 func (core *Core) newMemberList(members []Member) memberList {
--- /dev/null
+++ b/internal/core/model_test.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// The tests of this file repeat schedules in which the models of spec/ refuted
+// a rule, or found that one is needed: each also with the rule switched off.
+
+// ranTo steps a core by ticks to a time, so that no gap counts as a pause.
+func ranTo(core *Core, from, to time.Duration) {
+	var effects Effects
+	for now := from; now <= to; now += TickInterval {
+		core.Step(now, &Event{Tick: true}, &effects)
+	}
+}
+
+// TestPacketsThatWaitedOverAPauseAreDropped: refusal.pml, KEEPS_QUEUE_OVER_PAUSE.
+func TestPacketsThatWaitedOverAPauseAreDropped(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noDropAfterPause: true}} {
+		core, key := movingFlow(t)
+		core.off = off
+		core.settings.PauseLimit = time.Second
+		opening := Packet{Key: key, Kind: PacketOpening, OpeningID: 7}
+		queued := decide(core, time.Minute, opening)
+		is.Equal(queued.Action == ActionDrop, !off.noDropAfterPause)
+		is.Equal(queued.Reason == ReasonPaused, !off.noDropAfterPause)
+		is.Equal(decide(core, time.Minute+TickInterval, opening).Action, ActionRelay) // later ones are new
+	}
+}
+
+// TestLateReturnOfAnotherTailIsDropped: move.pml, HEAD_TAKES_ANY_RETURN.
+func TestLateReturnOfAnotherTailIsDropped(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noDropOfReturn: true}} {
+		head, key := movingFlow(t)
+		head.off = off
+		opening := Packet{Key: key, Kind: PacketOpening, OpeningID: 7}
+		proposed := decide(head, time.Second, opening)
+		var left []Member
+		for _, member := range testMembers {
+			if member.ID != proposed.Peer {
+				left = append(left, member)
+			}
+		}
+		var effects Effects
+		head.Step(2*time.Second, &Event{Members: left}, &effects)
+		is.True(decide(head, 2*time.Second, opening).Peer != proposed.Peer) // the next tail may forward it
+		late := opening
+		late.Relay = lb.Relay{Hop: lb.HopReturn, Known: true, Proposal: head.services[testService].table.Base(key.ID().Bucket())}
+		is.True(late.Relay.Proposal != proposed.Relay.Proposal)
+		is.Equal(decide(head, 2*time.Second, late).Action == ActionDrop, !off.noDropOfReturn)
+	}
+}
+
+// historyCore gives a core that heads a bucket with history, for longer than
+// the life of a record, but which adopted that history only now.
+func historyCore(t *testing.T, off rules) (*Core, lb.FlowKey, time.Duration) {
+	t.Helper()
+	calm, prepared, committed, settled := testPlacements(t, "ABCDEF", "ABCDE")
+	core := New(unhurried("a", "1"))
+	core.off = off
+	var effects Effects
+	for _, event := range []Event{{Members: testMembers}, {Placement: calm}, {Placement: prepared}, {Placement: committed}} {
+		core.Step(0, &event, &effects)
+	}
+	now := core.recordLifetime() + time.Second
+	core.Step(now, &Event{Placement: settled}, &effects)
+	service := core.services[testService]
+	packets := flowsWhere(1, PacketMiddle, func(index uint16) bool {
+		return service.table.HasHistory(index) && !service.table.InMotion(index) && core.groupOf(service, index).chain.head == core.self
+	})
+	return core, packets[0].Key, now
+}
+
+func cleanNow(core *Core, now time.Duration, key lb.FlowKey) bool {
+	var effects Effects
+	core.Step(now, &Event{}, &effects)
+	return core.isClean(core.services[testService], key.ID().Bucket())
+}
+
+// TestBucketIsCleanOnlyAfterItsHistoryWasWatched: settle.pml, CLEAN_WITHOUT_WAIT.
+func TestBucketIsCleanOnlyAfterItsHistoryWasWatched(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noCleanWait: true}} {
+		core, key, now := historyCore(t, off)
+		is.Equal(cleanNow(core, now, key), off.noCleanWait)
+		is.True(cleanNow(core, now+core.recordLifetime(), key))
+	}
+}
+
+// TestGuessIsNotClean: settle.pml, a head's own guess that no tail has confirmed.
+func TestGuessIsNotClean(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noCleanOnlyConfirmed: true}} {
+		core, key, now := historyCore(t, off)
+		now += core.recordLifetime()
+		is.Equal(decide(core, now, Packet{Key: key, Kind: PacketMiddle}).Action, ActionRelay)
+		is.Equal(cleanNow(core, now, key), off.noCleanOnlyConfirmed)
+	}
+}
+
+// TestNoVouchingWhileANodeIsMissing: a cut zone may have forwarded a copy that
+// this side did not see.
+func TestNoVouchingWhileANodeIsMissing(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noVouchOnlyComplete: true}} {
+		core, key := movingFlow(t)
+		core.off = off
+		service := core.services[testService]
+		member := core.groupOf(service, key.ID().Bucket())
+		hold := core.settings.OpeningHold
+		ranTo(core, 0, hold)
+		is.True(core.vouches(service, member))
+		var rest []Member
+		for _, known := range testMembers {
+			if known.ID == core.self.ID || member.chain.tail.ID == known.ID {
+				rest = append(rest, known)
+			}
+		}
+		var effects Effects
+		core.Step(hold, &Event{Members: rest}, &effects)
+		is.Equal(core.vouches(service, member), off.noVouchOnlyComplete)
+		core.Step(hold, &Event{Members: testMembers}, &effects) // the cut is over
+		is.Equal(core.vouches(service, member), off.noVouchOnlyComplete)
+		ranTo(core, hold, 2*hold+TickInterval)
+		is.True(core.vouches(service, member))
+	}
+}
+
+// TestANodeThatHasJustJoinedAsksTheChain: a placement that was prepared before
+// it counted as a member was committed without its acknowledgement.
+func TestANodeThatHasJustJoinedAsksTheChain(t *testing.T) {
+	is := is.New(t)
+	calm, _, _, _ := testPlacements(t, "ABCDEF", "ABCDE")
+	core := New(unhurried("a", "1"))
+	var effects Effects
+	core.Step(0, &Event{Members: testMembers}, &effects)
+	core.Step(0, &Event{Placement: calm}, &effects)
+	service := core.services[testService]
+	packet := flowsWhere(1, PacketMiddle, func(index uint16) bool { return !core.heads(core.groupOf(service, index)) })[0]
+	is.Equal(decide(core, joinHold-1, packet).Action, ActionRelay)
+	is.Equal(decide(core, joinHold+1, packet).Action, ActionForward)
+}
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -10,8 +10,9 @@
 	packet   *Packet
 	decision *Decision
 	service  *service
-	bucket   *bucket
-	index    uint16 // of the bucket
+	group    *group
+	bucket   *bucket // nil while nothing is held of the bucket
+	index    uint16  // of the bucket
 	flow     lb.FlowID
 	key      frontendKey
 }
@@ -26,6 +27,10 @@
 // packet decides on one packet.
 func (core *Core) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core, packet: packet, decision: decision}
+	if core.now < core.drainUntil && !core.off.noDropAfterPause {
+		current.drop(ReasonPaused)
+		return
+	}
 	current.key = frontendKey{packet.Key.Destination, packet.Key.DestinationPort, packet.Key.Protocol}
 	current.service = core.frontends[current.key]
 	if current.service == nil {
@@ -34,7 +39,8 @@
 	}
 	current.flow = packet.Key.ID()
 	current.index = current.flow.Bucket()
-	current.bucket = &current.service.buckets[current.index]
+	current.group = core.groupOf(current.service, current.index)
+	current.bucket = current.service.buckets[current.index]
 	decision.Service = current.service.name
 	switch packet.Relay.Hop {
 	case lb.HopIngress:
@@ -50,6 +56,17 @@
 	}
 }
 
+// held gives the bucket, a new one if nothing is held of it yet.
+func (current *turn) held() *bucket {
+	if current.bucket == nil {
+		current.bucket = current.core.ensureBucket(current.service, current.index)
+	}
+	return current.bucket
+}
+
+// record gives this node's record of the flow, or nil.
+func (current *turn) record() *record { return current.bucket.record(current.flow) }
+
 func (current *turn) opening() bool { return current.packet.Kind == PacketOpening }
 
 func (current *turn) drop(reason Reason) {
--- a/internal/core/peer.go
+++ b/internal/core/peer.go
@@ -33,14 +33,14 @@
 		return
 	}
 	for _, flow := range content.Flows {
-		bucket := &service.buckets[flow.Flow.Bucket()]
 		if content.Confirm {
-			core.takeConfirmation(service, bucket, from, flow)
+			core.takeConfirmation(service, from, flow)
 			continue
 		}
 		if flow.Backend == lb.NoBackend {
 			continue
 		}
+		bucket := core.ensureBucket(service, flow.Flow.Bucket())
 		if bucket.pins == nil {
 			bucket.pins = &flowTable{}
 		}
@@ -50,9 +50,11 @@
 	}
 }
 
-func (core *Core) takeConfirmation(service *service, bucket *bucket, from *node, flow message.FlowRecord) {
-	entry := bucket.records.get(flow.Flow)
-	if from != bucket.chain.tail || entry == nil || entry.openingID != flow.OpeningID {
+func (core *Core) takeConfirmation(service *service, from *node, flow message.FlowRecord) {
+	index := flow.Flow.Bucket()
+	bucket := service.buckets[index]
+	entry := bucket.record(flow.Flow)
+	if from != core.groupOf(service, index).chain.tail || entry == nil || entry.openingID != flow.OpeningID {
 		return // of another chain, or of an earlier flow of the 5-tuple
 	}
 	core.merge(service, bucket, flow, incoming{confirmed: true, fromTail: true})
@@ -71,14 +73,14 @@
 		if index < len(content.IdleSeconds) {
 			idle = time.Duration(content.IdleSeconds[index]) * time.Second
 		}
-		bucket := &service.buckets[flow.Flow.Bucket()]
+		bucket := core.ensureBucket(service, flow.Flow.Bucket())
 		if content.Established {
 			core.takeEstablished(service, bucket, flow, idle)
 			continue
 		}
 		core.merge(service, bucket, flow, incoming{
 			confirmed: !content.Unconfirmed,
-			fromTail:  from != nil && from == bucket.chain.tail,
+			fromTail:  from != nil && from == bucket.group.chain.tail,
 			idle:      idle,
 		})
 	}
@@ -129,7 +131,7 @@
 		entry.flags |= recordConfirmed
 	}
 	// However certain, it is no sign that the present tail has the record.
-	entry.learnedAt = min(core.stamp, bucket.tailSince-1)
+	entry.learnedAt = min(core.stamp, bucket.group.tailSince-1)
 	if !previous.sameAs(entry) {
 		core.handover.recorded(core, service, flow.Flow.Bucket(), entry)
 	}
@@ -138,7 +140,7 @@
 // replaces tells whether the incoming record replaces this node's own. Of
 // records of different openings of a 5-tuple, the one seen later counts.
 func (core *Core) replaces(bucket *bucket, entry *record, openingID uint32, seen stamp, origin incoming) bool {
-	confirmed := core.confirmed(bucket, entry)
+	confirmed := core.confirmed(bucket.group, entry)
 	switch {
 	case !origin.confirmed:
 		return false
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -29,4 +29,14 @@
 	// noOpeningThroughChain: openings in buckets without motion and history
 	// are forwarded by the ingress.
 	noOpeningThroughChain bool
+	// noDropAfterPause: packets that waited in a socket over a pause are handled like others.
+	noDropAfterPause bool
+	// noDropOfReturn: the head takes any returned answer.
+	noDropOfReturn bool
+	// noCleanOnlyConfirmed: a guess that no tail has confirmed counts as clean.
+	noCleanOnlyConfirmed bool
+	// noCleanWait: a bucket may be reported clean as soon as its history is adopted.
+	noCleanWait bool
+	// noVouchOnlyComplete: a node vouches while others are missing.
+	noVouchOnlyComplete bool
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,20 +37,60 @@
 	frontendsSince time.Duration
 	admission      limiter
 	admissionRate  int64 // tokens a second that admission was made for
-	headed         int   // buckets headed by this node
-	buckets        []bucket
+	// headedBuckets is the number headed by this node as of Core.chainChanges headedAt.
+	headedBuckets int
+	headedAt      uint64
+	// historySince is when the base, or the buckets with history, last changed
+	// but by clearing.
+	historySince time.Duration
+	// buckets are those of which something is held.
+	buckets map[uint16]*bucket
 }
 
-// bucket is the state of one bucket of a service at this node.
+// bucket is what this node holds of one bucket of a service.
 type bucket struct {
-	chain       chain
-	memberSince time.Duration // notInChain outside the chain
-	leftStamp   stamp         // when this node last left the chain
-	leftBefore  stamp         // when it left the time before
-	tailSince   stamp         // answers of the present tail are later than this
-	records     flowTable
-	pins        *flowTable // hints of heads, at an ingress
-	known       *flowTable // UDP flows seen by this node as ingress, with their back end
+	group   *group
+	records flowTable
+	pins    *flowTable // hints of heads, at an ingress
+	known   *flowTable // UDP flows seen by this node as ingress, with their back end
+}
+
+// record gives the record of a flow, or nil.
+func (bucket *bucket) record(flow lb.FlowID) *record {
+	if bucket == nil {
+		return nil
+	}
+	return bucket.records.get(flow)
+}
+
+// ensureBucket gives a bucket, a new one if nothing is held of it yet.
+func (core *Core) ensureBucket(service *service, index uint16) *bucket {
+	if found := service.buckets[index]; found != nil {
+		return found
+	}
+	added := &bucket{group: core.groupOf(service, index)}
+	service.buckets[index] = added
+	core.bucketCount++
+	return added
+}
+
+// forgetEmpty drops a bucket of which nothing is held any more.
+func (core *Core) forgetEmpty(service *service, index uint16) {
+	bucket := service.buckets[index]
+	if bucket != nil && bucket.records.count == 0 && bucket.pins == nil && bucket.known == nil {
+		delete(service.buckets, index)
+		core.bucketCount--
+	}
+}
+
+// indexes lists the buckets of which something is held, in order.
+func (service *service) indexes() []uint16 { return slices.Sorted(maps.Keys(service.buckets)) }
+
+// each visits the buckets of which something is held, in order.
+func (service *service) each(visit func(index uint16, bucket *bucket)) {
+	for _, index := range service.indexes() {
+		visit(index, service.buckets[index])
+	}
 }
 
 // stateless tells whether flows of the bucket need no record.
@@ -95,28 +136,48 @@
 	added := &service{
 		name:    name,
 		key:     rendezvous.NewKey(string(name)),
-		buckets: make([]bucket, lb.BucketCount),
+		buckets: make(map[uint16]*bucket),
 	}
 	core.services[name] = added
 	position, _ := slices.BinarySearchFunc(core.ordered, name, func(known *service, name lb.ServiceName) int {
 		return cmp.Compare(known.name, name)
 	})
 	core.ordered = slices.Insert(core.ordered, position, added)
-	for index := range added.buckets {
-		added.buckets[index].memberSince = notInChain
-		core.setChain(added, uint16(index), core.rank(added.key.BucketKey(uint16(index))))
-	}
+	added.headedAt = core.chainChanges - 1 // not counted yet
 	return added
 }
 
 func (core *Core) setTable(known *service, table *placement.Table) {
+	if gainsHistory(known.table, table) {
+		known.historySince = core.now
+	}
 	known.table = table
 	keys := documentKeys(table.Document())
-	if !slices.Equal(keys, known.frontendKeys) {
-		known.frontendKeys = keys
-		known.frontendsSince = core.now
-		core.indexFrontends()
+	if slices.Equal(keys, known.frontendKeys) {
+		return
+	}
+	previous := known.frontendKeys
+	known.frontendKeys = keys
+	known.frontendsSince = core.now
+	for _, key := range previous {
+		core.indexFrontend(key)
+	}
+	for _, key := range keys {
+		core.claimFrontend(known, key)
+	}
+}
+
+// gainsHistory tells whether the base, or any bucket's history, is new in a table.
+func gainsHistory(previous, next *placement.Table) bool {
+	if previous == nil || previous.Document().Generations[0].Version != next.Document().Generations[0].Version {
+		return true
+	}
+	for index := range uint16(lb.BucketCount) {
+		if next.HasHistory(index) && !previous.HasHistory(index) {
+			return true
+		}
 	}
+	return false
 }
 
 // documentKeys gives the front ends of a document; a deleted service has none.
@@ -131,13 +192,22 @@
 	return keys
 }
 
-// indexFrontends rebuilds the index of front ends. One that two services claim
+// claimFrontend indexes a front end of a service. One that two services claim
 // goes to the first by name, at every node.
-func (core *Core) indexFrontends() {
-	clear(core.frontends)
-	for _, known := range slices.Backward(core.ordered) {
-		for _, key := range known.frontendKeys {
+func (core *Core) claimFrontend(claimant *service, key frontendKey) {
+	owner := core.frontends[key]
+	if owner == nil || claimant.name < owner.name {
+		core.frontends[key] = claimant
+	}
+}
+
+// indexFrontend finds the service of a front end that another one has given up.
+func (core *Core) indexFrontend(key frontendKey) {
+	delete(core.frontends, key)
+	for _, known := range core.ordered {
+		if slices.Contains(known.frontendKeys, key) {
 			core.frontends[key] = known
+			return
 		}
 	}
 }
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -29,12 +29,12 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 9
+const reasonCount = 10
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
-	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray,
+	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused,
 }
 
 // count adds a decision to the counters.
@@ -98,7 +98,7 @@
 func (core *Core) State() State {
 	state := State{Sure: core.sure, Leaving: core.leaving, Members: len(core.members.all)}
 	for _, service := range core.ordered {
-		state.Services = append(state.Services, service.state())
+		state.Services = append(state.Services, core.serviceState(service))
 	}
 	for _, entry := range core.handover.targets {
 		state.HandoverTargets = append(state.HandoverTargets, HandoverState{
@@ -108,15 +108,14 @@
 	return state
 }
 
-func (service *service) state() ServiceState {
+func (core *Core) serviceState(service *service) ServiceState {
 	state := ServiceState{
 		Service:       service.name,
 		Version:       service.table.Version(),
 		MovingBuckets: service.table.MovingBuckets(),
-		Headed:        service.headed,
+		Headed:        core.headed(service),
 	}
-	for index := range service.buckets {
-		bucket := &service.buckets[index]
+	for _, bucket := range service.buckets {
 		state.Records += bucket.records.len()
 		state.Pins += bucket.pins.len()
 		state.KnownUDP += bucket.known.len()
--- a/internal/core/tail.go
+++ b/internal/core/tail.go
@@ -18,7 +18,7 @@
 
 // tailOpening handles an opening.
 func (current *turn) tailOpening(proposed proposal) {
-	entry := current.bucket.records.get(current.flow)
+	entry := current.record()
 	switch {
 	case entry == nil || current.core.off.noTailRecordWins:
 	case entry.openingID == current.packet.OpeningID:
@@ -35,7 +35,7 @@
 
 // tailLater handles a packet after the opening, or a UDP packet.
 func (current *turn) tailLater(proposed proposal) {
-	entry := current.bucket.records.get(current.flow)
+	entry := current.record()
 	if entry != nil && !current.core.off.noTailRecordWins {
 		proposed = current.prevailing(entry, proposed)
 	}
@@ -49,7 +49,7 @@
 // prevailing gives the record, or the proposal where that is the more certain.
 func (current *turn) prevailing(entry *record, proposed proposal) proposal {
 	recorded := current.proposalOf(entry)
-	if proposed.known && !recorded.known || current.bucket.outdates(entry) {
+	if proposed.known && !recorded.known || current.group.outdates(entry) {
 		return proposed
 	}
 	return recorded
@@ -60,7 +60,7 @@
 // must not propose something else to the next tail.
 func (current *turn) answer(answer proposal) {
 	core, relay := current.core, &current.packet.Relay
-	head := current.bucket.chain.head
+	head := current.group.chain.head
 	if head == nil || head == core.self {
 		current.conclude(answer, relay.Vouched)
 		return
@@ -84,24 +84,41 @@
 	relay.Proposal = answer.backend
 	relay.Refuse = answer.refuse
 	relay.Known = true
-	relay.Vouched = relay.Vouched || core.vouches(current.service, current.bucket)
+	relay.Vouched = relay.Vouched || core.vouches(current.service, current.group)
 	core.stats.Returned++
 	current.relay(head, relay)
 }
 
-// returned records the tail's answer at the head and carries it out.
+// returned records the tail's answer at the head and carries it out, unless
+// the head's own record may already have been forwarded by another tail.
 func (current *turn) returned() {
 	relay := current.packet.Relay
+	if entry := current.record(); entry != nil && current.contradicts(entry, relay) {
+		current.drop(ReasonViewsDiffer)
+		return
+	}
 	current.conclude(proposal{backend: relay.Proposal, refuse: relay.Refuse}, relay.Vouched)
-	if entry := current.bucket.records.get(current.flow); entry != nil {
+	if entry := current.record(); entry != nil {
 		current.pinIngress(relay, entry)
 	}
 }
 
+// contradicts tells whether a returned answer differs from a record that a tail
+// has confirmed, or that was proposed to another tail than the present one.
+func (current *turn) contradicts(entry *record, relay lb.Relay) bool {
+	if current.core.off.noDropOfReturn || !current.opening() || entry.openingID != current.packet.OpeningID {
+		return false
+	}
+	if entry.backend == relay.Proposal && entry.refused() == relay.Refuse {
+		return false
+	}
+	return current.core.confirmed(current.group, entry) || entry.learnedAt < current.group.tailSince
+}
+
 // confirm tells the head, within the byte budget, that the tail has the record,
 // where a later packet of the flow may ask the head.
 func (current *turn) confirm(head *node) {
-	entry := current.bucket.records.get(current.flow)
+	entry := current.record()
 	if entry == nil || stateless(current.service.table, current.index) {
 		return
 	}
@@ -115,7 +132,7 @@
 // head without a tail.
 func (current *turn) conclude(answer proposal, vouched bool) {
 	verdict := lb.MayHaveRun
-	if answer.refuse && (vouched || current.core.vouches(current.service, current.bucket)) {
+	if answer.refuse && (vouched || current.core.vouches(current.service, current.group)) {
 		verdict = lb.NotRun
 	}
 	if answer.refuse && !current.opening() {
@@ -137,7 +154,7 @@
 	if core.off.noRecordBeforeForward || answer.refuse && core.off.noRefusalRecord {
 		return
 	}
-	entry := current.bucket.records.put(current.flow)
+	entry := current.held().records.put(current.flow)
 	previous := *entry
 	entry.backend = answer.backend
 	entry.lastSeen = core.stamp
@@ -159,16 +176,16 @@
 
 // confirmed tells whether a tail is known to have answered with the record
 // since this node last left the chain or lost trust in its view.
-func (core *Core) confirmed(bucket *bucket, entry *record) bool {
-	return core.confirmedSince(bucket.leftStamp, entry)
+func (core *Core) confirmed(member *group, entry *record) bool {
+	return core.confirmedSince(member.leftStamp, entry)
 }
 
 // wasConfirmed is confirmed as of when this node left the chain, if it is out of it.
-func (core *Core) wasConfirmed(bucket *bucket, entry *record) bool {
-	if bucket.memberSince != notInChain {
-		return core.confirmed(bucket, entry)
+func (core *Core) wasConfirmed(member *group, entry *record) bool {
+	if member.memberSince != notInChain {
+		return core.confirmed(member, entry)
 	}
-	return core.confirmedSince(bucket.leftBefore, entry)
+	return core.confirmedSince(member.leftBefore, entry)
 }
 
 func (core *Core) confirmedSince(since stamp, entry *record) bool {
@@ -177,6 +194,6 @@
 
 // outdates tells whether the record is from before this node last left the
 // chain: the chain may have placed the flow anew since.
-func (bucket *bucket) outdates(entry *record) bool {
-	return entry.learnedAt < bucket.leftStamp
+func (member *group) outdates(entry *record) bool {
+	return entry.learnedAt < member.leftStamp
 }
