Let nodes that miss members ask for them in time; addresses beside services in scale runs

A node forgot since when views differed whenever any peer agreed with it, asked for a whole view once a minute at most, and tried one missing machine a second. Ruled out: loss; the rumours' budget (they are bounded by design, the whole view is there to make up for it). Change: differences are kept by peer, as in the gossip; a whole view at most every 15 s; three missing machines at a time. Test: TestAgreementWithOnePeerDoesNotHideAnother, seen to fail with the old rule.

--- a/internal/labcommand/scale.go
+++ b/internal/labcommand/scale.go
@@ -15,24 +15,25 @@
 
 // Scale runs hollow nodes at growing sizes and prints the slopes.
 type Scale struct {
-	Nodes    []int         `default:"12,48,192,840" help:"Fleet sizes to run, one after the other."`
-	Zones    int           `default:"12" help:"Zones over all regions."`
-	Regions  int           `default:"3" help:"Regions."`
-	Services int           `default:"3300" help:"Services, each with one address."`
-	Hosts    int           `default:"4800" help:"Back-end hosts."`
-	Shrink   bool          `help:"Shrink services and hosts in proportion to the nodes."`
-	Warmup   time.Duration `default:"60s" help:"Virtual time in which the nodes join."`
-	Duration time.Duration `default:"60s" help:"Virtual time that is measured."`
-	Changes  int           `default:"20" help:"Configuration changes in the measured time."`
-	Deaths   int           `default:"0" help:"Nodes that die."`
-	Restarts int           `default:"0" help:"Nodes that are stopped as planned and replaced."`
-	Rack     int           `default:"0" help:"Nodes of one zone that die at once."`
-	CutZone  bool          `help:"Cut one zone off for a while."`
-	CutFor   time.Duration `default:"20s" help:"How long the zone is cut off."`
-	Quiet    time.Duration `default:"20s" help:"Time before the end in which no failure begins."`
-	Budget   int           `default:"14000" help:"Control bytes a second that each node may send."`
-	Seed     uint64        `default:"1" help:"Seed."`
-	Out      string        `help:"File for the results as JSON lines."`
+	Nodes     []int         `default:"12,48,192,840" help:"Fleet sizes to run, one after the other."`
+	Zones     int           `default:"12" help:"Zones over all regions."`
+	Regions   int           `default:"3" help:"Regions."`
+	Services  int           `default:"3300" help:"Services, each with one address."`
+	Addresses int           `default:"3300" help:"Addresses, spread over the services."`
+	Hosts     int           `default:"4800" help:"Back-end hosts."`
+	Shrink    bool          `help:"Shrink services and hosts in proportion to the nodes."`
+	Warmup    time.Duration `default:"60s" help:"Virtual time in which the nodes join."`
+	Duration  time.Duration `default:"60s" help:"Virtual time that is measured."`
+	Changes   int           `default:"20" help:"Configuration changes in the measured time."`
+	Deaths    int           `default:"0" help:"Nodes that die."`
+	Restarts  int           `default:"0" help:"Nodes that are stopped as planned and replaced."`
+	Rack      int           `default:"0" help:"Nodes of one zone that die at once."`
+	CutZone   bool          `help:"Cut one zone off for a while."`
+	CutFor    time.Duration `default:"20s" help:"How long the zone is cut off."`
+	Quiet     time.Duration `default:"20s" help:"Time before the end in which no failure begins."`
+	Budget    int           `default:"14000" help:"Control bytes a second that each node may send."`
+	Seed      uint64        `default:"1" help:"Seed."`
+	Out       string        `help:"File for the results as JSON lines."`
 }
 
 // fullNodes is the size to which Shrink relates services and hosts.
@@ -59,13 +60,14 @@
 }
 
 func (command *Scale) plan(nodes int) *scale.Plan {
-	services, hosts := command.Services, command.Hosts
+	services, addresses, hosts := command.Services, command.Addresses, command.Hosts
 	if command.Shrink {
 		services = max(1, services*nodes/fullNodes)
+		addresses = addresses * nodes / fullNodes
 		hosts = max(services, hosts*nodes/fullNodes)
 	}
 	return &scale.Plan{
-		Nodes: nodes, Regions: min(command.Regions, nodes), Zones: min(command.Zones, nodes), Services: services, Hosts: hosts,
+		Nodes: nodes, Regions: min(command.Regions, nodes), Zones: min(command.Zones, nodes), Services: services, Addresses: addresses, Hosts: hosts,
 		Warmup: command.Warmup, Duration: command.Duration, Changes: command.Changes,
 		Restarts: command.Restarts, Deaths: command.Deaths, Rack: command.Rack,
 		CutZone: command.CutZone, CutFor: command.CutFor, Quiet: command.Quiet,
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -58,12 +58,13 @@
 
 	// viewHash covers the live entries and self; viewSince is when it first
 	// differed from that of every peer heard since, or zero.
-	viewHash  uint64
-	viewSince time.Duration
-	joined    bool
-	changed   bool // Members differs from what was last announced
-	rejoined  bool
-	replaced  bool
+	viewHash uint64
+	// differs tells since when a peer's view differs from this node's.
+	differs  map[lb.NodeID]time.Duration
+	joined   bool
+	changed  bool // Members differs from what was last announced
+	rejoined bool
+	replaced bool
 
 	started      bool
 	lastStep     time.Duration
@@ -93,6 +94,7 @@
 		incarnation: settings.Incarnation,
 		entries:     make(map[lb.NodeID]*entry),
 		listed:      make(map[lb.NodeID]int),
+		differs:     make(map[lb.NodeID]time.Duration),
 	}
 	core.ownZone = core.zoneOf(settings.Self.Zone)
 	core.sequence = uint64(core.random.Uint32()) // answers to an earlier run match nothing
@@ -167,7 +169,7 @@
 	core.nextProbe = core.now + core.jitter(core.settings.ProbeInterval)
 	core.nextRumour = core.now + core.jitter(core.settings.RumourInterval)
 	core.nextAttempt = core.now
-	core.nextSync = core.now + core.settings.SyncInterval
+	core.nextSync = core.now + core.jitter(core.settings.SyncInterval)
 	core.nextReap = core.now + core.jitter(reapInterval)
 }
 
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -48,16 +48,24 @@
 		core.attemptOne(&core.machines[core.random.IntN(count)], true, effects)
 		return
 	}
+	attempts := maxAttempts
 	for range count {
 		core.attempt = (core.attempt + 1) % count
 		candidate := &core.machines[core.attempt]
 		if known := core.entries[candidate.ID]; known == nil || !known.live() {
 			core.attemptOne(candidate, false, effects)
+			attempts--
+		}
+		if attempts == 0 {
 			return
 		}
 	}
 }
 
+// maxAttempts is the number of listed machines tried at once: with one, a fleet
+// that starts together takes a second for each node that a node has missed.
+const maxAttempts = 3
+
 func (core *Core) attemptOne(machine *Machine, full bool, effects *Effects) {
 	core.sequence++
 	updates := append([]message.MemberUpdate{core.selfUpdate()}, core.updatesFor(machine.ID)...)
@@ -108,21 +116,25 @@
 	}
 }
 
-// compareView asks a peer for its membership when views have differed for long.
+// compareView asks a peer for its membership when its view has differed for
+// long. That is kept by peer: a few nodes that lack the same members agree with
+// each other, and differ from all others no less.
 func (core *Core) compareView(event *PeerEvent, view uint64, effects *Effects) {
 	if view == core.viewHash || view == 0 {
-		core.viewSince = 0
+		delete(core.differs, event.From)
 		return
 	}
-	if core.viewSince == 0 {
-		core.viewSince = core.now
+	since, known := core.differs[event.From]
+	if !known {
+		since = core.now
+		core.differs[event.From] = since
 	}
-	if core.now-core.viewSince < viewPatience || core.now < core.nextSync {
+	if core.now-since < viewPatience || core.now < core.nextSync {
 		return
 	}
 	if sender, ok := core.sender(event); ok {
 		core.nextSync = core.now + core.settings.SyncInterval
-		core.viewSince = 0
+		delete(core.differs, event.From)
 		core.attemptOne(&sender, true, effects)
 	}
 }
@@ -133,6 +145,7 @@
 		core.change(known, message.MemberDead, known.incarnation)
 	}
 	delete(core.entries, known.machine.ID)
+	delete(core.differs, known.machine.ID)
 }
 
 // reap forgets those long dead, or long unreachable with their zone, that the
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -86,7 +86,7 @@
 		RumourBytesPerSecond: 3000,
 		PauseLimit:           500 * time.Millisecond,
 		AttemptInterval:      time.Second,
-		SyncInterval:         time.Minute,
+		SyncInterval:         15 * time.Second,
 		DeadRetention:        10 * time.Minute,
 	}
 }
--- a/internal/member/rules_test.go
+++ b/internal/member/rules_test.go
@@ -1,11 +1,13 @@
 package member_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
 )
@@ -121,3 +123,49 @@
 		is.True(node.largest <= 1000)
 	}
 }
+
+// TestAgreementWithOnePeerDoesNotHideAnother: a node that agrees with some peer
+// asks one that differs for its view all the same. Found by the scale run: of
+// 192 nodes started at once, some missed eight others for over a minute.
+func TestAgreementWithOnePeerDoesNotHideAnother(t *testing.T) {
+	is := is.New(t)
+	machine := func(id lb.NodeID, port uint16) member.Machine {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		return member.Machine{ID: id, Zone: "zone", Control: address, Data: address}
+	}
+	same, other := machine("same", 2), machine("other", 3)
+	core, err := member.New(member.DefaultSettings(machine("self", 1), 1, 1))
+	is.NoErr(err)
+	var effects member.Effects
+	core.Step(0, &member.Event{Machines: []member.Machine{same, other}}, &effects)
+	tell := func(now time.Duration, from *member.Machine, content message.Message) {
+		core.Step(now, &member.Event{Peer: &member.PeerEvent{From: from.ID, Address: from.Control, Message: content}}, &effects)
+	}
+	var updates []message.MemberUpdate
+	for _, known := range []member.Machine{same, other} {
+		updates = append(updates, message.MemberUpdate{
+			Node: known.ID, Zone: known.Zone, Control: known.Control.String(), Data: known.Data.String(),
+			State: message.MemberAlive, Incarnation: 1,
+		})
+	}
+	tell(0, &same, message.Members{Updates: updates}) // it has joined
+	own, asked := uint64(0), false
+	for now := time.Duration(0); now < 40*time.Second; now += member.TickInterval {
+		core.Step(now, &member.Event{}, &effects)
+		for _, from := range []*member.Machine{&same, &other} {
+			view := own
+			if from == &other {
+				view++
+			}
+			tell(now, from, message.Ping{Sequence: 1, Incarnation: 1, View: view})
+			for _, outgoing := range effects.Messages {
+				if answer, ok := outgoing.Message.(message.PingAck); ok {
+					own = answer.View
+				}
+				request, ok := outgoing.Message.(message.Ping)
+				asked = asked || ok && request.Full && outgoing.To == "other"
+			}
+		}
+	}
+	is.True(asked)
+}
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -21,8 +21,10 @@
 	Nodes    int
 	Regions  int
 	Zones    int // over all regions
-	Services int // each with one address
-	Hosts    int
+	Services int
+	// Addresses are spread evenly over the services; zero gives each one.
+	Addresses int
+	Hosts     int
 	// Warmup is not measured: the nodes join and take the placements.
 	Warmup time.Duration
 	// Duration is the measured time.
@@ -105,12 +107,12 @@
 func (plan *Plan) documents() ([]catalog.Service, []catalog.Backend) {
 	services := make([]catalog.Service, plan.Services)
 	for i := range services {
+		services[i] = catalog.Service{Name: serviceName(i), Selector: "app=" + string(serviceName(i))}
+	}
+	for i := range max(plan.Addresses, plan.Services) {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
-		services[i] = catalog.Service{
-			Name:      serviceName(i),
-			Frontends: []lb.Frontend{{Address: address, Protocol: lb.TCP}},
-			Selector:  "app=" + string(serviceName(i)),
-		}
+		service := &services[i%plan.Services]
+		service.Frontends = append(service.Frontends, lb.Frontend{Address: address, Protocol: lb.TCP})
 	}
 	backends := make([]catalog.Backend, plan.Hosts)
 	for i := range backends {
