--- a/internal/lab/runs/demo.go
+++ b/internal/lab/runs/demo.go
@@ -107,7 +107,7 @@
 	if err := running.StopCallers(ctx); err != nil {
 		return nil, err
 	}
-	if outcome.lateFlows, err = running.openedAfter(ctx, drained, changed.Add(drainedWithin)); err != nil {
+	if outcome.lateFlows, _, err = running.openedAfter(ctx, drained, changed.Add(drainedWithin)); err != nil {
 		return nil, err
 	}
 	outcome.result, err = running.Check(ctx, drained)
--- a/internal/lab/runs/fault.go
+++ b/internal/lab/runs/fault.go
@@ -223,9 +223,9 @@
 	if err := run.progress(ctx); err != nil {
 		return err
 	}
-	late, err := run.openedAfter(ctx, host, after)
+	late, last, err := run.openedAfter(ctx, host, after)
 	if late > 0 {
-		run.violate("%d new flows at drained %s", late, host.Name)
+		run.violate("%d new flows at drained %s, the last one %s after the limit", late, host.Name, last.Round(time.Millisecond))
 	}
 	return err
 }
--- a/internal/lab/runs/world.go
+++ b/internal/lab/runs/world.go
@@ -145,16 +145,17 @@
 	return running.Operator.PutBackend(ctx, host.Backend)
 }
 
-// openedAfter counts the flows that a host opened after a time.
-func (running *world) openedAfter(ctx context.Context, host *cluster.Host, after time.Time) (int, error) {
+// openedAfter counts the flows that a host opened after a time, and says how
+// long after it the last one came.
+func (running *world) openedAfter(ctx context.Context, host *cluster.Host, after time.Time) (late int, last time.Duration, err error) {
 	report, err := running.HostReport(ctx, host)
-	late := 0
 	for _, at := range report.Openings {
 		if at > after.UnixMilli() {
 			late++
+			last = max(last, time.UnixMilli(at).Sub(after))
 		}
 	}
-	return late, err
+	return late, last, err
 }
 
 // underLoad lets the load run for a time, or less when the context ends.
