--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -85,7 +85,10 @@
 const (
 	storeRequests    = 16              // at a time, as many as the publisher has outstanding
 	storeWorkTimeout = 8 * time.Second // below the publisher's WriteTimeout
-	statusRetry      = time.Second     // after a report that could not be written
+	// statusTimeout bounds one attempt to write a report: what became of a
+	// write whose answer was lost matters little, since the next one follows.
+	statusTimeout = 3 * time.Second
+	statusRetry   = 300 * time.Millisecond // after a report that could not be written
 )
 
 // workStore carries out the publisher's requests until ctx ends.
@@ -114,7 +117,7 @@
 	case work.write != nil:
 		node.engine.publisherInput(&controller.Event{Result: node.write(ctx, work.write)})
 	case work.status != nil:
-		if !node.writeStatus(ctx, work.status) {
+		if !node.writeStatus(running, work.status) {
 			node.repeatStatus(running, work.status)
 		}
 	case work.epoch != "":
@@ -178,9 +181,11 @@
 // writeStatus writes the zone's report, unless there is a later one, and tells
 // whether that is done. One report is written at a time, so that a late write
 // does not put an older one in place of a newer one.
-func (node *Node) writeStatus(ctx context.Context, status *catalog.ZoneStatus) bool {
+func (node *Node) writeStatus(running context.Context, status *catalog.ZoneStatus) bool {
 	node.statusMutex.Lock()
 	defer node.statusMutex.Unlock()
+	ctx, cancel := context.WithTimeout(running, statusTimeout)
+	defer cancel()
 	if !node.engine.work.isLatest(status) {
 		return true
 	}
