--- a/internal/core/ingress.go
+++ b/internal/core/ingress.go
@@ -83,20 +83,26 @@
 	current.relay(current.group.chain.head, relay)
 }
 
-// forwardToBase forwards a packet of a bucket that needs no records. UDP flows
-// are remembered: their packets do not tell later whether the flow is new.
+// forwardToBase forwards a packet of a bucket that needs no records.
 func (current *turn) forwardToBase() {
-	base := current.service.table.Base(current.index)
-	if current.packet.Kind == PacketUnmarked {
-		entry := current.core.known(current.held(), current.flow)
-		learned := entry.backend != base
-		entry.backend = base
-		entry.lastSeen = current.core.stamp
-		if learned {
-			current.core.handover.learned(current.core, current.service, current.held(), entry)
-		}
+	current.remember(current.service.table.Base(current.index))
+	current.forward(current.service.table.Base(current.index))
+}
+
+// remember keeps a UDP flow of a bucket that needs no records as known on the
+// base back end: its packets do not tell later whether the flow is new, and a
+// record would end with OpeningHold.
+func (current *turn) remember(base lb.BackendID) {
+	if current.packet.Kind != PacketUnmarked {
+		return
+	}
+	entry := current.core.known(current.held(), current.flow)
+	learned := entry.backend != base
+	entry.backend = base
+	entry.lastSeen = current.core.stamp
+	if learned {
+		current.core.handover.learned(current.core, current.service, current.held(), entry)
 	}
-	current.forward(base)
 }
 
 // known gives the entry of a UDP flow that this node knows, a new one if need be.
--- a/internal/core/tail.go
+++ b/internal/core/tail.go
@@ -140,6 +140,9 @@
 		return
 	}
 	current.keep(answer, true)
+	if !answer.refuse && stateless(current.service.table, current.index) && answer.backend == current.service.table.Base(current.index) {
+		current.remember(answer.backend)
+	}
 	if answer.refuse {
 		current.refuse(verdict, current.refusalReason())
 		return
