Refuse unanswered openings to a back end that drains; decide nothing anew after a pause

Ruled out: the tail's newer table (the tail takes proposals as they are, on purpose); slow commits (all births lie before 2.9 s). Another back end for such an opening: the silent tail may have forwarded it (spec/move.pml). Change: one second after the commit it is refused as MayHaveRun, at once, with a time to come back; after a pause a head decides no opening until it has regained contact.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -64,6 +64,7 @@
 	ReasonAdmission      Reason = "admission"       // new flows exceed the limit
 	ReasonTupleReuse     Reason = "tuple-reuse"     // 5-tuple used again too soon after a move
 	ReasonUnknownPeer    Reason = "unknown-peer"    // relayed by or to a node not known
+	ReasonDraining       Reason = "draining"        // proposed to a back end that drains by now, and perhaps forwarded
 	ReasonPaused         Reason = "paused"          // waited in a queue while this process was paused
 	ReasonWrongService   Reason = "wrong-service"   // the last check before the write failed
 	ReasonViewsDiffer    Reason = "views-differ"    // two nodes each think the other the head
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,8 @@
 
 	sure      bool          // the view may be trusted
 	sureSince time.Duration // when it last became so
+	// resumed: unsure since a pause.
+	resumed bool
 	// drainUntil: packets up to then may have waited in a socket over a pause.
 	drainUntil time.Duration
 	// joinedAt is when this node first saw others; zero before that.
@@ -114,6 +116,7 @@
 	if paused && !core.off.noUnsureAfterPause {
 		core.stats.Pauses++
 		core.drainUntil = now + TickInterval
+		core.resumed = !core.members.alone()
 		core.distrust()
 	}
 }
@@ -140,6 +143,7 @@
 // regain makes the node trust its view again. Tails may have changed meanwhile.
 func (core *Core) regain() {
 	core.sure = true
+	core.resumed = false
 	core.sureSince = core.now
 	for index := range core.groups {
 		core.groups[index].tailSince = core.stamp + 1
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -55,6 +55,10 @@
 	entry := current.record()
 	if entry != nil && entry.openingID == current.packet.OpeningID {
 		entry.lastSeen = core.stamp
+		if current.tooLate(entry) {
+			current.refuse(lb.MayHaveRun, ReasonDraining)
+			return
+		}
 		current.propose(relay, current.proposalOf(entry))
 		return
 	}
@@ -70,11 +74,31 @@
 			return
 		}
 	}
+	if core.resumed && !core.off.noDropAfterPause {
+		current.drop(ReasonPaused) // the placements may be old; a sure head gets the retransmission
+		return
+	}
 	chosen := current.choose()
 	current.keep(chosen, false)
 	current.propose(relay, chosen)
 }
 
+// drainGrace is how long after a back end began to drain an opening that was
+// proposed to it before, and that no tail is known to have forwarded, may still
+// go there: long enough for the first retransmission (RFC 6298, section 2).
+const drainGrace = time.Second
+
+// tooLate tells whether the opening's back end has been draining for a while
+// and may not have got any copy. Another back end is out of the question: a
+// tail that does not answer may have forwarded one.
+func (current *turn) tooLate(entry *record) bool {
+	core := current.core
+	if core.off.noLateOpeningRefused || entry.refused() || core.confirmed(current.group, entry) {
+		return false
+	}
+	return !current.active(entry.backend) && core.now-current.service.currentSince > drainGrace
+}
+
 // choose decides an opening afresh: the current back end, or refusal.
 func (current *turn) choose() proposal {
 	backend := current.service.table.Current(current.index)
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -47,6 +47,7 @@
 	core.handover.dropAbsent()
 	if core.members.alone() {
 		core.sure = true
+		core.resumed = false
 	}
 }
 
--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -31,6 +31,8 @@
 		queued := decide(core, time.Minute, opening)
 		is.Equal(queued.Action == ActionDrop, !off.noDropAfterPause)
 		is.Equal(queued.Reason == ReasonPaused, !off.noDropAfterPause)
+		var effects Effects
+		core.Step(time.Minute, &Event{Contact: ContactRegained}, &effects)
 		is.Equal(decide(core, time.Minute+TickInterval, opening).Action, ActionRelay) // later ones are new
 	}
 }
@@ -148,3 +150,44 @@
 	is.Equal(decide(core, joinHold-1, packet).Action, ActionRelay)
 	is.Equal(decide(core, joinHold+1, packet).Action, ActionForward)
 }
+
+// TestUnansweredOpeningIsRefusedOnceItsBackendDrains: an opening whose tail
+// died or froze is neither sent to a back end that has begun to drain, nor
+// anywhere else. Found by the fault run freeze and the scenario tally-wallet-freeze.
+func TestUnansweredOpeningIsRefusedOnceItsBackendDrains(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noLateOpeningRefused: true}} {
+		calm, prepared, committed, _ := testPlacements(t, "ABCDEF", "ABCDE")
+		core := New(unhurried("a", "1"))
+		core.off = off
+		var effects Effects
+		for _, event := range []Event{{Members: testMembers}, {Placement: calm}, {Placement: prepared}} {
+			core.Step(0, &event, &effects)
+		}
+		service := core.services[testService]
+		drained := service.table.Document().Backends[5].ID
+		opening := flowsWhere(1, PacketOpening, func(index uint16) bool {
+			return service.table.Current(index) == drained && core.groupOf(service, index).chain.head == core.self
+		})[0]
+		is.Equal(decide(core, time.Second, opening).Relay.Proposal, drained)
+		core.Step(2*time.Second, &Event{Placement: committed}, &effects)
+		is.Equal(decide(core, 2*time.Second+drainGrace, opening).Relay.Proposal, drained) // the first retransmission
+		late := decide(core, 2*time.Second+drainGrace+1, opening)
+		is.Equal(late.Action == ActionRefuse, !off.noLateOpeningRefused)
+		is.Equal(late.Refusal.Verdict == lb.MayHaveRun, !off.noLateOpeningRefused)
+	}
+}
+
+// TestResumedHeadDecidesNothingNew: a head that was paused may have old
+// placements until it has heard from its peers again.
+func TestResumedHeadDecidesNothingNew(t *testing.T) {
+	is := is.New(t)
+	core, key := movingFlow(t)
+	core.settings.PauseLimit = time.Second
+	opening := Packet{Key: key, Kind: PacketOpening, OpeningID: 7}
+	ranTo(core, time.Minute, time.Minute+time.Second)
+	is.Equal(decide(core, time.Minute+time.Second, opening).Reason, ReasonPaused)
+	var effects Effects
+	core.Step(time.Minute+time.Second, &Event{Contact: ContactRegained}, &effects)
+	is.Equal(decide(core, time.Minute+time.Second, opening).Action, ActionRelay)
+}
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -37,6 +37,8 @@
 	noCleanOnlyConfirmed bool
 	// noCleanWait: a bucket may be reported clean as soon as its history is adopted.
 	noCleanWait bool
+	// noLateOpeningRefused: an opening without an answer goes to a draining back end however late.
+	noLateOpeningRefused bool
 	// noVouchOnlyComplete: a node vouches while others are missing.
 	noVouchOnlyComplete bool
 }
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -43,6 +43,8 @@
 	// historySince is when the base, or the buckets with history, last changed
 	// but by clearing.
 	historySince time.Duration
+	// currentSince is when new flows last began to go by another generation.
+	currentSince time.Duration
 	// buckets are those of which something is held.
 	buckets map[uint16]*bucket
 }
@@ -151,6 +153,9 @@
 	if gainsHistory(known.table, table) {
 		known.historySince = core.now
 	}
+	if known.table == nil || currentGeneration(known.table) != currentGeneration(table) {
+		known.currentSince = core.now
+	}
 	known.table = table
 	keys := documentKeys(table.Document())
 	if slices.Equal(keys, known.frontendKeys) {
@@ -167,6 +172,12 @@
 	}
 }
 
+// currentGeneration gives the version that introduced the generation for new flows.
+func currentGeneration(table *placement.Table) lb.Version {
+	document := table.Document()
+	return document.Generations[document.Current].Version
+}
+
 // gainsHistory tells whether the base, or any bucket's history, is new in a table.
 func gainsHistory(previous, next *placement.Table) bool {
 	if previous == nil || previous.Document().Generations[0].Version != next.Document().Generations[0].Version {
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -29,12 +29,12 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 10
+const reasonCount = 11
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
-	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused,
+	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused, ReasonDraining,
 }
 
 // count adds a decision to the counters.
