--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
 )
 
 // The tests of this file repeat schedules in which the models of spec/ refuted
@@ -191,3 +192,20 @@
 	core.Step(time.Minute+time.Second, &Event{Contact: ContactRegained}, &effects)
 	is.Equal(decide(core, time.Minute+time.Second, opening).Action, ActionRelay)
 }
+
+// TestReturnDoesNotUndoAConfirmedRecord: another tail has forwarded the opening
+// by the head's own record. Found by random schedules (planned, seed 11).
+func TestReturnDoesNotUndoAConfirmedRecord(t *testing.T) {
+	is := is.New(t)
+	for _, off := range []rules{{}, {noDropOfReturn: true}} {
+		head, key := movingFlow(t)
+		head.off = off
+		opening := Packet{Key: key, Kind: PacketOpening, OpeningID: 7}
+		proposed := decide(head, time.Second, opening)
+		flow := message.FlowRecord{Flow: key.ID(), Backend: proposed.Relay.Proposal, OpeningID: 7}
+		give(head, time.Second, proposed.Peer, message.Pins{Service: testService, Confirm: true, Flows: []message.FlowRecord{flow}})
+		late := opening
+		late.Relay = lb.Relay{Hop: lb.HopReturn, Known: true, Proposal: head.services[testService].table.Base(key.ID().Bucket())}
+		is.Equal(decide(head, time.Second, late).Action == ActionDrop, !off.noDropOfReturn)
+	}
+}
