--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -33,6 +33,7 @@
 	parsed := kong.Parse(&line, kong.Name("robinlab"), kong.Description("Stand-ins, demo and fault runs for robinpulley."))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends what does not listen
 	logger := zerolog.New(os.Stderr).With().Timestamp().Str("command", parsed.Command()).Logger()
 	parsed.BindTo(ctx, (*context.Context)(nil))
 	if err := parsed.Run(&logger); err != nil {
