--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -55,7 +55,7 @@
 	DefaultOpeningHold           = 60 * time.Second
 	DefaultIdleTimeout           = 300 * time.Second
 	DefaultPinLifetime           = 60 * time.Second
-	DefaultPrepareLimit          = 2 * time.Second
+	DefaultPrepareLimit          = 1500 * time.Millisecond
 	DefaultPauseLimit            = time.Second
 	DefaultRetryAfter            = 500 * time.Millisecond
 	DefaultDrainGrace            = 3 * time.Second
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -70,7 +70,7 @@
 		Run:            run,
 		IdleTimeout:    300 * time.Second,
 		SettleMargin:   10 * time.Second,
-		PrepareLimit:   2 * time.Second,
+		PrepareLimit:   1500 * time.Millisecond,
 		TakeOverDelay:  500 * time.Millisecond,
 		RestoreDelay:   time.Second,
 		RetryDelay:     200 * time.Millisecond,
--- a/internal/core/head.go
+++ b/internal/core/head.go
@@ -85,8 +85,8 @@
 
 // drainGrace is how long after a back end began to drain an opening that was
 // proposed to it before, and that no tail is known to have forwarded, may still
-// go there: long enough for the first retransmission (RFC 6298, section 2).
-const drainGrace = time.Second
+// go there. With PrepareLimit it stays below three seconds after the change.
+const drainGrace = 500 * time.Millisecond
 
 // tooLate tells whether the opening's back end has been draining for a while
 // and may not have got any copy. Another back end is out of the question: a
--- a/internal/lab/runs/fault.go
+++ b/internal/lab/runs/fault.go
@@ -23,6 +23,7 @@
 const (
 	faultLimit   = 15 * time.Minute // of one run
 	inForceLimit = 5 * time.Second  // a change is in force in every zone
+	onItsWay     = 2 * time.Second  // an opening decided before a change was in force has arrived
 )
 
 var faultSize = size{
@@ -201,7 +202,9 @@
 }
 
 // drainAndCheck drains a host, waits until that is in force and checks that no
-// new flow comes to it from three seconds after the change on.
+// new flow comes to it from three seconds after the change on. A run without
+// limits of time counts from when the change was seen to be in force, if that
+// is later, and leaves what is on its way the time to arrive.
 func (run *faultRun) drainAndCheck(ctx context.Context, host *cluster.Host) error {
 	changed := time.Now()
 	revision, err := run.drain(ctx, host)
@@ -211,7 +214,11 @@
 	if err := run.inForce(ctx, revision, changed); err != nil {
 		return err
 	}
-	return run.noNewFlows(ctx, host, changed.Add(drainedWithin))
+	limit := changed.Add(drainedWithin)
+	if settled := time.Now().Add(onItsWay); !run.options.Timed && settled.After(limit) {
+		limit = settled
+	}
+	return run.noNewFlows(ctx, host, limit)
 }
 
 // noNewFlows lets the load run beyond the given time and checks that the
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -52,11 +52,7 @@
 
 // Before tells whether a ranks before b for the key. Equal scores are ranked by ID.
 func Before(key Key, a, b *Candidate) bool {
-	scoreA, scoreB := Score(key, a.Hash), Score(key, b.Hash)
-	if scoreA != scoreB {
-		return scoreA > scoreB
-	}
-	return a.ID < b.ID
+	return ranksBefore(Score(key, a.Hash), a, Score(key, b.Hash), b)
 }
 
 // Chain gives the indexes of the head and the tail for the key: the first node,
@@ -64,29 +60,39 @@
 // absent one is -1.
 func Chain(key Key, nodes []Candidate) (head, tail int) {
 	head, tail = -1, -1
+	var best, second uint64
 	for index := range nodes {
-		if head < 0 || Before(key, &nodes[index], &nodes[head]) {
-			head = index
+		score := Score(key, nodes[index].Hash)
+		if head < 0 || ranksBefore(score, &nodes[index], best, &nodes[head]) {
+			head, best = index, score
 		}
 	}
 	if head < 0 {
 		return head, tail
 	}
+	other := false // the tail is in another zone than the head
 	for index := range nodes {
-		if index != head && (tail < 0 || tailBefore(key, &nodes[head], &nodes[index], &nodes[tail])) {
-			tail = index
+		if index == head {
+			continue
+		}
+		isOther := nodes[index].Zone != nodes[head].Zone
+		if other && !isOther {
+			continue
+		}
+		score := Score(key, nodes[index].Hash)
+		if tail < 0 || isOther && !other || ranksBefore(score, &nodes[index], second, &nodes[tail]) {
+			tail, second, other = index, score, isOther
 		}
 	}
 	return head, tail
 }
 
-// tailBefore ranks a and b as tails after head: another zone first.
-func tailBefore(key Key, head, a, b *Candidate) bool {
-	otherA, otherB := a.Zone != head.Zone, b.Zone != head.Zone
-	if otherA != otherB {
-		return otherA
+// ranksBefore is Before with the scores known.
+func ranksBefore(scoreA uint64, a *Candidate, scoreB uint64, b *Candidate) bool {
+	if scoreA != scoreB {
+		return scoreA > scoreB
 	}
-	return Before(key, a, b)
+	return a.ID < b.ID
 }
 
 // Watchers gives the nodes that watch the store: the first of each zone,
