Find the watchers in one pass; make the benchmark of flow state measure again

Ruled out: caching the watchers in each part (three caches of one thing). Change: rendezvous.Watchers keeps the first two of each zone in one pass, checked against the sort; the benchmark's cores have a long PauseLimit, and it fails when no record is left.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -55,7 +55,7 @@
 
 func benchCore(b *testing.B, documents ...*lb.Placement) *Core {
 	b.Helper()
-	core := New(DefaultSettings("a", "1"))
+	core := New(unhurried("a", "1"))
 	var effects Effects
 	core.Step(0, &Event{Members: testMembers}, &effects)
 	for _, document := range documents {
@@ -167,7 +167,7 @@
 func benchState(b *testing.B, moved bool) {
 	calm, prepared, committed, _ := testPlacements(b, "ABCDEF", "ABCDE")
 	pair := []*Core{benchCore(b, calm, prepared, committed), nil}
-	pair[1] = New(DefaultSettings("b", "2"))
+	pair[1] = New(unhurried("b", "2"))
 	var effects Effects
 	now := time.Second
 	for _, member := range []Event{{Members: testMembers}, {Placement: committed}} {
@@ -202,6 +202,9 @@
 		}
 	}
 	opening := stateBytes(pair)
+	if opening == 0 {
+		b.Fatal("the openings left no records")
+	}
 	for end := now + 90*time.Second; now < end; now += TickInterval {
 		tick(now)
 	}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -5,7 +5,7 @@
 package rendezvous
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,29 +96,31 @@
 }
 
 // Watchers gives the nodes that watch the store: the first of each zone,
-// sorted by zone and rank. nodes is left as it is.
+// sorted by zone and rank. nodes is left as it is. It takes one pass, since every
+// change of the membership asks for it.
 func Watchers(nodes []Candidate) []Candidate {
 	key := NewKey(watcherKey)
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b Candidate) int {
-		if order := cmp.Compare(a.Zone, b.Zone); order != 0 {
-			return order
-		}
-		if Before(key, &a, &b) {
-			return -1
-		}
-		return 1
-	})
-	watchers := ranked[:0]
-	inZone := 0
-	for index, node := range ranked {
-		if index > 0 && node.Zone != watchers[len(watchers)-1].Zone {
-			inZone = 0
-		}
-		inZone++
-		if inZone <= WatchersPerZone {
-			watchers = append(watchers, node)
-		}
+	first := make(map[lb.Zone][]Candidate)
+	for index := range nodes {
+		node := &nodes[index]
+		first[node.Zone] = insertRanked(key, first[node.Zone], node)
+	}
+	var watchers []Candidate
+	for _, zone := range slices.Sorted(maps.Keys(first)) {
+		watchers = append(watchers, first[zone]...)
 	}
 	return watchers
 }
+
+// insertRanked puts a node into a list of at most WatchersPerZone, by rank.
+func insertRanked(key Key, ranked []Candidate, node *Candidate) []Candidate {
+	position := len(ranked)
+	for position > 0 && Before(key, node, &ranked[position-1]) {
+		position--
+	}
+	if position == WatchersPerZone {
+		return ranked
+	}
+	ranked = slices.Insert(ranked, position, *node)
+	return ranked[:min(len(ranked), WatchersPerZone)]
+}
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -1,6 +1,7 @@
 package rendezvous_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -52,15 +53,37 @@
 	}
 }
 
-func TestWatchersAreTwoOfEachZone(t *testing.T) {
+// TestWatchersAreTheFirstTwoOfEachZone compares with a plain sort by zone and rank.
+func TestWatchersAreTheFirstTwoOfEachZone(t *testing.T) {
 	is := is.New(t)
-	count := make(map[lb.Zone]int)
-	for _, watcher := range rendezvous.Watchers(candidates(30, 4)) {
-		count[watcher.Zone]++
+	for _, size := range []struct{ nodes, zones int }{{0, 1}, {1, 1}, {5, 4}, {30, 4}, {200, 12}} {
+		list := candidates(size.nodes, size.zones)
+		ranked := slices.Clone(list)
+		slices.SortFunc(ranked, func(a, b rendezvous.Candidate) int {
+			switch key := rendezvous.NewKey("watchers"); {
+			case a.Zone != b.Zone:
+				return cmp.Compare(a.Zone, b.Zone)
+			case rendezvous.Before(key, &a, &b):
+				return -1
+			}
+			return 1
+		})
+		var want []rendezvous.Candidate
+		count := make(map[lb.Zone]int)
+		for _, node := range ranked {
+			if count[node.Zone] < rendezvous.WatchersPerZone {
+				want = append(want, node)
+			}
+			count[node.Zone]++
+		}
+		is.Equal(rendezvous.Watchers(list), want)
 	}
-	is.Equal(len(count), 4)
-	for _, number := range count {
-		is.Equal(number, rendezvous.WatchersPerZone)
+}
+
+func BenchmarkWatchers840(b *testing.B) {
+	list := candidates(840, 12)
+	for range b.N {
+		rendezvous.Watchers(list)
 	}
 }
 
