--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,8 +35,8 @@
 	sureSince time.Duration // when it last became so
 	// resumed: unsure since a pause.
 	resumed bool
-	// drainUntil: packets up to then may have waited in a socket over a pause.
-	drainUntil time.Duration
+	// discardUntil: packets up to then may have waited in a socket over a pause.
+	discardUntil time.Duration
 	// joinedAt is when this node first saw others; zero before that.
 	joinedAt time.Duration
 	// missing are nodes that vanished without having left, and when.
@@ -115,7 +115,7 @@
 	core.stamp = toStamp(now)
 	if paused && !core.off.noUnsureAfterPause {
 		core.stats.Pauses++
-		core.drainUntil = now + TickInterval
+		core.discardUntil = now + TickInterval
 		core.resumed = !core.members.alone()
 		core.distrust()
 	}
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -27,7 +27,7 @@
 // packet decides on one packet.
 func (core *Core) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core, packet: packet, decision: decision}
-	if core.now < core.drainUntil && !core.off.noDropAfterPause {
+	if core.now < core.discardUntil && !core.off.noDropAfterPause {
 		current.drop(ReasonPaused)
 		return
 	}
