Drop parameters and a function of the experiment that did nothing

Cause: a read of the whole change: answerLimit gave one constant, answer took a host and cleaned a node that they did not use. Ruled out: nothing. Change: internal/experiment; behaviour as before.

--- a/internal/experiment/flow.go
+++ b/internal/experiment/flow.go
@@ -206,13 +206,10 @@
 	flow.awaiting = true
 	flow.attempts = 0
 	run.sendAwaiting(index)
-	run.armTimer(index, run.answerLimit(spec))
+	run.armTimer(index, firstRetransmit)
 	flow.attempts = 1
 }
 
-// answerLimit is how long a caller waits before it retransmits.
-func (run *run) answerLimit(Traffic) time.Duration { return firstRetransmit }
-
 func (run *run) trafficOf(flow *flow) Traffic {
 	return run.services[flow.service].spec.Traffic[flow.traffic]
 }
--- a/internal/experiment/host.go
+++ b/internal/experiment/host.go
@@ -38,7 +38,7 @@
 	}
 	if kind == core.PacketClosing {
 		delete(host.flows, flowIndex)
-		run.answer(host, flowIndex, answerClosed, 0)
+		run.answer(flowIndex, answerClosed, 0)
 		return
 	}
 	run.serve(host, flowIndex)
@@ -48,11 +48,11 @@
 func (run *run) strayAtHost(hostIndex, flowIndex int32, kind core.PacketKind) {
 	flow := &run.flows[flowIndex]
 	if hostIndex != flow.firstHost {
-		run.answer(&run.hosts[hostIndex], flowIndex, answerReset, 0)
+		run.answer(flowIndex, answerReset, 0)
 		return
 	}
 	if kind == core.PacketClosing {
-		run.answer(&run.hosts[hostIndex], flowIndex, answerClosed, 0)
+		run.answer(flowIndex, answerClosed, 0)
 	}
 }
 
@@ -72,12 +72,12 @@
 			return // a copy that came after the flow ended
 		}
 		if len(host.flows) >= run.services[host.service].spec.Connections {
-			run.answer(host, flowIndex, answerReset, 0)
+			run.answer(flowIndex, answerReset, 0)
 			return
 		}
 		host.flows[flowIndex] = struct{}{}
 	}
-	run.answer(host, flowIndex, answerAccepted, 0)
+	run.answer(flowIndex, answerAccepted, 0)
 }
 
 func (run *run) countLate(host *host) {
@@ -99,7 +99,7 @@
 	flow := &run.flows[flowIndex]
 	spec := run.trafficOf(flow)
 	if spec.Kind != Tap {
-		run.answer(host, flowIndex, answerAcknowledged, 0)
+		run.answer(flowIndex, answerAcknowledged, 0)
 		return
 	}
 	if flow.ran {
@@ -109,7 +109,7 @@
 	slot := earliest(host.slotFree)
 	start := max(host.slotFree[slot], run.queue.Now())
 	host.slotFree[slot] = start + run.exponential(spec.ServiceTime)
-	run.answer(host, flowIndex, answerReply, host.slotFree[slot]-run.queue.Now())
+	run.answer(flowIndex, answerReply, host.slotFree[slot]-run.queue.Now())
 }
 
 func earliest(times []time.Duration) int {
@@ -123,7 +123,7 @@
 }
 
 // answer sends something from a host straight to the caller (direct server return).
-func (run *run) answer(_ *host, flowIndex int32, kind answerKind, after time.Duration) {
+func (run *run) answer(flowIndex int32, kind answerKind, after time.Duration) {
 	delay := after + run.scenario.Delays.Client
 	run.queue.After(delay, event{kind: eventAnswer, index: flowIndex, other: int32(kind)})
 }
--- a/internal/experiment/node.go
+++ b/internal/experiment/node.go
@@ -91,7 +91,7 @@
 	sender := run.nodes[from]
 	sender.bytes += uint64(encodedSize(sender.id, outgoing.Message))
 	if clean, ok := outgoing.Message.(message.Clean); ok {
-		run.cleaned(sender.id, clean)
+		run.cleaned(clean)
 		return
 	}
 	to, known := run.byID[outgoing.To]
--- a/internal/experiment/publisher.go
+++ b/internal/experiment/publisher.go
@@ -227,7 +227,7 @@
 }
 
 // cleaned clears history that the heads report as no longer needed.
-func (run *run) cleaned(_ lb.NodeID, clean message.Clean) {
+func (run *run) cleaned(clean message.Clean) {
 	service := run.serviceOf(clean.Service)
 	if clean.Version != service.document.Version || len(service.document.Generations) > 1 {
 		return
