--- a/cmd/robinpulley/commands.go
+++ b/cmd/robinpulley/commands.go
@@ -8,9 +8,15 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/rs/zerolog"
+
 	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/node"
+	"robinpulley.example/robinpulley/internal/tokennode"
+	"robinpulley.example/robinpulley/platform"
 )
 
 // runCommand runs a balancer. Its flags override the settings file.
@@ -62,21 +68,57 @@
 	if err != nil {
 		return err
 	}
-	balancer, err := node.New(settings, logger)
+	balancer, err := command.newBalancer(settings, logger)
 	if err != nil {
 		return err
 	}
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	followSignals(balancer, cancel)
+	return balancer.Run(running)
+}
+
+// runner is a node of either affinity.
+type runner interface {
+	Run(ctx context.Context) error
+	Stop()
+	Reload()
+}
+
+// newBalancer makes the node for the affinity of the settings.
+func (command *runCommand) newBalancer(settings *config.Settings, logger zerolog.Logger) (runner, error) {
+	if settings.Affinity == core.AffinityChain {
+		return node.New(settings, logger)
+	}
+	return tokennode.New(tokennode.Options{
+		Settings: settings,
+		Logger:   logger,
+		Adapter: tokennode.Adapter{
+			NewCodec: func() dataplane.Codec { return platform.NewCodec(settings.DataAddress.Port()) },
+			Store:    platform.NewStore(settings.StoreEndpoints[0]),
+		},
+		Reload: func() (*config.Settings, error) { return config.Load(command.Config, command.overrides()) },
+	})
+}
+
+// followSignals stops the balancer as planned at the first SIGTERM or SIGINT
+// and at once at the second. SIGHUP has it read its settings again.
+func followSignals(balancer runner, stopAtOnce func()) {
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
 	go func() {
-		<-signals
+		<-stops
 		balancer.Stop()
-		<-signals
-		cancel()
+		<-stops
+		stopAtOnce()
+	}()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			balancer.Reload()
+		}
 	}()
-	return balancer.Run(running)
 }
 
 // checkCommand checks a settings file.
--- a/cmd/robinpulley/main.go
+++ b/cmd/robinpulley/main.go
@@ -12,6 +12,7 @@
 
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/node"
+	"robinpulley.example/robinpulley/internal/tokennode"
 )
 
 // The exit codes.
@@ -63,7 +64,7 @@
 	switch {
 	case errors.Is(err, os.ErrNotExist), errors.Is(err, os.ErrPermission):
 		return exitBadSettings
-	case errors.Is(err, node.ErrStoppedAtOnce):
+	case errors.Is(err, node.ErrStoppedAtOnce), errors.Is(err, tokennode.ErrStoppedAtOnce):
 		return exitStoppedAtOnce
 	}
 	return exitFailed
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
@@ -35,10 +36,11 @@
 		Node:                 lb.NodeID(checker.name("node", raw.Node)),
 		Zone:                 lb.Zone(checker.name("zone", raw.Zone)),
 		Region:               raw.Region,
+		Affinity:             checker.affinity("affinity", raw.Affinity),
 		DataAddress:          checker.address("data_address", raw.DataAddress),
 		ControlAddress:       checker.address("control_address", raw.ControlAddress),
 		AdminAddress:         checker.address("admin_address", raw.AdminAddress),
-		FabricReplyAddresses: checker.required("fabric_reply_addresses", raw.FabricReplyAddresses),
+		FabricReplyAddresses: checker.replyAddresses("fabric_reply_addresses", raw),
 		StoreEndpoints:       checker.endpoints("store_endpoints", raw.StoreEndpoints),
 		Seeds:                checker.addresses("seeds", raw.Seeds),
 		MachinesURL:          raw.MachinesURL,
@@ -118,6 +120,24 @@
 	return result
 }
 
+// affinity checks the name of an affinity.
+func (checker *checker) affinity(field, value string) core.Affinity {
+	switch affinity := core.Affinity(value); affinity {
+	case core.AffinityChain, core.AffinityToken:
+		return affinity
+	}
+	checker.report(field, value, "is neither %s nor %s", core.AffinityChain, core.AffinityToken)
+	return ""
+}
+
+// replyAddresses checks the fabric's addresses, which only the chain needs.
+func (checker *checker) replyAddresses(field string, raw *document) []netip.AddrPort {
+	if raw.Affinity == string(core.AffinityToken) {
+		return checker.addresses(field, raw.FabricReplyAddresses)
+	}
+	return checker.required(field, raw.FabricReplyAddresses)
+}
+
 // required checks a list of addresses that may not be empty.
 func (checker *checker) required(field string, values []string) []netip.AddrPort {
 	if len(values) == 0 {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"robinpulley.example/robinpulley/internal/core"
 )
 
 // document is the settings file as written: text that is not yet checked.
@@ -9,6 +11,7 @@
 	Node                 string   `yaml:"node"`
 	Zone                 string   `yaml:"zone"`
 	Region               string   `yaml:"region"`
+	Affinity             string   `yaml:"affinity"`
 	DataAddress          string   `yaml:"data_address"`
 	ControlAddress       string   `yaml:"control_address"`
 	AdminAddress         string   `yaml:"admin_address"`
@@ -67,6 +70,7 @@
 // defaultDocument holds the defaults, over which the file is read.
 func defaultDocument() document {
 	return document{
+		Affinity:     string(core.AffinityChain),
 		AdminAddress: DefaultAdminAddress,
 		LogLevel:     DefaultLogLevel,
 		Limits: limitsDocument{
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
@@ -16,16 +17,21 @@
 	Zone   lb.Zone
 	Region string
 
+	// Affinity is how later packets of a flow find its back end.
+	Affinity core.Affinity
+
 	// DataAddress receives Geneve over UDP from the fabric and from peers.
 	DataAddress netip.AddrPort
 	// ControlAddress is the endpoint for peers, UDP and TCP on one port.
 	ControlAddress netip.AddrPort
 	// AdminAddress serves metrics, health and debugging over HTTP.
 	AdminAddress netip.AddrPort
-	// FabricReplyAddresses are the fabric's endpoints that take refusals.
+	// FabricReplyAddresses are the fabric's endpoints that take refusals; empty
+	// with AffinityToken, where answers go to the caller.
 	FabricReplyAddresses []netip.AddrPort
 
-	// StoreEndpoints are base URLs of the store's JSON gateway.
+	// StoreEndpoints are base URLs of the store's JSON gateway, or, with
+	// AffinityToken, of the platform's store.
 	StoreEndpoints []string
 	// MachinesURL is the platform's list of live and leaving machines; empty: none.
 	MachinesURL string
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -11,6 +11,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/steering"
 )
 
 // PacketKind says what a packet tells about its flow.
@@ -36,6 +37,13 @@
 	// the same 5-tuple: the TCP initial sequence number. Zero for others.
 	OpeningID uint32
 	Relay     lb.Relay // Hop is HopIngress for packets from the fabric
+	// Token is what a path that carries tokens carries; see AffinityToken.
+	Token steering.Token
+	// Copies is how many copies of this opening the caller has sent before,
+	// as far as the path tells.
+	Copies uint32
+	// Acknowledged is the packet's acknowledgement number, where the path tells.
+	Acknowledged uint32
 }
 
 // Action is what is to be done with the packet of the event.
@@ -69,6 +77,8 @@
 	ReasonWrongService   Reason = "wrong-service"   // the last check before the write failed
 	ReasonViewsDiffer    Reason = "views-differ"    // two nodes each think the other the head
 	ReasonStray          Reason = "stray"           // a later packet of a flow whose opening was refused
+	ReasonNoView         Reason = "no-view"         // this node knows no configuration yet
+	ReasonUnknownToken   Reason = "unknown-token"   // the token names no back end known here for the front end
 )
 
 // Decision is the effect on the packet of the event.
@@ -81,6 +91,10 @@
 	Peer    lb.NodeID
 	Relay   lb.Relay
 	Refusal lb.Refusal
+	// Token is to be written on a forwarded packet that opens a flow.
+	Token steering.Token
+	// Identity names the back end that is meant, on paths whose packets do so.
+	Identity uint64
 }
 
 // Outgoing is a message to a peer.
@@ -114,9 +128,11 @@
 	Packet    *Packet
 	Placement *lb.Placement // adopted only when its version is higher
 	Members   []Member      // all nodes thought alive, self included
-	Peer      *PeerEvent
-	Tick      bool // at least every TickInterval
-	Leave     bool // planned stop begins
+	// Table is a new table, for AffinityToken.
+	Table *steering.Table
+	Peer  *PeerEvent
+	Tick  bool // at least every TickInterval
+	Leave bool // planned stop begins
 	// Contact tells whether this node has lately exchanged placements with a
 	// peer. ContactRegained is valid only after an exchange that began after
 	// the contact was lost or Effects.Unsure was first set.
@@ -142,10 +158,24 @@
 // TickInterval is the longest time between two ticks in normal running.
 const TickInterval = 200 * time.Millisecond
 
+// Affinity is how a later packet of a flow finds the flow's back end.
+type Affinity string
+
+// The affinities.
+const (
+	// AffinityChain: by records at a chain of two nodes, for paths whose
+	// packets carry nothing of the balancer's.
+	AffinityChain Affinity = "chain"
+	// AffinityToken: by a token that the path's packets carry.
+	AffinityToken Affinity = "token"
+)
+
 // Settings are the core's parameters. Zero values are not valid; see DefaultSettings.
 type Settings struct {
 	Self lb.NodeID
 	Zone lb.Zone
+	// Affinity is AffinityChain if empty.
+	Affinity Affinity
 	// OpeningHold is how long an opening is remembered: the longest time
 	// over which callers retransmit one opening.
 	OpeningHold time.Duration
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,12 +5,14 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/rendezvous"
+	"robinpulley.example/robinpulley/internal/steering"
 )
 
 // Core decides for one balancer. It is not safe for concurrent use: one
 // goroutine at a time calls its methods.
 type Core struct {
 	settings Settings
+	affinity affinity
 	off      rules
 	now      time.Duration
 	stamp    stamp
@@ -53,6 +55,12 @@
 // stampUnit is the unit of times in records.
 const stampUnit = 10 * time.Millisecond
 
+// affinity finds the back ends of flows; see Affinity.
+type affinity interface {
+	packet(packet *Packet, decision *Decision)
+	setTable(table *steering.Table)
+}
+
 // New gives a core that knows of no other member and no service.
 func New(settings Settings) *Core {
 	core := &Core{
@@ -66,6 +74,10 @@
 		missing:   make(map[lb.NodeID]time.Duration),
 		sure:      true,
 	}
+	core.affinity = chainAffinity{core}
+	if settings.Affinity == AffinityToken {
+		core.affinity = newTokenAffinity(core)
+	}
 	core.self = core.node(settings.Self)
 	core.self.Zone = settings.Zone
 	core.hints.limit = newLimiter(int64(settings.PinBytesPerSecond), int64(settings.PinBytesPerSecond))
@@ -80,10 +92,12 @@
 	core.setTime(now)
 	switch {
 	case event.Packet != nil:
-		core.packet(event.Packet, &effects.Decision)
+		core.affinity.packet(event.Packet, &effects.Decision)
 		core.count(&effects.Decision)
 	case event.Placement != nil:
 		core.adopt(event.Placement)
+	case event.Table != nil:
+		core.affinity.setTable(event.Table)
 	case event.Members != nil:
 		core.setMembers(event.Members)
 	case event.Peer != nil:
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/steering"
 )
 
 // turn is the handling of one packet.
@@ -24,9 +25,15 @@
 	known   bool // from a record that a tail confirmed
 }
 
+// chainAffinity is AffinityChain: the rules of docs/DESIGN.md, "The chain".
+type chainAffinity struct{ *Core }
+
+// setTable is not for this affinity, which goes by placements.
+func (chainAffinity) setTable(*steering.Table) {}
+
 // packet decides on one packet.
-func (core *Core) packet(packet *Packet, decision *Decision) {
-	current := turn{core: core, packet: packet, decision: decision}
+func (core chainAffinity) packet(packet *Packet, decision *Decision) {
+	current := turn{core: core.Core, packet: packet, decision: decision}
 	if core.now < core.discardUntil && !core.off.noDropAfterPause {
 		current.drop(ReasonPaused)
 		return
--- /dev/null
+++ b/internal/core/token.go
@@ -0,0 +1,102 @@
+package core
+
+import (
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/steering"
+)
+
+// tokenAffinity is AffinityToken: the opening is given a token that names its
+// back end, and every later packet goes by its token. Safety rests on nothing
+// that this node remembers; see docs/design-platform.md.
+type tokenAffinity struct {
+	core  *Core
+	table *steering.Table // nil: no view yet
+}
+
+func newTokenAffinity(core *Core) *tokenAffinity { return &tokenAffinity{core: core} }
+
+func (affinity *tokenAffinity) setTable(table *steering.Table) { affinity.table = table }
+
+func (affinity *tokenAffinity) packet(packet *Packet, decision *Decision) {
+	switch {
+	case affinity.core.now < affinity.core.discardUntil:
+		drop(decision, ReasonPaused)
+	case affinity.table == nil:
+		drop(decision, ReasonNoView)
+	case packet.Kind == PacketOpening:
+		affinity.open(packet, decision)
+	default:
+		affinity.follow(packet, decision)
+	}
+}
+
+// open places a new flow. Copies of an opening are placed alike while the view
+// stays: the choice is a pure function of the flow and the view.
+func (affinity *tokenAffinity) open(packet *Packet, decision *Decision) {
+	flow := packet.Key.ID()
+	service := affinity.table.Service(&packet.Key)
+	if service == nil {
+		affinity.refuse(packet, decision, flow, ReasonUnknownService)
+		return
+	}
+	decision.Service = service.Name
+	host := service.Pick(flow, nil)
+	if host == nil {
+		affinity.refuse(packet, decision, flow, ReasonNoBackend)
+		return
+	}
+	frontend := packet.Key.Frontend()
+	forwardTo(decision, host)
+	decision.Token = host.Token(&frontend)
+}
+
+// follow sends a later packet to the back end that its token names. One that
+// names none known here is dropped: the back end may be newer than this node's
+// view, so an answer could break a living flow.
+func (affinity *tokenAffinity) follow(packet *Packet, decision *Decision) {
+	frontend := packet.Key.Frontend()
+	host := affinity.table.Resolve(&frontend, packet.Token)
+	if host == nil {
+		drop(decision, ReasonUnknownToken)
+		return
+	}
+	forwardTo(decision, host)
+	decision.Token = packet.Token
+}
+
+func forwardTo(decision *Decision, host *steering.Host) {
+	decision.Action = ActionForward
+	decision.Service = host.Service
+	decision.Host = host.Address
+	decision.Identity = host.Identity
+}
+
+func drop(decision *Decision, reason Reason) {
+	decision.Action = ActionDrop
+	decision.Reason = reason
+}
+
+// refuse answers an opening at once. An earlier copy may have been forwarded
+// by another node, so that only the first copy is known not to have run.
+func (affinity *tokenAffinity) refuse(packet *Packet, decision *Decision, flow lb.FlowID, reason Reason) {
+	verdict := lb.NotRun
+	if packet.Copies > 0 {
+		verdict = lb.MayHaveRun
+	}
+	decision.Action = ActionRefuse
+	decision.Reason = reason
+	decision.Refusal = lb.Refusal{
+		Verdict:    verdict,
+		RetryAfter: spreadRetry(affinity.core.settings.RetryAfter, flow, packet.OpeningID),
+	}
+}
+
+// spreadRetry spreads callers evenly over [base, 2 × base) by the hash of their
+// flow and opening, so that they do not all come back together.
+func spreadRetry(base time.Duration, flow lb.FlowID, openingID uint32) time.Duration {
+	const steps = 1 << 16
+	spread := (uint64(flow) ^ uint64(openingID)*0x9e3779b97f4a7c15) >> 13 % steps
+	return base + base*time.Duration(spread)/steps
+}
--- a/internal/dataplane/batch.go
+++ b/internal/dataplane/batch.go
@@ -12,8 +12,6 @@
 const (
 	// batchSize is the most datagrams read or written by one system call.
 	batchSize = 32
-	// datagramSize holds the largest UDP datagram.
-	datagramSize = 1 << 16
 	// outputSize is what an output buffer starts with, in bytes; it grows as needed.
 	outputSize = 2048
 )
@@ -36,10 +34,11 @@
 	queued     int
 }
 
-func newBatch(socket *net.UDPConn) *batch {
+// newBatch gives a batch for datagrams of at most size bytes.
+func newBatch(socket *net.UDPConn, size int) *batch {
 	batch := &batch{connection: newBatchConn(socket)}
 	for index := range batchSize {
-		batch.inputs[index].Buffers = [][]byte{make([]byte, datagramSize)}
+		batch.inputs[index].Buffers = [][]byte{make([]byte, size)}
 		batch.outputs[index].Buffers = [][]byte{make([]byte, 0, outputSize)}
 		batch.outputs[index].Addr = &batch.addresses[index]
 		batch.addresses[index].IP = make(net.IP, 0, net.IPv6len)
--- a/internal/dataplane/bench_test.go
+++ b/internal/dataplane/bench_test.go
@@ -53,8 +53,8 @@
 }
 
 func benchmarkOneByOne(b *testing.B, bench *bench, to netip.AddrPort) {
-	sender := newBatch(bench.fabric.socket)
-	receiver := newBatch(bench.host.socket)
+	sender := newBatch(bench.fabric.socket, testDatagramSize)
+	receiver := newBatch(bench.host.socket, testDatagramSize)
 	datagram := wrap(b, openingPacket(b), lb.Relay{})
 	b.ReportAllocs()
 	for b.Loop() {
@@ -70,8 +70,8 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	sender := newBatch(bench.fabric.socket)
-	receiver := newBatch(bench.host.socket)
+	sender := newBatch(bench.fabric.socket, testDatagramSize)
+	receiver := newBatch(bench.host.socket, testDatagramSize)
 	datagram := wrap(b, inner, lb.Relay{})
 	b.ReportAllocs()
 	b.ResetTimer()
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -41,9 +41,10 @@
 	// PeerAddress gives the data address of another balancer, false when it
 	// is not known. It is called from every reader at once.
 	PeerAddress func(lb.NodeID) (netip.AddrPort, bool)
-	// ReplyTo are the fabric's addresses that take refusals; the refusals of
-	// one flow all go to one of them.
+	// ReplyTo are the fabric's addresses that take refusals; see NewGeneveCodec.
 	ReplyTo []netip.AddrPort
+	// NewCodec gives the codec of one reader; nil means Geneve, which needs ReplyTo.
+	NewCodec func() Codec
 	// Guard is asked before a packet is written to a host; nil allows all,
 	// for callers that have no placements.
 	Guard *Guard
@@ -60,9 +61,13 @@
 	if options.Decide == nil || options.PeerAddress == nil {
 		return errors.New("options Decide and PeerAddress must be set")
 	}
+	if options.NewCodec != nil {
+		return nil
+	}
 	if len(options.ReplyTo) == 0 {
 		return errors.New("no fabric address to send refusals to")
 	}
+	options.NewCodec = func() Codec { return NewGeneveCodec(options.ReplyTo) }
 	return nil
 }
 
--- a/internal/dataplane/harness_test.go
+++ b/internal/dataplane/harness_test.go
@@ -23,11 +23,14 @@
 	service  = netip.MustParseAddrPort("192.0.2.1:443")
 )
 
+// testDatagramSize holds the largest UDP datagram.
+const testDatagramSize = 1 << 16
+
 // endpoint is a socket of the test: the fabric, a host or a peer.
 type endpoint struct {
 	t      testing.TB
 	socket *net.UDPConn
-	buffer [datagramSize]byte
+	buffer [testDatagramSize]byte
 }
 
 func newEndpoint(t testing.TB, address netip.AddrPort) *endpoint {
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -21,12 +21,14 @@
 type worker struct {
 	plane    *Plane
 	batch    *batch
-	packet   packet.Packet
+	codec    Codec
+	packet   *core.Packet // the last one decoded
 	counters counters
 }
 
 func newWorker(plane *Plane) *worker {
-	return &worker{plane: plane, batch: newBatch(plane.socket)}
+	codec := plane.options.NewCodec()
+	return &worker{plane: plane, codec: codec, batch: newBatch(plane.socket, codec.DatagramSize())}
 }
 
 // run reads, decides and writes until the socket is closed or its read
@@ -54,16 +56,18 @@
 func (worker *worker) handle(datagram []byte) {
 	worker.counters.received.Add(1)
 	worker.counters.receivedBytes.Add(uint64(len(datagram)))
-	if err := packet.Decode(datagram, &worker.packet); err != nil {
+	decoded, err := worker.codec.Decode(datagram)
+	if err != nil {
 		worker.countMalformed(err)
 		return
 	}
-	if worker.packet.Relayed() {
+	worker.packet = decoded
+	if decoded.Relay.Hop != lb.HopIngress {
 		worker.counters.fromPeers.Add(1)
 	} else {
 		worker.counters.fromFabric.Add(1)
 	}
-	decision := worker.plane.options.Decide(&worker.packet.Packet)
+	decision := worker.plane.options.Decide(decoded)
 	worker.act(&decision)
 }
 
@@ -92,8 +96,11 @@
 		worker.counters.wrongService.Add(1)
 		return
 	}
-	header := packet.Header{VNI: worker.packet.VNI}
-	if worker.send(decision.Host, &header) {
+	if !worker.sendable(decision.Host) {
+		return
+	}
+	encoded, err := worker.codec.AppendForward(worker.batch.output(), decision)
+	if worker.queue(encoded, decision.Host, err) {
 		worker.counters.forwarded.Add(1)
 	}
 }
@@ -108,8 +115,11 @@
 		worker.counters.unknownPeer.Add(1)
 		return
 	}
-	header := packet.Header{VNI: worker.packet.VNI, Relay: decision.Relay}
-	if worker.send(address, &header) {
+	if !worker.sendable(address) {
+		return
+	}
+	encoded, err := worker.codec.AppendRelay(worker.batch.output(), decision.Relay)
+	if worker.queue(encoded, address, err) {
 		worker.counters.relayed.Add(1)
 	}
 }
@@ -138,37 +148,32 @@
 	return rankIngress
 }
 
-// send queues the inner packet in Geneve for the address; false if it cannot.
-func (worker *worker) send(address netip.AddrPort, header *packet.Header) bool {
-	if !worker.plane.sendable(address) {
-		worker.counters.unsendable.Add(1)
-		return false
+// sendable tells whether packets may be sent to the address, and counts if not.
+func (worker *worker) sendable(address netip.AddrPort) bool {
+	if worker.plane.sendable(address) {
+		return true
 	}
-	buffer := worker.batch.output()
-	encoded, err := packet.Encode(buffer, worker.packet.Inner, header)
+	worker.counters.unsendable.Add(1)
+	return false
+}
+
+// queue takes what was built for the address; false if building failed, which
+// a decoded packet never leads to; see packet.FuzzDecode.
+func (worker *worker) queue(encoded []byte, to netip.AddrPort, err error) bool {
 	if err != nil {
-		// A decoded packet always encodes again; see packet.FuzzDecode.
 		worker.counters.unsendable.Add(1)
 		return false
 	}
-	worker.batch.queue(encoded, address)
+	worker.batch.queue(encoded, to)
 	return true
 }
 
 func (worker *worker) refuse(decision *core.Decision) {
-	buffer := worker.batch.output()
-	encoded, err := packet.AppendRefusal(buffer, &worker.packet, decision.Refusal)
+	encoded, to, err := worker.codec.AppendRefusal(worker.batch.output(), decision.Refusal)
 	if err != nil {
 		worker.counters.unanswered.Add(1)
 		return
 	}
-	worker.batch.queue(encoded, worker.replyAddress())
+	worker.batch.queue(encoded, to)
 	worker.counters.refused.Add(1)
 }
-
-// replyAddress gives one fabric address to all refusals of a flow.
-func (worker *worker) replyAddress() netip.AddrPort {
-	addresses := worker.plane.options.ReplyTo
-	flow := worker.packet.Key.ID()
-	return addresses[uint64(flow)%uint64(len(addresses))]
-}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,256 @@
+// Package follower keeps a balancer's view as new as the store's: it decides
+// who reads the store for whom, when, and what balancers tell each other. The
+// first node of each zone reads; one whose view has not been confirmed in time
+// reads itself. There is no leader that safety rests on: a second reader costs
+// calls, nothing else. It is a deterministic core without I/O, clock or global
+// randomness; see docs/design-platform.md, "Reading the store".
+package follower
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/view"
+)
+
+// Settings of a follower. See DefaultSettings.
+type Settings struct {
+	Self lb.NodeID
+	Zone lb.Zone
+	// Seeds are control addresses asked for a view while there is none.
+	Seeds []netip.AddrPort
+	// Seed of the random jitter.
+	Seed uint64
+	// WatchWait is how long a watch waits in the store for a change.
+	WatchWait time.Duration
+	// CallTimeout bounds a call to the store, besides WatchWait.
+	CallTimeout time.Duration
+	// ChangeInterval is the shortest time from an answer with changes to the
+	// next watch, so that changes in quick succession cost one call together.
+	ChangeInterval time.Duration
+	// Patience is the age of the view at which the node of rank 1 reads
+	// itself, PatienceStep what each further rank adds, up to PatienceLimit.
+	Patience, PatienceStep, PatienceLimit time.Duration
+	// SilenceLimit is the age at which it does so if no node has told of the view since.
+	SilenceLimit time.Duration
+	// DigestInterval is the time between digests to the zone, and more in
+	// zones of many nodes (DigestPerPeer for each).
+	DigestInterval, DigestPerPeer time.Duration
+	// SettleTime is how long after its start a node does not take itself as
+	// the first of its zone: it has not yet heard of the others.
+	SettleTime time.Duration
+	// BackoffBase and BackoffLimit bound the time to the next call after a failed one.
+	BackoffBase, BackoffLimit time.Duration
+}
+
+// DefaultSettings gives the defaults for a node. Together they put a change
+// into force within 2.5 s of its acknowledgement even when the reader of the
+// zone fails at that moment.
+func DefaultSettings(self lb.NodeID, zone lb.Zone, seed uint64) Settings {
+	return Settings{
+		Self:           self,
+		Zone:           zone,
+		Seed:           seed,
+		WatchWait:      1500 * time.Millisecond,
+		CallTimeout:    700 * time.Millisecond,
+		ChangeInterval: 200 * time.Millisecond,
+		Patience:       1900 * time.Millisecond,
+		PatienceStep:   100 * time.Millisecond,
+		PatienceLimit:  2200 * time.Millisecond,
+		SilenceLimit:   1200 * time.Millisecond,
+		DigestInterval: 400 * time.Millisecond,
+		DigestPerPeer:  12 * time.Millisecond,
+		SettleTime:     1500 * time.Millisecond,
+		BackoffBase:    100 * time.Millisecond,
+		BackoffLimit:   time.Second,
+	}
+}
+
+// Peer is a living balancer that does not leave.
+type Peer struct {
+	ID      lb.NodeID
+	Zone    lb.Zone
+	Control netip.AddrPort
+}
+
+// Event is one input. At most one field is set; none makes a tick, which is
+// due every TickInterval.
+type Event struct {
+	Peers   []Peer // all that are alive and stay, self included unless it leaves
+	Message *PeerMessage
+	Read    *ReadResult
+}
+
+// TickInterval is the time between two ticks.
+const TickInterval = 100 * time.Millisecond
+
+// PeerMessage is a ViewDigest, ViewWant or ViewDelta from a peer.
+type PeerMessage struct {
+	From    lb.NodeID
+	Address netip.AddrPort // invalid: not known
+	Message message.Message
+}
+
+// ReadKind is the kind of a reading call.
+type ReadKind string
+
+// The kinds of reading calls.
+const (
+	ReadList  ReadKind = "list"
+	ReadWatch ReadKind = "watch"
+)
+
+// Read is a call to the store.
+type Read struct {
+	Kind ReadKind
+	// After and Wait are for ReadWatch.
+	After int64
+	Wait  time.Duration
+	// Timeout bounds the whole call.
+	Timeout time.Duration
+}
+
+// Failure says why a call gave nothing.
+type Failure string
+
+// The failures.
+const (
+	FailureNone        Failure = ""
+	FailureLost        Failure = "lost"        // no usable answer in time
+	FailureThrottled   Failure = "throttled"   // beyond the store's rate
+	FailureUnavailable Failure = "unavailable" // the store says that it does not serve
+	FailureCompacted   Failure = "compacted"   // the history after Read.After is gone
+	FailureRejected    Failure = "rejected"    // the store refuses the call as such
+)
+
+// ReadResult is how a call ended. Listing or Changes is set if Failure is FailureNone.
+type ReadResult struct {
+	Read    Read
+	Failure Failure
+	Listing *view.Listing
+	Changes *view.Changes
+}
+
+// Outgoing is a message to a control address.
+type Outgoing struct {
+	To      netip.AddrPort
+	Message message.Message
+}
+
+// Effects is filled by one Step. The caller reuses it; Step resets it first.
+type Effects struct {
+	// Read is a call to be started; there is one at a time.
+	Read     *Read
+	Messages []Outgoing
+	// Changed: the view is another than before, by word of Source.
+	Changed bool
+	Source  string
+}
+
+// sourceStore is the Source of what the store itself has told.
+const sourceStore = "store"
+
+// Core is the follower of one node. It is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	random   *rand.Rand
+	replica  *view.Replica
+	now      time.Duration
+	started  bool
+	startAt  time.Duration
+
+	peers []Peer // without self
+	// rank is this node's place among the staying nodes of its zone.
+	rank int
+	// heads are the first nodes of the other zones.
+	heads []Peer
+	zone  []Peer // the other nodes of the own zone
+
+	confirmedAt time.Duration // when the view was last known to be the newest
+	confirmed   bool
+	heardAt     time.Duration // when a peer last told of the view
+	readAt      time.Duration // of the last successful call of this node
+	hasRead     bool
+	reading     bool
+	relist      bool // the history is gone
+	nextRead    time.Duration
+	failures    int
+	nextDigest  time.Duration
+	nextWant    time.Duration
+	nextPrune   time.Duration
+}
+
+// New gives a follower that knows nothing.
+func New(settings Settings) *Core {
+	return &Core{
+		settings: settings,
+		random:   rand.New(rand.NewPCG(settings.Seed, uint64(settings.Self.Hash()))),
+		replica:  view.NewReplica(),
+	}
+}
+
+// Replica is the view. The caller does not change it.
+func (core *Core) Replica() *view.Replica { return core.replica }
+
+// Age is the time since the view was last known to be the newest; false: it never was.
+func (core *Core) Age(now time.Duration) (time.Duration, bool) {
+	return now - core.confirmedAt, core.confirmed
+}
+
+// Rank is this node's place among those of its zone that may read; 0 reads.
+func (core *Core) Rank() int { return core.rank }
+
+// Step takes one event at a time that never goes back and fills effects.
+func (core *Core) Step(now time.Duration, event *Event, effects *Effects) {
+	*effects = Effects{Messages: effects.Messages[:0]}
+	core.now = max(now, core.now)
+	if !core.started {
+		core.started = true
+		core.startAt = core.now
+	}
+	switch {
+	case event.Peers != nil:
+		core.setPeers(event.Peers)
+	case event.Message != nil:
+		core.receive(event.Message, effects)
+	case event.Read != nil:
+		core.finishRead(event.Read, effects)
+	default:
+		core.tick(effects)
+	}
+	core.startRead(effects)
+}
+
+func (core *Core) tick(effects *Effects) {
+	if core.now >= core.nextPrune {
+		core.nextPrune = core.now + time.Second
+		if core.replica.Prune(core.now) {
+			core.noteChange(effects, "prune")
+		}
+	}
+	if core.replica.Revision() == 0 {
+		core.askForView(effects)
+		return
+	}
+	if core.tells() && core.now >= core.nextDigest {
+		core.sendDigest(effects)
+	}
+}
+
+func (core *Core) noteChange(effects *Effects, source string) {
+	effects.Changed = true
+	effects.Source = source
+}
+
+// confirm notes that the view was the newest at the time.
+func (core *Core) confirm(at time.Duration) {
+	if !core.confirmed || at > core.confirmedAt {
+		core.confirmed = true
+		core.confirmedAt = at
+	}
+}
+
+func (core *Core) age() time.Duration { return core.now - core.confirmedAt }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -33,6 +33,13 @@
 	EventStoreWriteFailed Event = "store_write_failed"
 	EventMachinesFailed   Event = "machines_failed"
 	EventFaultInjected    Event = "fault_injected"
+	EventViewChanged      Event = "view_changed"
+	EventOpening          Event = "opening"
+	EventRefused          Event = "refused"
+	EventDropped          Event = "dropped"
+	EventReloaded         Event = "reloaded"
+	EventReloadFailed     Event = "reload_failed"
+	EventReloadIgnored    Event = "reload_ignored"
 )
 
 // Events lists every log event.
@@ -41,7 +48,8 @@
 		EventStarting, EventReady, EventStopping, EventHandedOver, EventStopped,
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
-		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected,
+		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
+		EventOpening, EventRefused, EventDropped, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -59,6 +67,16 @@
 	FieldAddress  = "address"
 	FieldKey      = "key"
 	FieldDuration = "duration_ms"
+	FieldFlow     = "flow"
+	FieldOpening  = "opening_id"
+	FieldCopies   = "copies"
+	FieldBackend  = "backend"
+	FieldHost     = "host"
+	FieldRevision = "revision"
+	FieldAge      = "view_age_ms"
+	FieldSource   = "source"
+	FieldFailure  = "failure"
+	FieldOmitted  = "omitted"
 )
 
 // timeFormat of log lines: RFC 3339 in milliseconds.
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -188,3 +188,21 @@
 		}
 	}
 }
+
+// JoinRequest announces this node to a seed and asks for the whole membership.
+// Its sequence is zero, since no probe waits for an answer.
+func (core *Core) JoinRequest() message.Ping {
+	self := message.MemberUpdate{
+		Node:        core.settings.Self.ID,
+		Zone:        core.settings.Self.Zone,
+		Control:     core.settings.Self.Control.String(),
+		Data:        core.settings.Self.Data.String(),
+		State:       message.MemberAlive,
+		Incarnation: core.incarnation,
+	}
+	return message.Ping{
+		Incarnation: self.Incarnation,
+		Updates:     []message.MemberUpdate{self},
+		Full:        true,
+	}
+}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -111,6 +111,9 @@
 	TypePlacements: decodeAs[Placements],
 	TypeInForce:    decodeAs[InForce],
 	TypeLoad:       decodeAs[Load],
+	TypeViewDigest: decodeAs[ViewDigest],
+	TypeViewWant:   decodeAs[ViewWant],
+	TypeViewDelta:  decodeAs[ViewDelta],
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
--- a/internal/message/validate.go
+++ b/internal/message/validate.go
@@ -52,6 +52,12 @@
 		return TypeInForce, validateInForce(message)
 	case Load:
 		return TypeLoad, validateLoad(message)
+	case ViewDigest:
+		return TypeViewDigest, validateViewDigest(message)
+	case ViewWant:
+		return TypeViewWant, validateViewWant(message)
+	case ViewDelta:
+		return TypeViewDelta, validateViewDelta(message)
 	}
 	return "", fieldError("", "type", fmt.Sprintf("%T", message), "not a message passed by value")
 }
--- /dev/null
+++ b/internal/message/view.go
@@ -0,0 +1,68 @@
+package message
+
+import "robinpulley.example/robinpulley/internal/view"
+
+// The types of messages about the view (docs/design-platform.md, "Reading the store").
+const (
+	TypeViewDigest Type = "view_digest"
+	TypeViewWant   Type = "view_want"
+	TypeViewDelta  Type = "view_delta"
+)
+
+// ViewDigest says how new the sender's view is. It is sent by nodes that read
+// the store themselves.
+type ViewDigest struct {
+	Revision int64 `json:"revision"`
+	// Changed is the revision of the last change in the sender's view.
+	Changed int64 `json:"changed"`
+	// AgeMillis is the time since the store confirmed the view as the newest.
+	AgeMillis int64 `json:"age_ms"`
+}
+
+// ViewWant asks for all that changed after a revision; 0: the whole view.
+type ViewWant struct {
+	After int64 `json:"after"`
+}
+
+// ViewDelta answers ViewWant, and is sent unasked when the view changes.
+type ViewDelta struct {
+	AgeMillis int64      `json:"age_ms"`
+	Delta     view.Delta `json:"delta"`
+}
+
+// MessageType implements Message.
+func (ViewDigest) MessageType() Type { return TypeViewDigest }
+
+// MessageType implements Message.
+func (ViewWant) MessageType() Type { return TypeViewWant }
+
+// MessageType implements Message.
+func (ViewDelta) MessageType() Type { return TypeViewDelta }
+
+func validateViewDigest(message ViewDigest) error {
+	if message.Changed < 0 || message.Changed > message.Revision {
+		return fieldError(TypeViewDigest, "changed", message.Changed, "not between 0 and revision")
+	}
+	return checkAge(TypeViewDigest, message.AgeMillis)
+}
+
+func validateViewWant(message ViewWant) error {
+	if message.After < 0 {
+		return fieldError(TypeViewWant, "after", message.After, "negative")
+	}
+	return nil
+}
+
+func validateViewDelta(message ViewDelta) error {
+	if err := message.Delta.Validate(); err != nil {
+		return fieldError(TypeViewDelta, "delta", message.Delta.Revision, err.Error())
+	}
+	return checkAge(TypeViewDelta, message.AgeMillis)
+}
+
+func checkAge(kind Type, age int64) error {
+	if age < 0 {
+		return fieldError(kind, "age_ms", age, "negative")
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,6 +139,9 @@
 	node.stopOnce.Do(func() { close(node.stopping) })
 }
 
+// Reload does nothing but say so: the settings of this affinity are read at the start.
+func (node *Node) Reload() { node.logEvent(logging.EventReloadIgnored) }
+
 // Run serves until a planned stop is finished, or until ctx ends, which stops
 // it at once with ErrStoppedAtOnce.
 func (node *Node) Run(ctx context.Context) error {
--- a/internal/node/seeds.go
+++ b/internal/node/seeds.go
@@ -45,22 +45,9 @@
 	return slices.ContainsFunc(members, func(entry member.Member) bool { return entry.Control == address })
 }
 
-// seedRequest announces this node and asks for the whole membership. Its
-// sequence is zero, since no probe waits for an answer.
+// seedRequest announces this node and asks for the whole membership.
 func (engine *engine) seedRequest() message.Ping {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	self := message.MemberUpdate{
-		Node:        engine.settings.Node,
-		Zone:        engine.settings.Zone,
-		Control:     engine.settings.ControlAddress.String(),
-		Data:        engine.settings.DataAddress.String(),
-		State:       message.MemberAlive,
-		Incarnation: engine.member.Incarnation(),
-	}
-	return message.Ping{
-		Incarnation: self.Incarnation,
-		Updates:     []message.MemberUpdate{self},
-		Full:        true,
-	}
+	return engine.member.JoinRequest()
 }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -35,14 +35,14 @@
 
 // BucketKey gives the key of one bucket of a service whose name has the key service.
 func (service Key) BucketKey(bucket uint16) Key {
-	return Key(mix(uint64(service) + uint64(bucket)*0x9e3779b97f4a7c15))
+	return Key(Mix(uint64(service) + uint64(bucket)*0x9e3779b97f4a7c15))
 }
 
 // Score gives the node's weight for the key; the highest ranks first.
-func Score(key Key, node lb.NodeHash) uint64 { return mix(uint64(key) ^ uint64(node)) }
+func Score(key Key, node lb.NodeHash) uint64 { return Mix(uint64(key) ^ uint64(node)) }
 
-// mix is the finalizer of splitmix64 (Steele, Lea and Flood, OOPSLA 2014).
-func mix(value uint64) uint64 {
+// Mix is the finalizer of splitmix64 (Steele, Lea and Flood, OOPSLA 2014).
+func Mix(value uint64) uint64 {
 	value ^= value >> 30
 	value *= 0xbf58476d1ce4e5b9
 	value ^= value >> 27
--- /dev/null
+++ b/internal/steering/steering.go
@@ -0,0 +1,235 @@
+// Package steering decides where a new flow goes, and to which back end a
+// token leads, where the path carries tokens (Cheetah, NSDI 2020). A Table is
+// an immutable, pure function of a view: balancers with the same view of the
+// store decide alike. See docs/design-platform.md.
+package steering
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/rendezvous"
+	"robinpulley.example/robinpulley/internal/view"
+)
+
+// Token is what a packet carries to name its back end. It holds for one front
+// end only. Zero is no token.
+type Token uint32
+
+// Host is one back end in a table.
+type Host struct {
+	view.Backend
+	// Index is the host's place in the table's Hosts.
+	Index int
+	// hash is this host's part of its tokens.
+	hash uint32
+	// rank is the key of the host in rendezvous hashing.
+	rank uint64
+}
+
+// Service is one service's back ends.
+type Service struct {
+	Name lb.ServiceName
+	// Ready take new flows: those of Local first.
+	Ready []*Host
+	// Local are those of Ready in this balancer's zone.
+	Local []*Host
+	// Lapsed went from the store a short time ago without having said that
+	// they drain. They take new flows only when no other back end is left.
+	Lapsed []*Host
+}
+
+// split is a route's targets with the running sums of their weights.
+type split struct {
+	services []*Service
+	sums     []uint64
+}
+
+// Table decides for one view. It is immutable and safe for concurrent use.
+type Table struct {
+	version   uint64
+	revision  int64
+	frontends map[lb.FrontendKey]*split
+	services  map[lb.ServiceName]*Service
+	hosts     []*Host
+	byHash    map[uint32]*Host
+	// expires is when Compile would give another table for the same view; 0: never.
+	expires time.Duration
+}
+
+// lapsedLimit is how long after its entry has gone a back end that has not
+// said that it drains may be a last resort. It is well below the time after
+// which a leaving back end must get nothing new.
+const lapsedLimit = 1500 * time.Millisecond
+
+// Compile builds the table of a replica at the time now, for a balancer in zone.
+func Compile(replica *view.Replica, zone lb.Zone, now time.Duration) *Table {
+	table := &Table{
+		version:   replica.Version(),
+		revision:  replica.Revision(),
+		frontends: make(map[lb.FrontendKey]*split),
+		services:  make(map[lb.ServiceName]*Service),
+		byHash:    make(map[uint32]*Host),
+	}
+	table.addHosts(replica.Backends(), zone, now)
+	for _, route := range replica.Routes() {
+		table.frontends[route.Frontend.Key()] = table.newSplit(&route)
+	}
+	return table
+}
+
+// Version is that of the configuration.
+func (table *Table) Version() uint64 { return table.version }
+
+// Revision is the store's revision that the table was compiled at.
+func (table *Table) Revision() int64 { return table.revision }
+
+// Expires is when the table must be compiled again; 0: not before the view changes.
+func (table *Table) Expires() time.Duration { return table.expires }
+
+// Hosts gives all back ends, by the order in which they were made.
+func (table *Table) Hosts() []*Host { return table.hosts }
+
+// Counts gives the numbers of front ends and of back ends that take new flows.
+func (table *Table) Counts() (frontends, ready int) {
+	for _, service := range table.services {
+		ready += len(service.Ready)
+	}
+	return len(table.frontends), ready
+}
+
+func (table *Table) addHosts(known []view.Known, zone lb.Zone, now time.Duration) {
+	slices.SortFunc(known, func(left, right view.Known) int {
+		return cmp.Or(cmp.Compare(left.Backend.Created, right.Backend.Created),
+			cmp.Compare(left.Backend.Name, right.Backend.Name))
+	})
+	for index := range known {
+		table.addHost(&known[index], zone, now)
+	}
+}
+
+// addHost adds one back end. One whose hash an earlier one has gets no flows,
+// since their tokens could not be told apart.
+func (table *Table) addHost(known *view.Known, zone lb.Zone, now time.Duration) {
+	host := newHost(&known.Backend)
+	host.Index = len(table.hosts)
+	table.hosts = append(table.hosts, host)
+	if table.byHash[host.hash] != nil {
+		return
+	}
+	table.byHash[host.hash] = host
+	service := table.service(host.Service)
+	switch {
+	case host.State != lb.BackendActive:
+	case known.Gone:
+		table.addLapsed(service, host, known.GoneAt, now)
+	default:
+		service.Ready = append(service.Ready, host)
+		if host.Zone == zone {
+			service.Local = append(service.Local, host)
+		}
+	}
+}
+
+func (table *Table) addLapsed(service *Service, host *Host, goneAt, now time.Duration) {
+	until := goneAt + lapsedLimit
+	if until <= now {
+		return
+	}
+	service.Lapsed = append(service.Lapsed, host)
+	if table.expires == 0 || until < table.expires {
+		table.expires = until
+	}
+}
+
+func newHost(backend *view.Backend) *Host {
+	hash := xxhash.Sum64String(string(backend.Name))
+	return &Host{Backend: *backend, hash: uint32(hash), rank: hash}
+}
+
+func (table *Table) service(name lb.ServiceName) *Service {
+	known := table.services[name]
+	if known == nil {
+		known = &Service{Name: name}
+		table.services[name] = known
+	}
+	return known
+}
+
+func (table *Table) newSplit(route *view.Route) *split {
+	built := &split{}
+	var sum uint64
+	for _, target := range route.Targets {
+		if target.Weight == 0 {
+			continue
+		}
+		sum += uint64(target.Weight)
+		built.services = append(built.services, table.service(target.Service))
+		built.sums = append(built.sums, sum)
+	}
+	return built
+}
+
+// Service gives the service of a new flow; nil: no route has its front end.
+func (table *Table) Service(flow *lb.FlowKey) *Service {
+	found := table.frontends[flow.Frontend()]
+	if found == nil {
+		return nil
+	}
+	if len(found.services) == 1 {
+		return found.services[0]
+	}
+	point := rendezvous.Mix(uint64(flow.ID())^splitKey) % found.sums[len(found.sums)-1]
+	for index, sum := range found.sums {
+		if point < sum {
+			return found.services[index]
+		}
+	}
+	return nil // not reached: point is below the last sum
+}
+
+// Pick gives the host of a new flow: the first by rendezvous rank among those
+// ready, or lapsed if none is ready; nil if there is neither. Hosts for which
+// avoid is true are passed over while there are others; avoid may be nil.
+func (service *Service) Pick(flow lb.FlowID, avoid func(*Host) bool) *Host {
+	for _, candidates := range [...][]*Host{service.Local, service.Ready, service.Lapsed} {
+		if found := first(candidates, flow, avoid); found != nil {
+			return found
+		}
+	}
+	if avoid == nil {
+		return nil
+	}
+	return service.Pick(flow, nil)
+}
+
+func first(candidates []*Host, flow lb.FlowID, avoid func(*Host) bool) *Host {
+	var best *Host
+	var bestScore uint64
+	for _, host := range candidates {
+		if avoid != nil && avoid(host) {
+			continue
+		}
+		if score := rendezvous.Mix(uint64(flow) ^ host.rank); best == nil || score > bestScore {
+			best, bestScore = host, score
+		}
+	}
+	return best
+}
+
+// Token gives the token that names the host for flows to the front end.
+func (host *Host) Token(frontend *lb.FrontendKey) Token {
+	return Token(host.hash ^ uint32(frontend.Hash()))
+}
+
+// Resolve gives the host that a token names for the front end; nil: none known.
+func (table *Table) Resolve(frontend *lb.FrontendKey, token Token) *Host {
+	return table.byHash[uint32(token)^uint32(frontend.Hash())]
+}
+
+// splitKey makes the choice of a service independent of that of a host.
+const splitKey = 0x9e3779b97f4a7c15
--- /dev/null
+++ b/internal/tokennode/admin.go
@@ -0,0 +1,57 @@
+package tokennode
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"robinpulley.example/robinpulley/internal/logging"
+)
+
+// adminHeaderTimeout bounds how long a client may take for its request header.
+const adminHeaderTimeout = 5 * time.Second
+
+// serveAdmin serves metrics and health until the node is closed.
+func (node *Node) serveAdmin() {
+	node.admin = &http.Server{Handler: node.adminRoutes(), ReadHeaderTimeout: adminHeaderTimeout}
+	node.background.Go(func() {
+		err := node.admin.Serve(node.adminListener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
+		}
+	})
+}
+
+func (node *Node) adminRoutes() *http.ServeMux {
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /healthz", func(response http.ResponseWriter, _ *http.Request) {
+		response.WriteHeader(http.StatusOK)
+	})
+	routes.HandleFunc("GET /readyz", node.serveReady)
+	routes.HandleFunc("GET /metrics", node.serveMetrics)
+	return routes
+}
+
+// serveMetrics makes the registry only when it is asked for.
+func (node *Node) serveMetrics(response http.ResponseWriter, request *http.Request) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collector{node})
+	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(response, request)
+}
+
+// serveReady answers 200 when the node may be sent packets. Before it has a
+// view, and from the beginning of its planned stop, it answers 503.
+func (node *Node) serveReady(response http.ResponseWriter, _ *http.Request) {
+	if node.isStopping() {
+		http.Error(response, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	if ready, reason := node.engine.readiness(); !ready {
+		http.Error(response, reason, http.StatusServiceUnavailable)
+		return
+	}
+	response.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/tokennode/engine.go
@@ -0,0 +1,299 @@
+package tokennode
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/member"
+	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/transport"
+)
+
+// engine owns the deterministic parts of a node. One lock guards them all:
+// every input takes it, steps the parts it concerns and carries out their
+// effects, none of which blocks.
+type engine struct {
+	settings *config.Settings
+	logger   zerolog.Logger
+	clock    func() time.Duration // since the start of the process, monotonic
+	transmit func(netip.AddrPort, message.Message)
+	// reads has the call to the store that is to be carried out.
+	reads chan follower.Read
+
+	mutex sync.Mutex
+	last  time.Duration // of the last step
+	// outbox holds messages to others until the lock is free.
+	outbox []follower.Outgoing
+
+	core            *core.Core
+	coreEffects     core.Effects
+	member          *member.Core
+	memberEffects   member.Effects
+	follower        *follower.Core
+	followerEffects follower.Effects
+	table           *steering.Table // nil: no view yet
+	others          int             // living members besides this node
+	calls           callCounts
+	decisions       decisionLog
+}
+
+// newEngine makes the deterministic parts. The caller sets clock and transmit.
+func newEngine(settings *config.Settings, logger zerolog.Logger, incarnation uint64) (*engine, error) {
+	self := member.Machine{
+		ID:      settings.Node,
+		Zone:    settings.Zone,
+		Control: settings.ControlAddress,
+		Data:    settings.DataAddress,
+	}
+	membership, err := member.New(member.DefaultSettings(self, incarnation, incarnation))
+	if err != nil {
+		return nil, err
+	}
+	deciding := core.DefaultSettings(settings.Node, settings.Zone)
+	deciding.Affinity = core.AffinityToken
+	deciding.PauseLimit = settings.Timings.PauseLimit
+	deciding.RetryAfter = settings.Timings.RetryAfter
+	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation)
+	for _, seed := range settings.Seeds {
+		if seed != settings.ControlAddress {
+			following.Seeds = append(following.Seeds, seed)
+		}
+	}
+	return &engine{
+		settings:  settings,
+		logger:    logger,
+		reads:     make(chan follower.Read, 1),
+		core:      core.New(deciding),
+		member:    membership,
+		follower:  follower.New(following),
+		calls:     newCallCounts(),
+		decisions: newDecisionLog(logger),
+	}, nil
+}
+
+// now gives the time of a step: it never goes back.
+func (engine *engine) now() time.Duration {
+	engine.last = max(engine.last, engine.clock())
+	return engine.last
+}
+
+// input runs one input under the lock. Messages to others are sent when the
+// lock is free again, since encoding takes time that packets would wait.
+func (engine *engine) input(run func()) {
+	for _, outgoing := range engine.locked(run) {
+		engine.transmit(outgoing.To, outgoing.Message)
+	}
+}
+
+func (engine *engine) locked(run func()) []follower.Outgoing {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	run()
+	messages := engine.outbox
+	engine.outbox = nil
+	return messages
+}
+
+// decide is asked for each packet by the data plane.
+func (engine *engine) decide(packet *core.Packet) core.Decision {
+	engine.mutex.Lock()
+	engine.core.Step(engine.now(), &core.Event{Packet: packet}, &engine.coreEffects)
+	decision := engine.coreEffects.Decision
+	note := engine.decisions.note(engine.last, packet, &decision)
+	if note.kind != noteNone {
+		note.revision, note.version = engine.viewOf()
+		note.age, _ = engine.follower.Age(engine.last)
+	}
+	engine.mutex.Unlock()
+	engine.decisions.write(&note, packet, &decision)
+	return decision
+}
+
+func (engine *engine) viewOf() (revision int64, version uint64) {
+	if engine.table == nil {
+		return 0, 0
+	}
+	return engine.table.Revision(), engine.table.Version()
+}
+
+// tick drives everything that is due without input.
+func (engine *engine) tick() {
+	engine.input(func() {
+		engine.memberStep(&member.Event{})
+		engine.followerStep(&follower.Event{})
+		engine.core.Step(engine.now(), &core.Event{Tick: true}, &engine.coreEffects)
+		if engine.table != nil && engine.table.Expires() != 0 && engine.last >= engine.table.Expires() {
+			engine.compile()
+		}
+	})
+}
+
+// receive takes one message from a peer.
+func (engine *engine) receive(incoming transport.Incoming) {
+	engine.input(func() {
+		switch incoming.Message.(type) {
+		case message.Ping, message.PingAck, message.PingReq, message.Members:
+			engine.memberStep(&member.Event{Peer: &member.PeerEvent{
+				From: incoming.From, Address: incoming.Address, Message: incoming.Message,
+			}})
+		default:
+			engine.followerStep(&follower.Event{Message: &follower.PeerMessage{
+				From: incoming.From, Address: incoming.Address, Message: incoming.Message,
+			}})
+		}
+	})
+}
+
+// finishRead takes the end of a call to the store.
+func (engine *engine) finishRead(result *follower.ReadResult) {
+	engine.input(func() {
+		engine.noteCall(result)
+		engine.followerStep(&follower.Event{Read: result})
+	})
+}
+
+// leave announces the planned stop; end says that this node ends now.
+func (engine *engine) leave() {
+	engine.input(func() { engine.memberStep(&member.Event{Leave: true}) })
+}
+
+func (engine *engine) end() {
+	engine.input(func() { engine.memberStep(&member.Event{Stop: true}) })
+}
+
+// memberStep gives one event to the membership, and a changed list to the follower.
+func (engine *engine) memberStep(event *member.Event) {
+	engine.member.Step(engine.now(), event, &engine.memberEffects)
+	for _, outgoing := range engine.memberEffects.Messages {
+		engine.outbox = append(engine.outbox, follower.Outgoing{To: outgoing.Address, Message: outgoing.Message})
+	}
+	if engine.memberEffects.Changed {
+		engine.followerStep(&follower.Event{Peers: engine.peers()})
+	}
+}
+
+// peers gives the members that stay, and logs how many there are.
+func (engine *engine) peers() []follower.Peer {
+	members := engine.member.Members(nil)
+	peers := make([]follower.Peer, 0, len(members))
+	for _, entry := range members {
+		if !entry.Leaving {
+			peers = append(peers, follower.Peer{ID: entry.ID, Zone: entry.Zone, Control: entry.Control})
+		}
+	}
+	engine.others = len(members) - 1
+	engine.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventMemberChanged)).
+		Int("alive", len(members)).
+		Int("staying", len(peers)).
+		Send()
+	return peers
+}
+
+// followerStep gives one event to the follower and carries out its effects.
+func (engine *engine) followerStep(event *follower.Event) {
+	engine.follower.Step(engine.now(), event, &engine.followerEffects)
+	engine.outbox = append(engine.outbox, engine.followerEffects.Messages...)
+	if engine.followerEffects.Changed {
+		engine.compile()
+		engine.logView(engine.followerEffects.Source)
+	}
+	if read := engine.followerEffects.Read; read != nil {
+		engine.reads <- *read // there is one at a time, so that it never blocks
+	}
+}
+
+// compile gives the core the table of the present view.
+func (engine *engine) compile() {
+	replica := engine.follower.Replica()
+	if !replica.Configured() {
+		return
+	}
+	engine.table = steering.Compile(replica, engine.settings.Zone, engine.last)
+	engine.core.Step(engine.now(), &core.Event{Table: engine.table}, &engine.coreEffects)
+}
+
+func (engine *engine) logView(source string) {
+	replica := engine.follower.Replica()
+	event := engine.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventViewChanged)).
+		Str(logging.FieldSource, source).
+		Int64(logging.FieldRevision, replica.Revision()).
+		Uint64(logging.FieldVersion, replica.Version())
+	if engine.table != nil {
+		frontends, ready := engine.table.Counts()
+		event = event.Int("frontends", frontends).Int("ready_backends", ready)
+	}
+	event.Send()
+}
+
+// noteCall counts a call to the store and logs when the store is lost and regained.
+func (engine *engine) noteCall(result *follower.ReadResult) {
+	engine.calls.count(result)
+	up := result.Failure == follower.FailureNone || result.Failure == follower.FailureCompacted
+	if result.Listing != nil {
+		for _, rejected := range result.Listing.Rejected {
+			engine.logRejected(rejected.Key, rejected.Error)
+		}
+	}
+	if result.Changes != nil {
+		for _, rejected := range result.Changes.Rejected {
+			engine.logRejected(rejected.Key, rejected.Error)
+		}
+	}
+	if up == engine.calls.up {
+		return
+	}
+	engine.calls.up = up
+	event := logging.EventStoreUp
+	if !up {
+		event = logging.EventStoreDown
+	}
+	engine.logger.Warn().
+		Str(logging.FieldEvent, string(event)).
+		Str(logging.FieldFailure, string(result.Failure)).
+		Send()
+}
+
+func (engine *engine) logRejected(key string, err error) {
+	engine.calls.rejected++
+	engine.logger.Warn().Err(err).
+		Str(logging.FieldEvent, string(logging.EventDocumentRejected)).
+		Str(logging.FieldKey, key).
+		Send()
+}
+
+// resolve gives the control address of a known node.
+func (engine *engine) resolve(id lb.NodeID) (netip.AddrPort, bool) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.member.Resolve(id)
+}
+
+// joinRequest gives what is to be sent to seeds, and whether this node knows no other.
+func (engine *engine) joinRequest() (request message.Ping, alone bool) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.member.JoinRequest(), engine.others == 0
+}
+
+// readiness tells whether this node may be sent packets, and why not.
+func (engine *engine) readiness() (ready bool, reason string) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.table == nil {
+		return false, "no configuration known yet"
+	}
+	return true, ""
+}
+
+func noPeer(lb.NodeID) (netip.AddrPort, bool) { return netip.AddrPort{}, false }
--- /dev/null
+++ b/internal/tokennode/node.go
@@ -0,0 +1,249 @@
+// Package tokennode wires a balancer whose packets carry a token (docs/
+// design-platform.md): the decision core, the data plane, the membership, the
+// follower of the store and the admin address. It holds no rule of its own.
+package tokennode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/config"
+	"robinpulley.example/robinpulley/internal/dataplane"
+	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/transport"
+)
+
+// ErrStoppedAtOnce is returned by Run when its context ended before the
+// planned stop was finished.
+var ErrStoppedAtOnce = errors.New("stopped at once, before the planned stop was finished")
+
+// Adapter is what a node needs of its platform.
+type Adapter struct {
+	// NewCodec gives the codec of one reader of the data address.
+	NewCodec func() dataplane.Codec
+	// Store reads the platform's store.
+	Store follower.Source
+}
+
+// Options are what a node is made of.
+type Options struct {
+	Settings *config.Settings
+	Adapter  Adapter
+	Logger   zerolog.Logger
+	// Reload reads the settings again; nil: they cannot change.
+	Reload func() (*config.Settings, error)
+}
+
+// Node is one balancer.
+type Node struct {
+	options   Options
+	logger    zerolog.Logger
+	engine    *engine
+	transport *transport.Transport
+	plane     *dataplane.Plane
+	admin     *http.Server
+
+	adminListener net.Listener
+	opened        atomic.Bool // all endpoints are open
+	timings       atomic.Pointer[config.Timings]
+	stopping      chan struct{} // closed when the planned stop begins
+	stopOnce      sync.Once
+	reload        chan struct{} // has one element after a request
+	background    sync.WaitGroup
+}
+
+// New opens the endpoints of a balancer. Run must follow, which closes them.
+func New(options Options) (*Node, error) {
+	node := &Node{
+		options:  options,
+		logger:   options.Logger,
+		stopping: make(chan struct{}),
+		reload:   make(chan struct{}, 1),
+	}
+	node.timings.Store(&options.Settings.Timings)
+	started := time.Now()
+	var err error
+	node.engine, err = newEngine(options.Settings, options.Logger, uint64(started.UnixMilli()))
+	if err != nil {
+		return nil, err
+	}
+	node.engine.clock = func() time.Duration { return time.Since(started) }
+	if err := node.open(); err != nil {
+		node.close()
+		return nil, err
+	}
+	return node, nil
+}
+
+// open opens the endpoints, the data address first.
+func (node *Node) open() error {
+	settings := node.options.Settings
+	var err error
+	node.plane, err = dataplane.New(dataplane.Options{
+		Listen:      settings.DataAddress,
+		Decide:      node.engine.decide,
+		PeerAddress: noPeer,
+		NewCodec:    node.options.Adapter.NewCodec,
+	})
+	if err != nil {
+		return err
+	}
+	if node.adminListener, err = net.Listen("tcp", settings.AdminAddress.String()); err != nil {
+		return errors.Wrapf(err, "listen on admin address %s", settings.AdminAddress)
+	}
+	budget := transport.DefaultBudget()
+	budget.BytesPerSecond = settings.Limits.ControlBytesPerSecond
+	node.transport, err = transport.Open(transport.Settings{
+		Self:    settings.Node,
+		Listen:  settings.ControlAddress,
+		Budget:  budget,
+		Handle:  node.receive,
+		Resolve: node.engine.resolve,
+	})
+	if err != nil {
+		return err
+	}
+	node.engine.transmit = node.transport.Send
+	node.opened.Store(true)
+	return nil
+}
+
+// close closes what open opened.
+func (node *Node) close() {
+	if node.plane != nil {
+		_ = node.plane.Close() // nothing is left to be done about it
+	}
+	if node.transport != nil {
+		_ = node.transport.Close()
+	}
+	if node.admin != nil {
+		_ = node.admin.Close()
+	}
+	if node.adminListener != nil {
+		_ = node.adminListener.Close()
+	}
+}
+
+// receive takes a message from a peer. Those that come while this node is
+// still opening its endpoints are lost, as if sent before it was there.
+func (node *Node) receive(incoming transport.Incoming) {
+	if node.opened.Load() {
+		node.engine.receive(incoming)
+	}
+}
+
+// Stop begins a planned stop. Run returns when it is finished.
+func (node *Node) Stop() {
+	node.stopOnce.Do(func() { close(node.stopping) })
+}
+
+// Reload asks for the settings to be read again.
+func (node *Node) Reload() {
+	select {
+	case node.reload <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// Run serves until a planned stop is finished, or until ctx ends, which stops
+// it at once with ErrStoppedAtOnce.
+func (node *Node) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(ctx)
+	defer node.background.Wait()
+	defer node.close()
+	defer cancel()
+	node.background.Go(func() { node.readStore(running) })
+	node.engine.tick()
+	node.background.Go(func() { node.movePackets(running) })
+	node.serveAdmin()
+	node.logEvent(logging.EventStarting)
+	node.background.Go(func() { node.tickUntil(running) })
+	node.background.Go(func() { node.reloadUntil(running) })
+	if len(node.options.Settings.Seeds) > 0 {
+		node.background.Go(func() { node.joinSeeds(running) })
+	}
+	select {
+	case <-node.stopping:
+	case <-ctx.Done():
+		node.logEvent(logging.EventStoppedAtOnce)
+		return ErrStoppedAtOnce
+	}
+	return node.stopAsPlanned(ctx)
+}
+
+// movePackets runs the data plane until ctx ends.
+func (node *Node) movePackets(ctx context.Context) {
+	if err := node.plane.Run(ctx); err != nil {
+		node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
+	}
+}
+
+// readStore carries out the calls that the follower asks for until ctx ends.
+func (node *Node) readStore(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case read := <-node.engine.reads:
+			result := node.options.Adapter.Store.Read(ctx, read)
+			if ctx.Err() == nil {
+				node.engine.finishRead(&result)
+			}
+		}
+	}
+}
+
+// tickUntil ticks the engine until ctx ends.
+func (node *Node) tickUntil(ctx context.Context) {
+	ticker := time.NewTicker(follower.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			node.engine.tick()
+		}
+	}
+}
+
+// Times between attempts to reach the seeds.
+const (
+	seedInterval       = 500 * time.Millisecond
+	joinedSeedInterval = 10 * time.Second // when other members are known
+)
+
+// joinSeeds asks the seeds for their membership until ctx ends: often while
+// this node knows no other member, and later now and then, so that two parts
+// of a fleet that lost each other come together again.
+func (node *Node) joinSeeds(ctx context.Context) {
+	for {
+		request, alone := node.engine.joinRequest()
+		for _, seed := range node.options.Settings.Seeds {
+			if seed != node.options.Settings.ControlAddress {
+				node.transport.Send(seed, request)
+			}
+		}
+		interval := joinedSeedInterval
+		if alone {
+			interval = seedInterval
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (node *Node) logEvent(event logging.Event) {
+	node.logger.Info().Str(logging.FieldEvent, string(event)).Send()
+}
--- a/internal/transport/pack.go
+++ b/internal/transport/pack.go
@@ -59,7 +59,8 @@
 func packable(kind message.Type) bool {
 	switch kind {
 	case message.TypePing, message.TypePingAck, message.TypePingReq, message.TypeMembers,
-		message.TypePlacements, message.TypeWant, message.TypeInForce, message.TypeLoad:
+		message.TypePlacements, message.TypeWant, message.TypeInForce, message.TypeLoad,
+		message.TypeViewDelta:
 		return true
 	}
 	return false
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -19,7 +19,7 @@
 	ClassMember Class = iota
 	// ClassState is what safety rests on; it waits for its bytes.
 	ClassState
-	// ClassDocument is placements; they wait behind ClassState.
+	// ClassDocument is placements and views; they wait behind ClassState.
 	ClassDocument
 	// ClassReport is what is in force where. It waits behind the placements
 	// that it speaks of: ahead of them it would hold up what it waits for.
@@ -118,7 +118,7 @@
 	if lineBytes > BulkLineBytes {
 		return ClassBulk
 	}
-	if kind == message.TypePlacements {
+	if kind == message.TypePlacements || kind == message.TypeViewDelta {
 		return ClassDocument
 	}
 	return ClassState
--- /dev/null
+++ b/internal/view/delta.go
@@ -0,0 +1,100 @@
+package view
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// RouteEntry is a route, or what is remembered of a removed one.
+type RouteEntry struct {
+	Revision int64 `json:"revision"` // of the last change
+	Gone     bool  `json:"gone,omitempty"`
+	Route    Route `json:"route"`
+}
+
+// BackendEntry is a back end, or what is remembered of one that has gone.
+type BackendEntry struct {
+	Revision int64 `json:"revision"` // of the last change
+	Gone     bool  `json:"gone,omitempty"`
+	// GoneMillis is how long the sender has known it as gone.
+	GoneMillis int64   `json:"gone_ms,omitempty"`
+	Backend    Backend `json:"backend"`
+}
+
+// Delta is what one replica tells another: all that changed after After.
+type Delta struct {
+	// After is zero for a whole view, which replaces what is not in it.
+	After    int64 `json:"after"`
+	Revision int64 `json:"revision"`
+	// Version and ConfigurationRevision are those of the configuration; zero: there is none.
+	Version               uint64         `json:"version"`
+	ConfigurationRevision int64          `json:"configuration_revision"`
+	IdleMillis            int64          `json:"idle_ms,omitempty"`
+	Routes                []RouteEntry   `json:"routes,omitempty"`
+	Backends              []BackendEntry `json:"backends,omitempty"`
+}
+
+// Limits of what a delta may hold.
+const (
+	maxRoutes   = 1 << 14
+	maxBackends = 1 << 14
+	maxTargets  = 64
+)
+
+// Validate names the first value that cannot be used.
+func (delta *Delta) Validate() error {
+	if delta.After < 0 || delta.Revision < delta.After {
+		return errors.Newf("after %d and revision %d are out of order", delta.After, delta.Revision)
+	}
+	if len(delta.Routes) > maxRoutes || len(delta.Backends) > maxBackends {
+		return errors.Newf("%d routes or %d back ends are too many", len(delta.Routes), len(delta.Backends))
+	}
+	for index := range delta.Routes {
+		if err := delta.Routes[index].Route.Validate(); err != nil {
+			return errors.Wrapf(err, "routes[%d]", index)
+		}
+	}
+	for index := range delta.Backends {
+		if err := delta.Backends[index].Backend.Validate(); err != nil {
+			return errors.Wrapf(err, "backends[%d]", index)
+		}
+	}
+	return nil
+}
+
+// Validate names the first value that cannot be used.
+func (route *Route) Validate() error {
+	if !route.Frontend.Address.IsValid() {
+		return errors.Newf("frontend: address %q is invalid", route.Frontend.Address)
+	}
+	if len(route.Targets) == 0 || len(route.Targets) > maxTargets {
+		return errors.Newf("targets: %d of them, want 1 to %d", len(route.Targets), maxTargets)
+	}
+	var sum uint64
+	for index, target := range route.Targets {
+		if target.Service == "" {
+			return errors.Newf("targets[%d]: service is missing", index)
+		}
+		sum += uint64(target.Weight)
+	}
+	if sum == 0 {
+		return errors.New("targets: all weights are 0")
+	}
+	return nil
+}
+
+// Validate names the first value that cannot be used.
+func (backend *Backend) Validate() error {
+	if backend.Name == "" || backend.Service == "" {
+		return errors.Newf("name %q or service %q is missing", backend.Name, backend.Service)
+	}
+	address := backend.Address.Addr()
+	if !backend.Address.IsValid() || address.IsUnspecified() || address.IsMulticast() || backend.Address.Port() == 0 {
+		return errors.Newf("address %q is no address of one host", backend.Address)
+	}
+	if backend.State != lb.BackendActive && backend.State != lb.BackendDraining {
+		return errors.Newf("state %q is neither %s nor %s", backend.State, lb.BackendActive, lb.BackendDraining)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,91 @@
+// Package view holds a balancer's copy of the configuration and the back ends
+// that the platform's store keeps: the replica, what sources tell it, and the
+// deltas by which balancers tell each other. A replica has the store's
+// revision and never goes back to a lower one. The package has no I/O and no
+// clock.
+package view
+
+import (
+	"net/netip"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Backend is one back end as it keeps itself in the store.
+type Backend struct {
+	Name lb.BackendName `json:"name"`
+	// Identity is the number by which packets name the back end; a restarted
+	// back end has another one.
+	Identity uint64         `json:"identity"`
+	Service  lb.ServiceName `json:"service"`
+	Address  netip.AddrPort `json:"address"`
+	Zone     lb.Zone        `json:"zone,omitempty"`
+	// State is BackendActive or BackendDraining.
+	State lb.BackendState `json:"state"`
+	// Created is the store's revision at which the entry was made.
+	Created int64 `json:"created"`
+	// ColdMillis is how long the back end is slow, from the write of the entry.
+	ColdMillis int64 `json:"cold_ms,omitempty"`
+}
+
+// Target is one part of a split: a service and its weight in the sum of all.
+type Target struct {
+	Service lb.ServiceName `json:"service"`
+	Weight  uint32         `json:"weight"`
+}
+
+// Route says where the new flows of a front end go.
+type Route struct {
+	Frontend lb.Frontend `json:"frontend"`
+	Targets  []Target    `json:"targets"`
+}
+
+// Configuration is what the operator has put in force.
+type Configuration struct {
+	Version     uint64
+	IdleTimeout time.Duration // after which a resting flow may be forgotten; 0: not said
+	Routes      []Route
+}
+
+// StoredBackend is a back end with the revision of its entry.
+type StoredBackend struct {
+	Revision int64
+	Backend  Backend
+}
+
+// StoredConfiguration is a configuration with the revision of its entry.
+type StoredConfiguration struct {
+	Revision      int64
+	Configuration Configuration
+}
+
+// Listing is everything that the store holds, as of Revision or later.
+type Listing struct {
+	Revision      int64
+	Configuration *StoredConfiguration // nil: there is none
+	Backends      []StoredBackend
+	Rejected      []Rejection
+}
+
+// Changes are the changes after one revision up to Revision, in order.
+type Changes struct {
+	Revision int64
+	Changes  []Change
+	Rejected []Rejection
+}
+
+// Change is one change. Exactly one of Configuration, Backend and Gone is set.
+type Change struct {
+	Revision      int64
+	Configuration *Configuration
+	Backend       *Backend
+	Gone          lb.BackendName
+}
+
+// Rejection is an entry of the store that could not be read. What was known
+// under its key before stays in force.
+type Rejection struct {
+	Key   string
+	Error error
+}
