--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -18,8 +18,8 @@
 	revision int64
 	// changed is the revision of the last change of a route or back end.
 	changed int64
-	// pruned is the highest revision of what has been forgotten: deltas
-	// after a lower one cannot be given.
+	// pruned is the revision up to which removals may be forgotten, or were
+	// never known: deltas after a lower one cannot be given.
 	pruned                int64
 	version               uint64
 	configurationRevision int64
@@ -87,9 +87,16 @@
 		}
 	}
 	replica.Advance(listing.Revision)
+	replica.forgetHistory()
 	return replica.changed != before
 }
 
+// forgetHistory notes that the replica knows what there is, not what has been
+// removed before: it was told the whole state.
+func (replica *Replica) forgetHistory() {
+	replica.pruned = max(replica.revision, replica.changed)
+}
+
 // ApplyChanges takes changes that begin at or before the replica's revision
 // and tells whether anything changed.
 func (replica *Replica) ApplyChanges(now time.Duration, changes *Changes) bool {
@@ -229,6 +236,9 @@
 	replica.applyRoutes(delta)
 	replica.applyBackends(now, delta)
 	replica.Advance(delta.Revision)
+	if delta.After == 0 {
+		replica.forgetHistory()
+	}
 	return true, replica.changed != before
 }
 
