Add a stand-in for the users' platform and test the whole path on it

internal/lab/platformsim plays store, routers with probes, hosts in echo form and callers with copies and resends on loopback; it shares no code with the adapter. internal/tokennode/platform_test.go drives real nodes over sockets: drain, planned stop, kill, route moved, store busy, silent, reset, throttled and compacted with a node restarted meanwhile, an address reused by another service, malformed packets and entries.

--- /dev/null
+++ b/internal/lab/platformsim/caller.go
@@ -0,0 +1,202 @@
+package platformsim
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// What may happen to a flow.
+var (
+	// ErrNotOpened: no answer to any copy of the opening.
+	ErrNotOpened = errors.New("the flow did not open")
+	// ErrReset: the flow was reset.
+	ErrReset = errors.New("the flow was reset")
+	// ErrNoAnswer: no answer to a request, however often it was sent.
+	ErrNoAnswer = errors.New("no answer")
+)
+
+// openingWaits are the times to the next copy of an opening, and at last to giving up.
+var openingWaits = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
+
+// Resending of later packets.
+const (
+	firstResend = 200 * time.Millisecond
+	lastResend  = 1600 * time.Millisecond
+	giveUpAfter = 8 * time.Second
+)
+
+// Caller is one client machine.
+type Caller struct {
+	address [4]byte
+	port    uint16
+	socket  *net.UDPConn
+	router  *Router
+
+	mutex  sync.Mutex
+	flows  map[uint16]*Flow
+	next   uint16
+	forged uint64
+	ended  chan struct{}
+}
+
+// NewCaller starts a caller at a loopback address; port is that of all data addresses.
+func NewCaller(address netip.Addr, port uint16, router *Router) (*Caller, error) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, port)))
+	if err != nil {
+		return nil, err
+	}
+	caller := &Caller{
+		address: address.As4(), port: port, socket: socket, router: router,
+		flows: map[uint16]*Flow{}, next: 1024, ended: make(chan struct{}),
+	}
+	go caller.run()
+	return caller, nil
+}
+
+// Close ends the caller.
+func (caller *Caller) Close() {
+	_ = caller.socket.Close()
+	<-caller.ended
+}
+
+// Forged counts packets that their sender did not write that way.
+func (caller *Caller) Forged() uint64 {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	return caller.forged
+}
+
+func (caller *Caller) run() {
+	defer close(caller.ended)
+	buffer := make([]byte, 2048)
+	for {
+		size, err := caller.socket.Read(buffer)
+		if err != nil {
+			return
+		}
+		caller.take(append([]byte{}, buffer[:size]...))
+	}
+}
+
+func (caller *Caller) take(datagram []byte) {
+	packet, forged, ok := decode(datagram)
+	ownReset := packet.Sum == 0 && packet.Flags == flagRST && len(packet.Data) == 0
+	caller.mutex.Lock()
+	if !ok || forged && !ownReset {
+		caller.forged++
+		caller.mutex.Unlock()
+		return
+	}
+	flow := caller.flows[packet.DestinationPort]
+	caller.mutex.Unlock()
+	if flow == nil {
+		return
+	}
+	select {
+	case flow.received <- packet:
+	default: // as if lost
+	}
+}
+
+// Flow is one flow at its caller. One goroutine at a time uses it.
+type Flow struct {
+	caller   *Caller
+	port     uint16
+	front    netip.AddrPort
+	received chan head
+	echo     uint32
+	sequence uint32
+	ack      uint32 // acknowledges the host's opening
+}
+
+// Open opens a flow to a front end.
+func (caller *Caller) Open(front netip.AddrPort) (*Flow, error) {
+	caller.mutex.Lock()
+	caller.next++
+	flow := &Flow{caller: caller, port: caller.next, front: front, received: make(chan head, 64), sequence: 1000}
+	caller.flows[flow.port] = flow
+	caller.mutex.Unlock()
+	for copies, wait := range openingWaits {
+		flow.send(flagSYN, uint32(copies), nil)
+		answer, err := flow.wait(wait, func(packet *head) bool { return packet.has(flagSYN | flagACK) })
+		if errors.Is(err, ErrReset) {
+			return nil, err
+		}
+		if err == nil {
+			flow.ack = answer.Sequence + 1
+			flow.sequence++
+			flow.send(flagACK, flow.ack, nil)
+			return flow, nil
+		}
+	}
+	return nil, ErrNotOpened
+}
+
+// Request sends a request and gives the id of the host that answered it.
+func (flow *Flow) Request(id uint64) (host string, err error) {
+	data := binary.BigEndian.AppendUint64(nil, id)
+	end := flow.sequence + uint32(len(data))
+	begun := time.Now()
+	for wait := firstResend; time.Since(begun) < giveUpAfter; wait = min(2*wait, lastResend) {
+		flow.send(flagACK, flow.ack, data)
+		answer, err := flow.wait(wait, func(packet *head) bool { return packet.Acknowledgment == end && len(packet.Data) > 0 })
+		if errors.Is(err, ErrReset) {
+			return "", err
+		}
+		if err != nil {
+			continue
+		}
+		flow.sequence = end
+		name, body, _ := strings.Cut(string(answer.Data), " ")
+		if body != string(data) {
+			return name, errors.Newf("the answer to request %d is that to another one", id)
+		}
+		return name, nil
+	}
+	return "", ErrNoAnswer
+}
+
+// Close ends the flow.
+func (flow *Flow) Close() {
+	flow.send(flagFIN|flagACK, flow.ack, nil)
+	_, _ = flow.wait(firstResend, func(packet *head) bool { return packet.has(flagFIN) })
+	flow.caller.mutex.Lock()
+	delete(flow.caller.flows, flow.port)
+	flow.caller.mutex.Unlock()
+}
+
+func (flow *Flow) send(flags uint8, acknowledgment uint32, data []byte) {
+	packet := head{
+		Flags: flags, Sequence: flow.sequence, Acknowledgment: acknowledgment, Data: data, Echo: flow.echo,
+		Source: flow.caller.address, SourcePort: flow.port,
+		Destination: flow.front.Addr().As4(), DestinationPort: flow.front.Port(),
+	}
+	to := flow.caller.router.pick(packet.flow())
+	_, _ = flow.caller.socket.WriteToUDPAddrPort(packet.encode(nil), to) // sent again if lost
+}
+
+// wait gives the first packet that is wanted. Whatever comes brings its echo.
+func (flow *Flow) wait(limit time.Duration, wanted func(*head) bool) (head, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case packet := <-flow.received:
+			if packet.has(flagRST) {
+				return head{}, ErrReset
+			}
+			flow.echo = packet.Echo
+			if wanted(&packet) {
+				return packet, nil
+			}
+		case <-timer.C:
+			return head{}, ErrNoAnswer
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/platformsim/host.go
@@ -0,0 +1,182 @@
+package platformsim
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+)
+
+// identityBytes stand before a packet for a host: which host is meant.
+const identityBytes = 8
+
+// HostCounts is what a host has seen.
+type HostCounts struct {
+	Opened   uint64 // flows
+	Ran      uint64 // requests, each once
+	Unknown  uint64 // later packets of flows that it does not hold
+	NotMeant uint64 // packets for another host at this address
+	Forged   uint64 // packets that their sender did not write that way
+	NoToken  uint64 // openings without a token
+	Openings uint64 // openings received, copies included
+}
+
+// hostFlow is one flow at its host.
+type hostFlow struct {
+	initial uint32 // the host's own first sequence number
+	open    bool
+	answers map[uint32][]byte // answers, by the sequence number of the request
+}
+
+// Host is one host that takes packets in the form that the platform calls echo.
+type Host struct {
+	ID       string
+	Service  string
+	Zone     string
+	identity uint64
+	socket   *net.UDPConn
+	reply    uint16
+	answers  atomic.Bool // false: it has fallen silent
+
+	mutex  sync.Mutex
+	flows  map[flowKey]*hostFlow
+	counts HostCounts
+	ended  chan struct{}
+}
+
+// NewHost starts a host at a loopback address, port 0 for a free one. Packets
+// for callers go to replyPort at the caller's address.
+func NewHost(id, service, zone string, listen netip.AddrPort, replyPort uint16) (*Host, error) {
+	identity, err := strconv.ParseUint(id[len("i-"):], 16, 64)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, err
+	}
+	host := &Host{
+		ID: id, Service: service, Zone: zone, identity: identity, socket: socket, reply: replyPort,
+		flows: map[flowKey]*hostFlow{}, ended: make(chan struct{}),
+	}
+	host.answers.Store(true)
+	go host.run()
+	return host, nil
+}
+
+// Address is where the host takes packets.
+func (host *Host) Address() netip.AddrPort { return host.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Announce writes the host's entry.
+func (host *Host) Announce(store *Store, state string) {
+	store.Put("servers/"+host.ID, map[string]any{
+		"service": host.Service, "address": host.Address().String(), "zone": host.Zone,
+		"version": "v1", "slots": 2, "state": state, "cold_remaining_ms": 0, "call_seq": 1,
+	})
+}
+
+// Silence has the host answer nothing, or answer again.
+func (host *Host) Silence(silent bool) { host.answers.Store(!silent) }
+
+// Counts gives what the host has seen.
+func (host *Host) Counts() HostCounts {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	return host.counts
+}
+
+// Close ends the host.
+func (host *Host) Close() {
+	_ = host.socket.Close()
+	<-host.ended
+}
+
+func (host *Host) run() {
+	defer close(host.ended)
+	buffer := make([]byte, 2048)
+	for {
+		size, err := host.socket.Read(buffer)
+		if err != nil {
+			return
+		}
+		if size >= identityBytes && host.answers.Load() {
+			host.take(binary.BigEndian.Uint64(buffer), buffer[identityBytes:size])
+		}
+	}
+}
+
+func (host *Host) take(meant uint64, datagram []byte) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	packet, forged, ok := decode(datagram)
+	switch {
+	case !ok || forged:
+		host.counts.Forged++
+	case meant != 0 && meant != host.identity:
+		host.counts.NotMeant++
+	case packet.has(flagSYN):
+		host.open(&packet)
+	default:
+		host.later(&packet)
+	}
+}
+
+func (host *Host) open(packet *head) {
+	host.counts.Openings++
+	if packet.Echo == 0 {
+		host.counts.NoToken++
+	}
+	flow := host.flows[packet.flow()]
+	if flow == nil {
+		flow = &hostFlow{initial: uint32(host.identity)<<8 | 1, answers: map[uint32][]byte{}}
+		host.flows[packet.flow()] = flow
+	}
+	answer := packet.answer(flagSYN | flagACK)
+	answer.Sequence = flow.initial
+	answer.Acknowledgment = packet.Sequence + 1
+	host.send(packet, &answer)
+}
+
+func (host *Host) later(packet *head) {
+	flow := host.flows[packet.flow()]
+	if flow == nil || !flow.open && packet.Acknowledgment != flow.initial+1 {
+		host.counts.Unknown++
+		answer := packet.answer(flagRST)
+		answer.Sequence = packet.Acknowledgment
+		host.send(packet, &answer)
+		return
+	}
+	if !flow.open {
+		flow.open = true
+		host.counts.Opened++
+	}
+	if packet.has(flagFIN) {
+		delete(host.flows, packet.flow())
+		answer := packet.answer(flagFIN | flagACK)
+		host.send(packet, &answer)
+		return
+	}
+	if len(packet.Data) > 0 {
+		host.answer(flow, packet)
+	}
+}
+
+// answer runs a request once and answers it as often as it comes.
+func (host *Host) answer(flow *hostFlow, packet *head) {
+	if _, known := flow.answers[packet.Sequence]; !known {
+		host.counts.Ran++
+		flow.answers[packet.Sequence] = append([]byte(host.ID+" "), packet.Data...)
+	}
+	answer := packet.answer(flagACK)
+	answer.Sequence = flow.initial + 1
+	answer.Acknowledgment = packet.Sequence + uint32(len(packet.Data))
+	answer.Data = flow.answers[packet.Sequence]
+	host.send(packet, &answer)
+}
+
+func (host *Host) send(about, answer *head) {
+	caller := netip.AddrPortFrom(netip.AddrFrom4(about.Source), host.reply)
+	_, _ = host.socket.WriteToUDPAddrPort(answer.encode(nil), caller) // a lost answer is asked for again
+}
--- /dev/null
+++ b/internal/lab/platformsim/store.go
@@ -0,0 +1,218 @@
+package platformsim
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how the store fails.
+type Fault string
+
+// The faults.
+const (
+	FaultNone      Fault = ""
+	FaultBusy      Fault = "busy"      // 503 to every call
+	FaultSilent    Fault = "silent"    // no answer
+	FaultReset     Fault = "reset"     // the connection is broken off
+	FaultThrottled Fault = "throttled" // 429 to every call
+)
+
+// Item is one entry, or, in a watch, the news of its removal.
+type Item struct {
+	Key      string `json:"tls_key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Made     int64  `json:"made,omitempty"`
+	Gone     bool   `json:"gone,omitempty"`
+}
+
+// pageSize is how many items one answer holds.
+const pageSize = 4
+
+// Store is the platform's metadata store. It is safe for concurrent use.
+type Store struct {
+	listener net.Listener
+	server   *http.Server
+
+	mutex     sync.Mutex
+	revision  int64
+	items     map[string]Item
+	history   []Item
+	compacted int64
+	fault     Fault
+	calls     int
+	changed   chan struct{} // closed at each change
+}
+
+// NewStore starts a store on a free loopback port.
+func NewStore() (*Store, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	store := &Store{listener: listener, revision: 1, items: map[string]Item{}, changed: make(chan struct{})}
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /-/kv-range", store.serve(store.serveRange))
+	routes.HandleFunc("GET /-/kv-watch", store.serve(store.serveWatch))
+	store.server = &http.Server{Handler: routes, ReadHeaderTimeout: time.Second}
+	go func() { _ = store.server.Serve(listener) }() // ends with Close
+	return store, nil
+}
+
+// URL is the store's base URL.
+func (store *Store) URL() string { return "http://" + store.listener.Addr().String() }
+
+// Close ends the store.
+func (store *Store) Close() { _ = store.server.Close() }
+
+// Put writes an entry as JSON.
+func (store *Store) Put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // the caller's own types
+	}
+	store.PutBytes(key, text)
+}
+
+// PutBytes writes an entry.
+func (store *Store) PutBytes(key string, value []byte) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	item := Item{Key: key, Value: value, Revision: store.revision, Made: store.revision}
+	if known, found := store.items[key]; found {
+		item.Made = known.Made
+	}
+	store.items[key] = item
+	store.note(item)
+}
+
+// Delete removes an entry.
+func (store *Store) Delete(key string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	delete(store.items, key)
+	store.note(Item{Key: key, Revision: store.revision, Gone: true})
+}
+
+func (store *Store) note(change Item) {
+	store.history = append(store.history, change)
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+// Compact forgets the history.
+func (store *Store) Compact() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.compacted = store.revision
+	store.history = nil
+}
+
+// SetFault has the store fail from now on, or not.
+func (store *Store) SetFault(fault Fault) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.fault = fault
+}
+
+// Calls is how many calls were made.
+func (store *Store) Calls() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.calls
+}
+
+// serve applies the fault, or answers.
+func (store *Store) serve(answer http.HandlerFunc) http.HandlerFunc {
+	return func(response http.ResponseWriter, request *http.Request) {
+		store.mutex.Lock()
+		store.calls++
+		fault := store.fault
+		store.mutex.Unlock()
+		switch fault {
+		case FaultBusy:
+			response.WriteHeader(http.StatusServiceUnavailable)
+		case FaultThrottled:
+			response.WriteHeader(http.StatusTooManyRequests)
+		case FaultReset:
+			panic(http.ErrAbortHandler)
+		case FaultSilent:
+			<-request.Context().Done()
+		default:
+			answer(response, request)
+		}
+	}
+}
+
+func (store *Store) serveRange(response http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	items := []Item{}
+	for _, item := range store.items {
+		if strings.HasPrefix(item.Key, query.Get("path_prefix")) && item.Key > query.Get("after") {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(left, right Item) int { return strings.Compare(left.Key, right.Key) })
+	more := len(items) > pageSize
+	if more {
+		items = items[:pageSize]
+	}
+	writeJSON(response, map[string]any{"items": items, "more": more, "at": store.revision})
+}
+
+func (store *Store) serveWatch(response http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, afterErr := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, waitErr := strconv.Atoi(query.Get("wait_ms"))
+	if afterErr != nil || waitErr != nil || wait > 30000 {
+		response.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for ended := false; ; {
+		events, at, gone, changed := store.eventsAfter(after, query.Get("path_prefix"))
+		if gone {
+			response.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 || ended {
+			writeJSON(response, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			ended = true
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (store *Store) eventsAfter(after int64, prefix string) (events []Item, at int64, gone bool, changed chan struct{}) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	events = []Item{}
+	for _, change := range store.history {
+		if change.Revision > after && strings.HasPrefix(change.Key, prefix) {
+			events = append(events, change)
+		}
+	}
+	return events, store.revision, after < store.compacted, store.changed
+}
+
+func writeJSON(response http.ResponseWriter, value any) {
+	response.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(response).Encode(value) // a caller that has gone needs no answer
+}
