Share a zone's new flows by what its back ends hold

Cause: all new flows went to back ends of the balancer's own zone.

Change: weighted rendezvous; a zone keeps its flows as far as its hosts hold their part of the service's slots, the rest goes where there is room, 2% always.

--- /dev/null
+++ b/internal/steering/share_test.go
@@ -0,0 +1,123 @@
+package steering
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/view"
+)
+
+// TestSharesAreEven: with the same demand in every zone, all hosts get the same
+// load, whatever the numbers of hosts in the zones.
+func TestSharesAreEven(t *testing.T) {
+	cases := []struct {
+		name  string
+		hosts []int // of each zone
+	}{
+		{"alike", []int{4, 4, 4}},
+		{"uneven", []int{5, 5, 4}},
+		{"few", []int{2, 1, 1}},
+		{"one zone has nearly none", []int{9, 4, 1}},
+		{"one zone has none", []int{3, 3, 0}},
+		{"one zone", []int{3}},
+		{"two zones have none", []int{6, 0, 0}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			world := newWorld()
+			zones := make([]lb.Zone, len(test.hosts))
+			total := 0
+			for zone, count := range test.hosts {
+				zones[zone] = lb.Zone(fmt.Sprintf("zone-%d", zone))
+				for index := range count {
+					world.host(lb.BackendName(fmt.Sprintf("i-%d-%d", zone, index)), "web", zones[zone], lb.BackendActive)
+				}
+				// A host of another service makes every zone known.
+				world.host(lb.BackendName(fmt.Sprintf("i-other-%d", zone)), "other", zones[zone], lb.BackendActive)
+				total += count
+			}
+			load := map[lb.BackendName]float64{}
+			for _, zone := range zones {
+				ready := world.table(zone).service("web").Ready
+				sum := 0.0
+				for _, host := range ready {
+					sum += host.weight
+				}
+				for _, host := range ready {
+					load[host.Name] += host.weight / sum / float64(len(zones))
+				}
+			}
+			for _, share := range load {
+				is.True(math.Abs(share*float64(total)-1) < 3*remoteShare)
+			}
+		})
+	}
+}
+
+// TestZoneKeepsWhatItsHostsHold: no more flows cross zones than evenness takes.
+func TestZoneKeepsWhatItsHostsHold(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	fill(world, 10) // five in each of two zones
+	local := 0.0
+	for _, host := range world.table(zoneA).service("web").Ready {
+		if host.Zone == zoneA {
+			local += host.weight
+		}
+	}
+	is.True(local >= 1-2*remoteShare && local <= 1)
+}
+
+// TestFlowsFollowWeights: the choice by hash gives each host its weight's part.
+func TestFlowsFollowWeights(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	fill(world, 10)
+	world.route(443, view.Target{Service: "web", Weight: 1})
+	service := world.table(zoneA).service("web")
+	const flows = 20000
+	counts := map[lb.BackendName]int{}
+	halved := service.Ready[0]
+	factor := func(host *Host) float64 {
+		if host == halved {
+			return 0.5
+		}
+		return 1
+	}
+	for number := range flows {
+		flow := flowTo(443, number)
+		counts[service.Pick(flow.ID(), factor).Name]++
+	}
+	sum := 0.0
+	for _, host := range service.Ready {
+		sum += host.weight * factor(host)
+	}
+	for _, host := range service.Ready {
+		expected := flows * host.weight * factor(host) / sum
+		is.True(math.Abs(float64(counts[host.Name])-expected) < 5*math.Sqrt(expected)+1)
+	}
+}
+
+func TestHostOfFactorZeroIsTheLastChoice(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	fill(world, 3)
+	service := world.table(zoneA).service("web")
+	none := func(*Host) float64 { return 0 }
+	is.True(service.Pick(1, none) != nil)
+	spared := service.Ready[1]
+	for number := range 100 {
+		picked := service.Pick(lb.FlowID(number), func(host *Host) float64 {
+			if host == spared {
+				return 1
+			}
+			return 0
+		})
+		is.Equal(picked, spared)
+	}
+}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,15 +30,15 @@
 	hash uint32
 	// rank is the key of the host in rendezvous hashing.
 	rank uint64
+	// weight is the host's part of this balancer's new flows; see setShares.
+	weight float64
 }
 
 // Service is one service's back ends.
 type Service struct {
 	Name lb.ServiceName
-	// Ready take new flows: those of Local first.
+	// Ready take new flows, by their weights.
 	Ready []*Host
-	// Local are those of Ready in this balancer's zone.
-	Local []*Host
 	// Lapsed went from the store a short time ago without having said that
 	// they drain. They take new flows only when no other back end is left.
 	Lapsed []*Host
@@ -103,18 +104,23 @@
 }
 
 func (table *Table) addHosts(known []view.Known, zone lb.Zone, now time.Duration) {
+	zones := map[lb.Zone]bool{zone: true}
 	slices.SortFunc(known, func(left, right view.Known) int {
 		return cmp.Or(cmp.Compare(left.Backend.Created, right.Backend.Created),
 			cmp.Compare(left.Backend.Name, right.Backend.Name))
 	})
 	for index := range known {
-		table.addHost(&known[index], zone, now)
+		table.addHost(&known[index], now)
+		zones[known[index].Backend.Zone] = true
+	}
+	for _, service := range table.services {
+		service.setShares(zone, len(zones))
 	}
 }
 
 // addHost adds one back end. One whose hash an earlier one has gets no flows,
 // since their tokens could not be told apart.
-func (table *Table) addHost(known *view.Known, zone lb.Zone, now time.Duration) {
+func (table *Table) addHost(known *view.Known, now time.Duration) {
 	host := newHost(&known.Backend)
 	host.Index = len(table.hosts)
 	table.hosts = append(table.hosts, host)
@@ -129,9 +135,6 @@
 		table.addLapsed(service, host, known.GoneAt, now)
 	default:
 		service.Ready = append(service.Ready, host)
-		if host.Zone == zone {
-			service.Local = append(service.Local, host)
-		}
 	}
 }
 
@@ -148,7 +151,7 @@
 
 func newHost(backend *view.Backend) *Host {
 	hash := xxhash.Sum64String(string(backend.Name))
-	return &Host{Backend: *backend, hash: uint32(hash), rank: hash}
+	return &Host{Backend: *backend, hash: uint32(hash), rank: hash, weight: 1}
 }
 
 func (table *Table) service(name lb.ServiceName) *Service {
@@ -192,35 +195,42 @@
 	return nil // not reached: point is below the last sum
 }
 
-// Pick gives the host of a new flow: the first by rendezvous rank among those
-// ready, or lapsed if none is ready; nil if there is neither. Hosts for which
-// avoid is true are passed over while there are others; avoid may be nil.
-func (service *Service) Pick(flow lb.FlowID, avoid func(*Host) bool) *Host {
-	for _, candidates := range [...][]*Host{service.Local, service.Ready, service.Lapsed} {
-		if found := first(candidates, flow, avoid); found != nil {
-			return found
-		}
+// Pick gives the host of a new flow: the first by weighted rendezvous rank
+// among those ready, or lapsed if none is ready; nil if there is neither. factor
+// gives by how much this balancer lowers the weight of a host, from 0 to 1;
+// nil: by nothing, for a choice that is the same at all balancers of the zone.
+func (service *Service) Pick(flow lb.FlowID, factor func(*Host) float64) *Host {
+	if found := first(service.Ready, flow, factor); found != nil {
+		return found
 	}
-	if avoid == nil {
-		return nil
-	}
-	return service.Pick(flow, nil)
+	return first(service.Lapsed, flow, nil)
 }
 
-func first(candidates []*Host, flow lb.FlowID, avoid func(*Host) bool) *Host {
+// first ranks by -ln(u)/weight, lowest first, with u uniform in (0,1) by hash
+// (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). A
+// host of factor 0 comes only when there is no other.
+func first(candidates []*Host, flow lb.FlowID, factor func(*Host) float64) *Host {
 	var best *Host
-	var bestScore uint64
+	bestCost := math.Inf(1)
 	for _, host := range candidates {
-		if avoid != nil && avoid(host) {
-			continue
+		weight := host.weight
+		if factor != nil {
+			weight *= factor(host)
 		}
-		if score := rendezvous.Mix(uint64(flow) ^ host.rank); best == nil || score > bestScore {
-			best, bestScore = host, score
+		cost := math.MaxFloat64
+		if weight > 0 {
+			cost = -math.Log(uniform(rendezvous.Mix(uint64(flow)^host.rank))) / weight
+		}
+		if cost < bestCost {
+			best, bestCost = host, cost
 		}
 	}
 	return best
 }
 
+// uniform maps a hash to a number above 0 and below 1.
+func uniform(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
 // Token gives the token that names the host for flows to the front end.
 func (host *Host) Token(frontend *lb.FrontendKey) Token {
 	return Token(host.hash ^ uint32(frontend.Hash()))
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -25,6 +25,8 @@
 	State lb.BackendState `json:"state"`
 	// Created is the store's revision at which the entry was made.
 	Created int64 `json:"created"`
+	// Slots is how many requests the back end works on at once; 0: it does not say.
+	Slots int `json:"slots,omitempty"`
 	// ColdMillis is how long the back end is slow, from the write of the entry.
 	ColdMillis int64 `json:"cold_ms,omitempty"`
 }
