Learn from the packets that pass which back ends are silent or slow

Ruled out: probes (they take a slot and have a price); resets of flows whose back end is silent (a wrong guess breaks a living flow).

Change: internal/observe. An opening that no later packet of its flow follows within 100 ms, while nothing else was heard of its back end, silences that one for 0.4 s, doubling to 4 s; a copy of such an opening goes to another back end, any other copy where the first went. Nothing that is remembered is needed for safety.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -42,8 +42,10 @@
 	// Copies is how many copies of this opening the caller has sent before,
 	// as far as the path tells.
 	Copies uint32
-	// Acknowledged is the packet's acknowledgement number, where the path tells.
+	// Acknowledged is the packet's acknowledgement number, and HasData tells
+	// whether it carries data, where the path tells.
 	Acknowledged uint32
+	HasData      bool
 }
 
 // Action is what is to be done with the packet of the event.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,6 +59,7 @@
 type affinity interface {
 	packet(packet *Packet, decision *Decision)
 	setTable(table *steering.Table)
+	tick()
 }
 
 // New gives a core that knows of no other member and no service.
@@ -107,6 +108,7 @@
 	}
 	core.setContact(event.Contact)
 	if event.Tick {
+		core.affinity.tick()
 		core.tick(effects)
 	}
 	effects.Unsure = !core.sure
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -31,6 +31,9 @@
 // setTable is not for this affinity, which goes by placements.
 func (chainAffinity) setTable(*steering.Table) {}
 
+// tick does nothing: what is due for the chain is due for the core.
+func (chainAffinity) tick() {}
+
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core.Core, packet: packet, decision: decision}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -11,13 +12,31 @@
 // back end, and every later packet goes by its token. Safety rests on nothing
 // that this node remembers; see docs/design-platform.md.
 type tokenAffinity struct {
-	core  *Core
-	table *steering.Table // nil: no view yet
+	core     *Core
+	table    *steering.Table // nil: no view yet
+	observer *observe.Observer
+	// factor is observer.Factor at the time of the step.
+	factor func(*steering.Host) float64
 }
 
-func newTokenAffinity(core *Core) *tokenAffinity { return &tokenAffinity{core: core} }
+func newTokenAffinity(core *Core) *tokenAffinity {
+	affinity := &tokenAffinity{core: core, observer: observe.New(observe.DefaultSettings())}
+	affinity.factor = func(host *steering.Host) float64 {
+		return affinity.observer.Factor(core.now, host.Service, observe.Identity(host.Identity))
+	}
+	return affinity
+}
+
+func (affinity *tokenAffinity) setTable(table *steering.Table) {
+	affinity.table = table
+	present := make(map[observe.Identity]bool, len(table.Hosts()))
+	for _, host := range table.Hosts() {
+		present[observe.Identity(host.Identity)] = true
+	}
+	affinity.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
+}
 
-func (affinity *tokenAffinity) setTable(table *steering.Table) { affinity.table = table }
+func (affinity *tokenAffinity) tick() { affinity.observer.Tick(affinity.core.now) }
 
 func (affinity *tokenAffinity) packet(packet *Packet, decision *Decision) {
 	switch {
@@ -32,8 +51,8 @@
 	}
 }
 
-// open places a new flow. Copies of an opening are placed alike while the view
-// stays: the choice is a pure function of the flow and the view.
+// open places a new flow. A copy of an opening goes where the one before went,
+// unless that back end has fallen silent.
 func (affinity *tokenAffinity) open(packet *Packet, decision *Decision) {
 	flow := packet.Key.ID()
 	service := affinity.table.Service(&packet.Key)
@@ -42,7 +61,7 @@
 		return
 	}
 	decision.Service = service.Name
-	host := service.Pick(flow, nil)
+	host := affinity.choose(service, flow)
 	if host == nil {
 		affinity.refuse(packet, decision, flow, ReasonNoBackend)
 		return
@@ -50,6 +69,18 @@
 	frontend := packet.Key.Frontend()
 	forwardTo(decision, host)
 	decision.Token = host.Token(&frontend)
+	affinity.observer.Opened(affinity.core.now, flow, observe.Identity(host.Identity))
+}
+
+func (affinity *tokenAffinity) choose(service *steering.Service, flow lb.FlowID) *steering.Host {
+	if identity, placed := affinity.observer.Placed(affinity.core.now, flow); placed {
+		for _, host := range service.Ready {
+			if observe.Identity(host.Identity) == identity {
+				return host
+			}
+		}
+	}
+	return service.Pick(flow, affinity.factor)
 }
 
 // follow sends a later packet to the back end that its token names. One that
@@ -64,6 +95,8 @@
 	}
 	forwardTo(decision, host)
 	decision.Token = packet.Token
+	affinity.observer.Later(affinity.core.now, packet.Key.ID(), host.Service,
+		observe.Identity(host.Identity), packet.Acknowledged, packet.HasData)
 }
 
 func forwardTo(decision *Decision, host *steering.Host) {
--- /dev/null
+++ b/internal/observe/observe.go
@@ -0,0 +1,208 @@
+// Package observe estimates, from the packets that pass one balancer, how its
+// back ends do: which leave openings unanswered, and which are slow. Answers go
+// straight from back ends to callers, so that only what callers send is seen: an
+// opening is answered when the caller's next packet comes, a request when the
+// caller acknowledges something new. What it remembers only makes choices
+// better; nothing is unsafe without it. It has no I/O and no clock.
+package observe
+
+import (
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Identity names a back end's run, as packets do.
+type Identity uint64
+
+// Settings of an observer. See DefaultSettings.
+type Settings struct {
+	// AnswerTime is how long an answer to an opening may take before it
+	// counts as missing.
+	AnswerTime time.Duration
+	// SilentTime is how long a back end is passed over after a missing answer;
+	// it doubles with each further one, up to SilentLimit.
+	SilentTime, SilentLimit time.Duration
+	// OpeningTime is how long openings are remembered: as long as copies come.
+	OpeningTime time.Duration
+	// RecoverTime is how fast a slow back end is forgiven while it gets nothing.
+	RecoverTime time.Duration
+	// MaxFlows bounds the openings, and the requests, that are remembered.
+	MaxFlows int
+}
+
+// DefaultSettings gives the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		AnswerTime:  100 * time.Millisecond,
+		SilentTime:  400 * time.Millisecond,
+		SilentLimit: 4 * time.Second,
+		OpeningTime: 1500 * time.Millisecond,
+		RecoverTime: 2 * time.Second,
+		MaxFlows:    1 << 14,
+	}
+}
+
+// opening is an opening that was forwarded and not seen answered.
+type opening struct {
+	identity Identity
+	at       time.Duration
+	overdue  bool // counted as missing
+}
+
+// request is a request whose answer was not seen.
+type request struct {
+	identity     Identity
+	at           time.Duration
+	acknowledged uint32
+}
+
+// health is what is known of one back end.
+type health struct {
+	aliveAt time.Duration // when it was last seen to answer
+	missing int           // answers missing since
+	silent  time.Duration // until when it is passed over
+	latency float64       // seconds; moving mean of the time to answer a request
+	sampled time.Duration // when latency last changed
+}
+
+// Observer is the estimate of one balancer. It is not safe for concurrent use.
+type Observer struct {
+	settings Settings
+	openings map[lb.FlowID]opening
+	requests map[lb.FlowID]request
+	backends map[Identity]*health
+	typical  map[lb.ServiceName]float64 // seconds; what fast answers of a service take
+	sweepAt  time.Duration
+}
+
+// New gives an observer that knows nothing.
+func New(settings Settings) *Observer {
+	return &Observer{
+		settings: settings,
+		openings: make(map[lb.FlowID]opening),
+		requests: make(map[lb.FlowID]request),
+		backends: make(map[Identity]*health),
+		typical:  make(map[lb.ServiceName]float64),
+	}
+}
+
+func (observer *Observer) health(identity Identity) *health {
+	known := observer.backends[identity]
+	if known == nil {
+		known = &health{}
+		observer.backends[identity] = known
+	}
+	return known
+}
+
+// Opened notes that an opening was forwarded to a back end.
+func (observer *Observer) Opened(now time.Duration, flow lb.FlowID, identity Identity) {
+	if known, found := observer.openings[flow]; found && known.identity == identity {
+		return // a copy
+	}
+	if len(observer.openings) < observer.settings.MaxFlows {
+		observer.openings[flow] = opening{identity: identity, at: now}
+	}
+}
+
+// Placed gives the back end that an earlier copy of the opening went to, unless
+// that one has left it unanswered and nothing has been heard of it since.
+func (observer *Observer) Placed(now time.Duration, flow lb.FlowID) (Identity, bool) {
+	known, found := observer.openings[flow]
+	if !found || now-known.at > observer.settings.OpeningTime {
+		return 0, false
+	}
+	observer.checkOverdue(now, flow, known)
+	if observer.silentSince(known.identity, known.at) && now-known.at >= observer.settings.AnswerTime {
+		return 0, false
+	}
+	return known.identity, true
+}
+
+// Later notes a later packet of a flow: its back end has answered the opening,
+// and, where the packet acknowledges something new, the request before.
+// hasData tells whether the packet carries some.
+func (observer *Observer) Later(now time.Duration, flow lb.FlowID, service lb.ServiceName, identity Identity, acknowledged uint32, hasData bool) {
+	if _, pending := observer.openings[flow]; pending {
+		delete(observer.openings, flow)
+		observer.alive(now, identity)
+	}
+	pending, waiting := observer.requests[flow]
+	switch {
+	case waiting && pending.acknowledged != acknowledged:
+		delete(observer.requests, flow)
+		observer.alive(now, identity)
+		observer.sample(now, service, identity, now-pending.at)
+		waiting = false
+	case !hasData:
+		return
+	}
+	if hasData && !waiting && len(observer.requests) < observer.settings.MaxFlows {
+		observer.requests[flow] = request{identity: identity, at: now, acknowledged: acknowledged}
+	}
+}
+
+func (observer *Observer) alive(now time.Duration, identity Identity) {
+	known := observer.health(identity)
+	known.aliveAt = now
+	known.missing = 0
+	known.silent = 0
+}
+
+// silentSince tells whether nothing has been heard of the back end since a time.
+func (observer *Observer) silentSince(identity Identity, since time.Duration) bool {
+	known := observer.backends[identity]
+	return known == nil || known.aliveAt <= since
+}
+
+// checkOverdue counts an answer as missing when its time has passed.
+func (observer *Observer) checkOverdue(now time.Duration, flow lb.FlowID, pending opening) {
+	if pending.overdue || now-pending.at < observer.settings.AnswerTime {
+		return
+	}
+	pending.overdue = true
+	observer.openings[flow] = pending
+	if !observer.silentSince(pending.identity, pending.at) {
+		return // it has answered others: this packet, or its answer, was lost
+	}
+	known := observer.health(pending.identity)
+	known.missing++
+	const maxDoublings = 8
+	pause := observer.settings.SilentTime << min(known.missing-1, maxDoublings)
+	known.silent = max(known.silent, now+min(pause, observer.settings.SilentLimit))
+}
+
+// sweepInterval is the time between looks at all that is remembered.
+const sweepInterval = 50 * time.Millisecond
+
+// Tick counts missing answers and forgets what is old.
+func (observer *Observer) Tick(now time.Duration) {
+	if now < observer.sweepAt {
+		return
+	}
+	observer.sweepAt = now + sweepInterval
+	for flow, pending := range observer.openings {
+		observer.checkOverdue(now, flow, pending)
+		if now-pending.at > observer.settings.OpeningTime {
+			delete(observer.openings, flow)
+		}
+	}
+	for flow, pending := range observer.requests {
+		if now-pending.at > requestTime {
+			delete(observer.requests, flow)
+		}
+	}
+}
+
+// requestTime is how long an unanswered request is remembered.
+const requestTime = 5 * time.Second
+
+// Forget drops what is known of all back ends but those to keep.
+func (observer *Observer) Forget(keep func(Identity) bool) {
+	for identity := range observer.backends {
+		if !keep(identity) {
+			delete(observer.backends, identity)
+		}
+	}
+}
--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,135 @@
+package observe
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+const (
+	first  = Identity(1)
+	second = Identity(2)
+	web    = lb.ServiceName("web")
+)
+
+const ms = time.Millisecond
+
+func TestUnansweredOpeningSilencesItsBackend(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Opened(0, 7, first)
+	is.Equal(observer.Factor(50*ms, web, first), 1.0)
+	observer.Tick(120 * ms)
+	is.Equal(observer.Factor(120*ms, web, first), 0.0)
+	is.Equal(observer.Factor(120*ms, web, second), 1.0)
+	// It is tried again when its time has passed.
+	is.Equal(observer.Factor(120*ms+observer.settings.SilentTime, web, first), 1.0)
+}
+
+func TestSilenceGrowsAndEndsWithAnAnswer(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	now := time.Duration(0)
+	for flow := range lb.FlowID(10) {
+		observer.Opened(now, flow, first)
+		now += 150 * ms
+		observer.Tick(now)
+	}
+	limit := observer.settings.SilentLimit
+	is.Equal(observer.Factor(now+limit-ms, web, first), 0.0)
+	is.Equal(observer.Factor(now+limit, web, first), 1.0)
+	observer.Opened(now, 99, first)
+	observer.Later(now+3*ms, 99, web, first, 1, false)
+	is.Equal(observer.Factor(now+3*ms, web, first), 1.0)
+}
+
+func TestLostOpeningOfALivelyBackendIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Opened(0, 1, first)
+	observer.Opened(10*ms, 2, first)
+	observer.Later(13*ms, 2, web, first, 1, false)
+	observer.Tick(300 * ms)
+	is.Equal(observer.Factor(300*ms, web, first), 1.0)
+	identity, placed := observer.Placed(300*ms, 1) // the copy goes to the same back end
+	is.True(placed)
+	is.Equal(identity, first)
+}
+
+func TestCopyLeavesASilentBackend(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Opened(0, 1, first)
+	_, placed := observer.Placed(50*ms, 1)
+	is.True(placed) // too early to tell
+	_, placed = observer.Placed(200*ms, 1)
+	is.Equal(placed, false)
+	observer.Opened(200*ms, 1, second)
+	identity, placed := observer.Placed(250*ms, 1)
+	is.True(placed)
+	is.Equal(identity, second)
+}
+
+// serve has a back end answer requests that take a time each.
+func serve(observer *Observer, now time.Duration, identity Identity, took time.Duration, requests int) time.Duration {
+	for index := range requests {
+		flow := lb.FlowID(identity)<<32 | lb.FlowID(index)
+		acknowledged := uint32(index)
+		observer.Later(now, flow, web, identity, acknowledged, true)
+		now += took
+		observer.Later(now, flow, web, identity, acknowledged+1, false)
+	}
+	return now
+}
+
+func TestSlowBackendGetsLessAndIsForgiven(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	now := serve(observer, 0, first, 20*ms, 50)
+	now = serve(observer, now, second, 200*ms, 50)
+	is.Equal(observer.Factor(now, web, first), 1.0)
+	slow := observer.Factor(now, web, second)
+	is.True(slow < 0.5 && slow >= lowestFactor)
+	is.Equal(observer.Factor(now+20*time.Second, web, second), 1.0)
+	now = serve(observer, now, second, 20*ms, 50)
+	is.Equal(observer.Factor(now, web, second), 1.0)
+}
+
+// TestAllSlowBackendsAreSeen: the typical time does not grow as fast as the
+// times of back ends that all become slow together.
+func TestAllSlowBackendsAreSeen(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	now := serve(observer, 0, first, 20*ms, 200)
+	now = serve(observer, now, first, 300*ms, 30)
+	is.True(observer.Factor(now, web, first) < 0.6)
+}
+
+func TestResentRequestIsTimedFromItsFirstCopy(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Later(0, 1, web, first, 5, true)
+	observer.Later(200*ms, 1, web, first, 5, true)
+	observer.Later(230*ms, 1, web, first, 6, false)
+	is.True(math.Abs(observer.backends[first].latency-0.230) < 0.001)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	settings := DefaultSettings()
+	settings.MaxFlows = 100
+	observer := New(settings)
+	for flow := range lb.FlowID(1000) {
+		observer.Opened(0, flow, first)
+		observer.Later(0, flow+5000, web, first, 1, true)
+	}
+	is.True(len(observer.openings) <= 100 && len(observer.requests) <= 100)
+	observer.Tick(10 * time.Second)
+	is.Equal(len(observer.openings)+len(observer.requests), 0)
+	observer.Forget(func(Identity) bool { return false })
+	is.Equal(len(observer.backends), 0)
+}
