Let packets wait in the socket for the first view of a starting node

Ruled out: holding decoded packets in the process (a second queue to bound).

Change: the data plane begins to read when there is a view, at most 300 ms late.

No test of its own: what it saves is a matter of milliseconds.

--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -28,6 +28,8 @@
 	transmit func(netip.AddrPort, message.Message)
 	// reads has the call to the store that is to be carried out.
 	reads chan follower.Read
+	// viewed is closed when the first table is compiled.
+	viewed chan struct{}
 
 	mutex sync.Mutex
 	last  time.Duration // of the last step
@@ -72,6 +74,7 @@
 		settings:  settings,
 		logger:    logger,
 		reads:     make(chan follower.Read, 1),
+		viewed:    make(chan struct{}),
 		core:      core.New(deciding),
 		member:    membership,
 		follower:  follower.New(following),
@@ -218,6 +221,9 @@
 	if !replica.Configured() {
 		return
 	}
+	if engine.table == nil {
+		close(engine.viewed)
+	}
 	engine.table = steering.Compile(replica, engine.settings.Zone, engine.last)
 	engine.core.Step(engine.now(), &core.Event{Table: engine.table}, &engine.coreEffects)
 }
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -179,8 +179,17 @@
 	return node.stopAsPlanned(ctx)
 }
 
+// viewWait is how long packets wait in the socket of a node that has just
+// started for the first view, without which they could only be dropped.
+const viewWait = 300 * time.Millisecond
+
 // movePackets runs the data plane until ctx ends.
 func (node *Node) movePackets(ctx context.Context) {
+	select {
+	case <-node.engine.viewed:
+	case <-time.After(viewWait):
+	case <-ctx.Done():
+	}
 	if err := node.plane.Run(ctx); err != nil {
 		node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
 	}
