--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 demo: build
 	bin/robinlab demo
+	bin/robinlab platform
 
 faults: build
 	bin/robinlab faults
--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -16,12 +16,13 @@
 
 // commands are the subcommands of robinlab.
 type commands struct {
-	Store  storeCommand  `cmd:"" help:"Run the key-value service and machine list."`
-	Fabric fabricCommand `cmd:"" help:"Run the fabric that sprays packets over the balancers."`
-	Host   hostCommand   `cmd:"" help:"Run one back-end host."`
-	Caller callerCommand `cmd:"" help:"Run the callers of one service."`
-	Demo   demoCommand   `cmd:"" help:"Run the demo on real processes and print a table."`
-	Faults faultsCommand `cmd:"" help:"Do fault runs on real processes and print a table."`
+	Store    storeCommand    `cmd:"" help:"Run the key-value service and machine list."`
+	Fabric   fabricCommand   `cmd:"" help:"Run the fabric that sprays packets over the balancers."`
+	Host     hostCommand     `cmd:"" help:"Run one back-end host."`
+	Caller   callerCommand   `cmd:"" help:"Run the callers of one service."`
+	Demo     demoCommand     `cmd:"" help:"Run the demo on real processes and print a table."`
+	Platform platformCommand `cmd:"" help:"Run balancers on a stand-in of the users' platform and print a table."`
+	Faults   faultsCommand   `cmd:"" help:"Do fault runs on real processes and print a table."`
 
 	Experiment labcommand.Experiment `cmd:"" help:"Run scenarios in virtual time on the decision core."`
 	Report     labcommand.Report     `cmd:"" help:"Make a table and plots of results."`
--- a/cmd/robinpulley/process_test.go
+++ b/cmd/robinpulley/process_test.go
@@ -43,13 +43,26 @@
 	command *exec.Cmd
 	admin   string
 	ended   chan struct{}
+	log     string // file of its standard output
+}
+
+// waitForLog waits until the log holds a text.
+func (balancer *balancer) waitForLog(t *testing.T, text string) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		log, err := os.ReadFile(balancer.log)
+		if err == nil && strings.Contains(string(log), text) {
+			return
+		}
+	}
+	t.Fatalf("the log does not have %s", text)
 }
 
 // startBalancer gives a balancer that serves its admin address.
-func startBalancer(t *testing.T, drainGrace string) *balancer {
+func startBalancer(t *testing.T, drainGrace string, settings ...string) *balancer {
 	deadline := time.Now().Add(30 * time.Second)
 	for time.Now().Before(deadline) {
-		started := launch(t, drainGrace)
+		started := launch(t, drainGrace, settings...)
 		if started.serves(deadline) {
 			return started
 		}
@@ -59,20 +72,24 @@
 	return nil
 }
 
-func launch(t *testing.T, drainGrace string) *balancer {
+func launch(t *testing.T, drainGrace string, more ...string) *balancer {
 	is := is.New(t)
 	addresses := freeAddresses(t, 3)
 	file := filepath.Join(t.TempDir(), "node.yaml")
 	settings := strings.Join([]string{
 		"node: b1", "zone: za", "data_address: " + addresses[0], "control_address: " + addresses[1],
 		"admin_address: " + addresses[2], "fabric_reply_addresses: [127.0.0.1:9]",
-		"store_endpoints: [http://127.0.0.1:9]", "timings: {drain_grace: " + drainGrace + "}", "",
+		"store_endpoints: [http://127.0.0.1:9]", "timings: {drain_grace: " + drainGrace + "}", strings.Join(more, "\n"), "",
 	}, "\n")
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	is.NoErr(err)
+	defer log.Close() // the process has its own
 	is.NoErr(os.WriteFile(file, []byte(settings), 0o600))
 	command := exec.Command(os.Args[0], "run", "--config", file)
 	command.Env = append(os.Environ(), runMain+"=1")
+	command.Stdout = log
 	is.NoErr(command.Start())
-	started := &balancer{command: command, admin: addresses[2], ended: make(chan struct{})}
+	started := &balancer{command: command, admin: addresses[2], ended: make(chan struct{}), log: log.Name()}
 	go func() {
 		defer close(started.ended)
 		_ = command.Wait() // its result is in the exit code
@@ -128,3 +145,19 @@
 		}
 	}
 }
+
+// TestHangupReloadsSettings: SIGHUP ends no balancer of either affinity, and
+// that of the token path says what it has read.
+func TestHangupReloadsSettings(t *testing.T) {
+	for _, affinity := range []string{"chain", "token"} {
+		t.Run(affinity, func(t *testing.T) {
+			is := is.New(t)
+			balancer := startBalancer(t, "10ms", "affinity: "+affinity)
+			events := map[string]string{"chain": `"event":"reload_ignored"`, "token": `"event":"reloaded","restart_needed":false`}
+			is.NoErr(balancer.command.Process.Signal(syscall.SIGHUP))
+			balancer.waitForLog(t, events[affinity])
+			is.NoErr(balancer.command.Process.Signal(syscall.SIGTERM))
+			is.Equal(balancer.exitCode(), exitDone)
+		})
+	}
+}
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -11,6 +11,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -113,6 +114,9 @@
 	// Others may go on sending until they know of the stop, so the node should
 	// end only when it has been set for a few seconds on end.
 	HandoverDone bool
+	// Backends are back ends that have fallen silent or answer again, as far as
+	// this node sees. They hold until the next step.
+	Backends []observe.Change
 	// Unsure is set while the core distrusts its view and waits for ContactRegained.
 	Unsure bool
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/steering"
 )
@@ -60,6 +61,7 @@
 	packet(packet *Packet, decision *Decision)
 	setTable(table *steering.Table)
 	tick()
+	changes() []observe.Change
 }
 
 // New gives a core that knows of no other member and no service.
@@ -111,6 +113,7 @@
 		core.affinity.tick()
 		core.tick(effects)
 	}
+	effects.Backends = core.affinity.changes()
 	effects.Unsure = !core.sure
 	effects.HandoverDone = core.leaving && core.handover.idle()
 }
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -34,6 +35,9 @@
 // tick does nothing: what is due for the chain is due for the core.
 func (chainAffinity) tick() {}
 
+// changes gives nothing: the chain's evidence is gathered by its node.
+func (chainAffinity) changes() []observe.Change { return nil }
+
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core.Core, packet: packet, decision: decision}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -36,6 +36,8 @@
 	affinity.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
 }
 
+func (affinity *tokenAffinity) changes() []observe.Change { return affinity.observer.Changes() }
+
 func (affinity *tokenAffinity) tick() { affinity.observer.Tick(affinity.core.now) }
 
 func (affinity *tokenAffinity) packet(packet *Packet, decision *Decision) {
--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -47,6 +47,9 @@
 	is.NoErr(err)
 	is.True(len(entries) > 0)
 	for _, entry := range entries {
+		if entry.IsDir() {
+			continue // days of the users' bench, in a form of its own
+		}
 		_, err := experiment.Load(filepath.Join("..", "..", "scenarios", entry.Name()))
 		is.NoErr(err) // every scenario loads
 	}
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -42,6 +42,7 @@
 	read    *Read
 	readAt  time.Duration // when read was started
 	calls   int
+	sent    map[time.Duration]int // messages, by second
 }
 
 type delivery struct {
@@ -68,6 +69,7 @@
 			node := &fleetNode{
 				id:      lb.NodeID(fmt.Sprintf("n-%d-%d", zone, index)),
 				zone:    lb.Zone(fmt.Sprintf("zone-%d", zone)),
+				sent:    map[time.Duration]int{},
 				address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone), 0, byte(index)}), 7946),
 			}
 			settings := DefaultSettings(node.id, node.zone, seed)
@@ -101,7 +103,10 @@
 	var effects Effects
 	node.core.Step(fleet.now, event, &effects)
 	for _, outgoing := range effects.Messages {
-		fleet.deliveries = append(fleet.deliveries, delivery{fleet.now + messageDelay, node, outgoing.To, outgoing.Message})
+		node.sent[fleet.now/time.Second] += len(outgoing.To)
+		for _, to := range outgoing.To {
+			fleet.deliveries = append(fleet.deliveries, delivery{fleet.now + messageDelay, node, to, outgoing.Message})
+		}
 	}
 	if effects.Read == nil {
 		return
@@ -359,3 +364,31 @@
 		is.True(age > 4*time.Second)
 	}
 }
+
+// TestTellingDoesNotGrowWithTheZone: however many nodes a zone has, each sends
+// few messages, a change reaches all of them, and one node of each zone reads.
+func TestTellingDoesNotGrowWithTheZone(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 2, 100, 1)
+	before := fleet.calls()
+	fleet.store.Configure(2, 81)
+	fleet.run(500 * time.Millisecond)
+	is.Equal(fleet.behind(), 0)
+	fleet.run(10 * time.Second)
+	is.True(fleet.calls()-before <= 2*10)
+	for _, node := range fleet.nodes {
+		for second, sent := range node.sent {
+			if second > 3 { // the start is over
+				is.True(sent <= 5*8) // at most five rounds of TreeWidth
+			}
+		}
+	}
+}
+
+// TestStartOfAFleetCostsFewCalls: each node lists once, and one of each zone
+// goes on reading before the others lose patience.
+func TestStartOfAFleetCostsFewCalls(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 3, 20, 1) // 10 s
+	is.True(fleet.calls() <= 60+3*9)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -36,9 +36,10 @@
 	Patience, PatienceStep, PatienceLimit time.Duration
 	// SilenceLimit is the age at which it does so if no node has told of the view since.
 	SilenceLimit time.Duration
-	// DigestInterval is the time between digests to the zone, and more in
-	// zones of many nodes (DigestPerPeer for each).
-	DigestInterval, DigestPerPeer time.Duration
+	// DigestInterval is the time between digests to the zone.
+	DigestInterval time.Duration
+	// TreeWidth is how many nodes one node tells of what it has heard.
+	TreeWidth int
 	// SettleTime is how long after its start a node does not take itself as
 	// the first of its zone: it has not yet heard of the others.
 	SettleTime time.Duration
@@ -62,7 +63,7 @@
 		PatienceLimit:  2200 * time.Millisecond,
 		SilenceLimit:   1200 * time.Millisecond,
 		DigestInterval: 400 * time.Millisecond,
-		DigestPerPeer:  12 * time.Millisecond,
+		TreeWidth:      8,
 		SettleTime:     1500 * time.Millisecond,
 		BackoffBase:    100 * time.Millisecond,
 		BackoffLimit:   time.Second,
@@ -109,7 +110,7 @@
 	// After and Wait are for ReadWatch.
 	After int64
 	Wait  time.Duration
-	// Timeout bounds the whole call.
+	// Timeout bounds each call; a listing of several pages takes several.
 	Timeout time.Duration
 }
 
@@ -134,9 +135,9 @@
 	Changes *view.Changes
 }
 
-// Outgoing is a message to a control address.
+// Outgoing is a message to control addresses.
 type Outgoing struct {
-	To      netip.AddrPort
+	To      []netip.AddrPort
 	Message message.Message
 }
 
@@ -167,7 +168,8 @@
 	rank int
 	// heads are the first nodes of the other zones.
 	heads []Peer
-	zone  []Peer // the other nodes of the own zone
+	// ranked are the nodes of the own zone by rank, self included unless it leaves.
+	ranked []Peer
 
 	confirmedAt time.Duration // when the view was last known to be the newest
 	confirmed   bool
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -19,7 +19,7 @@
 // setPeers ranks the nodes of each zone.
 func (core *Core) setPeers(peers []Peer) {
 	core.peers = core.peers[:0]
-	core.zone = nil
+	core.ranked = nil
 	core.heads = nil
 	core.rank = 0
 	zones := make(map[lb.Zone]Peer)
@@ -28,12 +28,13 @@
 	for _, peer := range peers {
 		if peer.ID == core.settings.Self {
 			stays = true
+			core.ranked = append(core.ranked, peer)
 			continue
 		}
 		core.peers = append(core.peers, peer)
 		candidate := candidateOf(&peer)
 		if peer.Zone == core.settings.Zone {
-			core.zone = append(core.zone, peer)
+			core.ranked = append(core.ranked, peer)
 			if rendezvous.Before(readerKey, &candidate, &self) {
 				core.rank++
 			}
@@ -46,14 +47,23 @@
 		}
 	}
 	if !stays {
-		core.rank = len(core.zone) // others read first while this node leaves
+		core.rank = len(core.ranked) // others read first while this node leaves
 	}
+	slices.SortFunc(core.ranked, compareRank)
 	for _, head := range zones {
 		core.heads = append(core.heads, head)
 	}
 	slices.SortFunc(core.heads, func(left, right Peer) int { return left.Control.Compare(right.Control) })
 }
 
+func compareRank(left, right Peer) int {
+	first, second := candidateOf(&left), candidateOf(&right)
+	if rendezvous.Before(readerKey, &first, &second) {
+		return -1
+	}
+	return 1
+}
+
 func candidateOf(peer *Peer) rendezvous.Candidate {
 	return rendezvous.Candidate{ID: peer.ID, Hash: peer.ID.Hash()}
 }
@@ -66,22 +76,50 @@
 
 // sendDigest tells the zone, and the first nodes of the others, how new the view is.
 func (core *Core) sendDigest(effects *Effects) {
-	crowd := len(core.zone) + len(core.heads)
-	core.nextDigest = core.now + max(core.settings.DigestInterval, core.settings.DigestPerPeer*time.Duration(crowd))
-	digest := message.ViewDigest{
+	core.nextDigest = core.now + core.settings.DigestInterval
+	digest := core.digest()
+	core.send(digest, core.heads, effects)
+	digest.Origin = core.settings.Self
+	core.send(digest, core.children(core.settings.Self), effects)
+}
+
+func (core *Core) digest() message.ViewDigest {
+	return message.ViewDigest{
 		Revision:  core.replica.Revision(),
 		Changed:   core.replica.Changed(),
 		AgeMillis: core.age().Milliseconds(),
 	}
-	core.spread(digest, effects)
 }
 
-func (core *Core) spread(told message.Message, effects *Effects) {
-	for _, peers := range [...][]Peer{core.zone, core.heads} {
-		for _, peer := range peers {
-			effects.Messages = append(effects.Messages, Outgoing{To: peer.Control, Message: told})
-		}
+func (core *Core) send(told message.Message, peers []Peer, effects *Effects) {
+	if len(peers) == 0 {
+		return
+	}
+	addresses := make([]netip.AddrPort, len(peers))
+	for index := range peers {
+		addresses[index] = peers[index].Control
 	}
+	effects.Messages = append(effects.Messages, Outgoing{To: addresses, Message: told})
+}
+
+// children gives the nodes of the zone that this one tells of what the origin
+// has said: a tree of TreeWidth over the nodes by rank, with the origin as its
+// root, so that no node sends more than TreeWidth messages, however many nodes
+// the zone has. Nodes whose views of the zone differ may leave somebody out;
+// that one reads by itself or asks after the next digest.
+func (core *Core) children(origin lb.NodeID) []Peer {
+	position := slices.IndexFunc(core.ranked, func(peer Peer) bool { return peer.ID == core.settings.Self })
+	root := slices.IndexFunc(core.ranked, func(peer Peer) bool { return peer.ID == origin })
+	count := len(core.ranked)
+	if position < 0 || root < 0 {
+		return nil
+	}
+	place := (position - root + count) % count
+	var children []Peer
+	for child := place*core.settings.TreeWidth + 1; child <= (place+1)*core.settings.TreeWidth && child < count; child++ {
+		children = append(children, core.ranked[(child+root)%count])
+	}
+	return children
 }
 
 // push tells the zone what changed after a revision, unasked.
@@ -89,7 +127,10 @@
 	if after == 0 {
 		return // this node has just started; others know it already
 	}
-	core.spread(core.delta(after), effects)
+	told := core.delta(after)
+	core.send(told, core.heads, effects)
+	told.Origin = core.settings.Self
+	core.send(told, core.children(core.settings.Self), effects)
 }
 
 func (core *Core) delta(after int64) message.ViewDelta {
@@ -102,12 +143,12 @@
 		return
 	}
 	core.nextWant = core.now + 2*wantInterval
-	for _, seed := range core.settings.Seeds {
-		effects.Messages = append(effects.Messages, Outgoing{To: seed, Message: message.ViewWant{}})
-	}
+	asked := slices.Clone(core.settings.Seeds)
 	if len(core.peers) > 0 {
-		peer := core.peers[core.random.IntN(len(core.peers))]
-		effects.Messages = append(effects.Messages, Outgoing{To: peer.Control, Message: message.ViewWant{}})
+		asked = append(asked, core.peers[core.random.IntN(len(core.peers))].Control)
+	}
+	if len(asked) > 0 {
+		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: message.ViewWant{}})
 	}
 }
 
@@ -124,16 +165,27 @@
 }
 
 func (core *Core) takeDigest(from *PeerMessage, digest *message.ViewDigest, effects *Effects) {
+	news := core.now-core.heardAt >= core.settings.DigestInterval/2
 	core.heardAt = core.now
+	confirmedAt := core.now - time.Duration(digest.AgeMillis)*time.Millisecond
 	switch {
 	case digest.Changed > core.replica.Revision():
 		core.want(from.Address, effects)
+		news = true
 	case digest.Revision >= core.replica.Revision() && core.replica.Revision() > 0:
+		news = news || confirmedAt-core.confirmedAt >= leastNews
 		core.replica.Advance(digest.Revision)
-		core.confirm(core.now - time.Duration(digest.AgeMillis)*time.Millisecond)
+		core.confirm(confirmedAt)
+	}
+	if news && digest.Origin != "" {
+		core.send(*digest, core.children(digest.Origin), effects)
 	}
 }
 
+// leastNews is by how much a digest must make a node's view younger to be
+// passed on: when many nodes read, as at the start of a fleet, one word does.
+const leastNews = 200 * time.Millisecond
+
 // want asks a peer for what this node lacks.
 func (core *Core) want(address netip.AddrPort, effects *Effects) {
 	if !address.IsValid() || core.now < core.nextWant {
@@ -141,14 +193,14 @@
 	}
 	core.nextWant = core.now + wantInterval
 	wanted := message.ViewWant{After: core.replica.Revision()}
-	effects.Messages = append(effects.Messages, Outgoing{To: address, Message: wanted})
+	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{address}, Message: wanted})
 }
 
 func (core *Core) answerWant(from *PeerMessage, want *message.ViewWant, effects *Effects) {
 	if !from.Address.IsValid() || core.replica.Revision() <= want.After {
 		return
 	}
-	effects.Messages = append(effects.Messages, Outgoing{To: from.Address, Message: core.delta(want.After)})
+	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{from.Address}, Message: core.delta(want.After)})
 }
 
 func (core *Core) takeDelta(from *PeerMessage, told *message.ViewDelta, effects *Effects) {
@@ -158,6 +210,9 @@
 		return
 	}
 	applied, changed := core.replica.ApplyDelta(core.now, &told.Delta)
+	if told.Origin != "" {
+		core.send(*told, core.children(told.Origin), effects)
+	}
 	if !applied {
 		return
 	}
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -6,7 +6,7 @@
 )
 
 // Source carries out calls to the platform's store. Read returns when the call
-// has ended, at the latest when Read.Timeout has passed or ctx has ended.
+// has ended, at the latest a few seconds after it began, or when ctx has ended.
 type Source interface {
 	Read(ctx context.Context, read Read) ReadResult
 }
@@ -32,14 +32,28 @@
 	if !core.mustRead() {
 		return nil
 	}
+	wait := core.watchWait()
 	return &Read{
 		Kind:    ReadWatch,
 		After:   core.replica.Revision(),
-		Wait:    core.settings.WatchWait,
-		Timeout: core.settings.WatchWait + core.settings.CallTimeout,
+		Wait:    wait,
+		Timeout: wait + core.settings.CallTimeout,
 	}
 }
 
+// confirmMargin is what is left of the others' patience when a watch ends.
+const confirmMargin = 300 * time.Millisecond
+
+// shortestWait is the wait of a watch that is to confirm the view at once.
+const shortestWait = 20 * time.Millisecond
+
+// watchWait is how long a watch may wait, so that its end confirms the view
+// before the other nodes lose patience and read too.
+func (core *Core) watchWait() time.Duration {
+	left := core.settings.Patience - core.age() - confirmMargin
+	return max(shortestWait, min(core.settings.WatchWait, left))
+}
+
 // mustRead tells whether this node is to read by itself: it is the first of
 // its zone, or its view has not been confirmed in time.
 func (core *Core) mustRead() bool {
@@ -78,6 +92,10 @@
 	if changed {
 		core.noteChange(effects, sourceStore)
 		core.push(before, effects)
+		return
+	}
+	if core.rank == 0 {
+		core.sendDigest(effects) // at once, before others lose patience
 	}
 }
 
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -77,22 +77,22 @@
 	if err := os.MkdirAll(options.Directory, 0o755); err != nil {
 		return cluster, errors.Wrapf(err, "directory %q", options.Directory)
 	}
-	storeAddress, err := freeAddress()
+	storeAddress, err := FreeAddress()
 	if err != nil {
 		return cluster, err
 	}
 	cluster.StoreURL = "http://" + storeAddress
-	if cluster.fabric, err = freeAddress(); err != nil {
+	if cluster.fabric, err = FreeAddress(); err != nil {
 		return cluster, err
 	}
-	if cluster.fabricAdmin, err = freeAddress(); err != nil {
+	if cluster.fabricAdmin, err = FreeAddress(); err != nil {
 		return cluster, err
 	}
 	store, err := cluster.startLab("store", "store", "--listen", storeAddress)
 	if err != nil {
 		return cluster, err
 	}
-	if err := store.serves(ctx, cluster.machinesURL()); err != nil {
+	if err := store.Serves(ctx, cluster.machinesURL()); err != nil {
 		return cluster, err
 	}
 	flags := []string{"fabric", "--listen", cluster.fabric, "--admin", cluster.fabricAdmin, "--machines", cluster.machinesURL()}
@@ -100,7 +100,7 @@
 	if err != nil {
 		return cluster, err
 	}
-	if err := fabric.serves(ctx, "http://"+cluster.fabricAdmin+"/counters"); err != nil {
+	if err := fabric.Serves(ctx, "http://"+cluster.fabricAdmin+"/counters"); err != nil {
 		return cluster, err
 	}
 	cluster.Operator, err = newOperator(cluster.StoreURL)
@@ -115,13 +115,13 @@
 	defer cluster.mutex.Unlock()
 	var ending sync.WaitGroup
 	for _, process := range cluster.processes {
-		ending.Go(process.end)
+		ending.Go(process.End)
 	}
 	ending.Wait()
 }
 
 func (cluster *Cluster) start(name, program string, arguments ...string) (*Process, error) {
-	process, err := startProcess(cluster.options.Directory, name, filepath.Join(cluster.options.Binaries, program), arguments...)
+	process, err := StartProcess(cluster.options.Directory, name, filepath.Join(cluster.options.Binaries, program), arguments...)
 	if err != nil {
 		return nil, err
 	}
@@ -159,7 +159,7 @@
 func (cluster *Cluster) StartBalancer(ctx context.Context, name string, zone lb.Zone) (*Balancer, error) {
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -197,7 +197,7 @@
 
 // Admit waits until the balancer is ready and puts it on the machine list.
 func (cluster *Cluster) Admit(ctx context.Context, balancer *Balancer) error {
-	if err := balancer.serves(ctx, "http://"+balancer.Admin+"/readyz"); err != nil {
+	if err := balancer.Serves(ctx, "http://"+balancer.Admin+"/readyz"); err != nil {
 		return err
 	}
 	return cluster.post(ctx, balancer.machine)
--- a/internal/lab/cluster/load.go
+++ b/internal/lab/cluster/load.go
@@ -40,11 +40,11 @@
 // StartHost starts a host of a service and creates its back end with the
 // label app=SERVICE.
 func (cluster *Cluster) StartHost(ctx context.Context, service lb.ServiceName, zone lb.Zone, frontends ...netip.AddrPort) (*Host, error) {
-	data, err := freeAddress()
+	data, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	admin, err := freeAddress()
+	admin, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +63,7 @@
 		Probe:  "http://" + admin + "/health",
 	}}
 	cluster.Hosts = append(cluster.Hosts, host)
-	if err := process.serves(ctx, "http://"+admin+"/report"); err != nil {
+	if err := process.Serves(ctx, "http://"+admin+"/report"); err != nil {
 		return nil, err
 	}
 	_, err = cluster.Operator.PutBackend(ctx, host.Backend)
@@ -77,11 +77,11 @@
 
 // StartCaller starts the callers of a service.
 func (cluster *Cluster) StartCaller(ctx context.Context, load Load) (*Caller, error) {
-	listen, err := freeAddress()
+	listen, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	admin, err := freeAddress()
+	admin, err := FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +101,7 @@
 	}
 	caller := &Caller{Process: process, Admin: admin}
 	cluster.Callers = append(cluster.Callers, caller)
-	return caller, process.serves(ctx, "http://"+admin+"/report")
+	return caller, process.Serves(ctx, "http://"+admin+"/report")
 }
 
 // FeedsOpen waits until the callers have all their feeds and UDP flows answered.
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -30,8 +30,8 @@
 	done    chan struct{} // closed when it has ended
 }
 
-// startProcess runs a program, its output in DIRECTORY/NAME.log.
-func startProcess(directory, name, program string, arguments ...string) (*Process, error) {
+// StartProcess runs a program, its output in DIRECTORY/NAME.log.
+func StartProcess(directory, name, program string, arguments ...string) (*Process, error) {
 	log, err := os.Create(filepath.Join(directory, name+".log"))
 	if err != nil {
 		return nil, errors.Wrapf(err, "log of %s", name)
@@ -89,8 +89,8 @@
 	return output, errors.Wrapf(err, "%s", command)
 }
 
-// end stops the process whatever its state.
-func (process *Process) end() {
+// End stops the process whatever its state.
+func (process *Process) End() {
 	if process.Ended() {
 		return
 	}
@@ -122,8 +122,8 @@
 	return counter
 }
 
-// freeAddress gives an address on loopback whose port is free for UDP and TCP.
-func freeAddress() (string, error) {
+// FreeAddress gives an address on loopback whose port is free for UDP and TCP.
+func FreeAddress() (string, error) {
 	for range portCount {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
 		listener, err := net.Listen("tcp", address)
@@ -140,8 +140,8 @@
 	return "", errors.New("no port is free for both UDP and TCP")
 }
 
-// serves waits until the URL answers 200. It fails at once when the process has ended.
-func (process *Process) serves(ctx context.Context, url string) error {
+// Serves waits until the URL answers 200. It fails at once when the process has ended.
+func (process *Process) Serves(ctx context.Context, url string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
--- a/internal/lab/platformsim/router.go
+++ b/internal/lab/platformsim/router.go
@@ -77,20 +77,26 @@
 func (router *Router) In() int {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	return len(router.in())
+	return len(router.answering())
 }
 
 // in gives the nodes that are in, or all if fewer than half are.
 func (router *Router) in() []RouterNode {
+	in := router.answering()
+	if 2*len(in) < len(router.nodes) {
+		return router.nodes
+	}
+	return in
+}
+
+// answering gives the nodes that have answered their last probes.
+func (router *Router) answering() []RouterNode {
 	var in []RouterNode
 	for index, node := range router.nodes {
 		if router.misses[index] < probeMisses {
 			in = append(in, node)
 		}
 	}
-	if 2*len(in) < len(router.nodes) {
-		return router.nodes
-	}
 	return in
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -37,6 +37,8 @@
 	EventOpening          Event = "opening"
 	EventRefused          Event = "refused"
 	EventDropped          Event = "dropped"
+	EventBackendSilent    Event = "backend_silent"
+	EventBackendAnswers   Event = "backend_answers"
 	EventReloaded         Event = "reloaded"
 	EventReloadFailed     Event = "reload_failed"
 	EventReloadIgnored    Event = "reload_ignored"
@@ -49,7 +51,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -77,6 +79,7 @@
 	FieldSource   = "source"
 	FieldFailure  = "failure"
 	FieldOmitted  = "omitted"
+	FieldMissing  = "missing"
 )
 
 // timeFormat of log lines: RFC 3339 in milliseconds.
--- a/internal/message/view.go
+++ b/internal/message/view.go
@@ -1,6 +1,9 @@
 package message
 
-import "robinpulley.example/robinpulley/internal/view"
+import (
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/view"
+)
 
 // The types of messages about the view (docs/design-platform.md, "Reading the store").
 const (
@@ -17,6 +20,9 @@
 	Changed int64 `json:"changed"`
 	// AgeMillis is the time since the store confirmed the view as the newest.
 	AgeMillis int64 `json:"age_ms"`
+	// Origin is the node whose zone is told, through the other nodes of the
+	// zone; empty: the message is not passed on.
+	Origin lb.NodeID `json:"origin,omitempty"`
 }
 
 // ViewWant asks for all that changed after a revision; 0: the whole view.
@@ -27,6 +33,7 @@
 // ViewDelta answers ViewWant, and is sent unasked when the view changes.
 type ViewDelta struct {
 	AgeMillis int64      `json:"age_ms"`
+	Origin    lb.NodeID  `json:"origin,omitempty"` // as in ViewDigest
 	Delta     view.Delta `json:"delta"`
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -74,6 +74,22 @@
 	backends map[Identity]*health
 	typical  map[lb.ServiceName]float64 // seconds; what fast answers of a service take
 	sweepAt  time.Duration
+	changes  []Change
+}
+
+// Change is a back end that has fallen silent, or has answered again.
+type Change struct {
+	Identity Identity
+	Silent   bool
+	// Missing is how many openings in a row it has left unanswered.
+	Missing int
+}
+
+// Changes gives what has changed since the last call. It holds until the next call of any method.
+func (observer *Observer) Changes() []Change {
+	changes := observer.changes
+	observer.changes = observer.changes[:0]
+	return changes
 }
 
 // New gives an observer that knows nothing.
@@ -145,6 +161,9 @@
 
 func (observer *Observer) alive(now time.Duration, identity Identity) {
 	known := observer.health(identity)
+	if known.missing > 0 {
+		observer.changes = append(observer.changes, Change{Identity: identity})
+	}
 	known.aliveAt = now
 	known.missing = 0
 	known.silent = 0
@@ -168,6 +187,10 @@
 	}
 	known := observer.health(pending.identity)
 	known.missing++
+	if now >= known.silent {
+		change := Change{Identity: pending.identity, Silent: true, Missing: known.missing}
+		observer.changes = append(observer.changes, change)
+	}
 	const maxDoublings = 8
 	pause := observer.settings.SilentTime << min(known.missing-1, maxDoublings)
 	known.silent = max(known.silent, now+min(pause, observer.settings.SilentLimit))
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -24,6 +24,8 @@
 	observer.Opened(0, 7, first)
 	is.Equal(observer.Factor(50*ms, web, first), 1.0)
 	observer.Tick(120 * ms)
+	is.Equal(observer.Changes(), []Change{{Identity: first, Silent: true, Missing: 1}})
+	is.Equal(len(observer.Changes()), 0)
 	is.Equal(observer.Factor(120*ms, web, first), 0.0)
 	is.Equal(observer.Factor(120*ms, web, second), 1.0)
 	// It is tried again when its time has passed.
@@ -42,8 +44,10 @@
 	limit := observer.settings.SilentLimit
 	is.Equal(observer.Factor(now+limit-ms, web, first), 0.0)
 	is.Equal(observer.Factor(now+limit, web, first), 1.0)
+	observer.Changes()
 	observer.Opened(now, 99, first)
 	observer.Later(now+3*ms, 99, web, first, 1, false)
+	is.Equal(observer.Changes(), []Change{{Identity: first}})
 	is.Equal(observer.Factor(now+3*ms, web, first), 1.0)
 }
 
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -198,3 +198,23 @@
 		table.Service(&flow).Pick(flow.ID(), nil)
 	}
 }
+
+// BenchmarkCompile builds the table at the size that decides the design: 4,800
+// hosts of 275 services behind 3,300 front ends.
+func BenchmarkCompile(b *testing.B) {
+	const hosts, services, frontends = 4800, 275, 3300
+	world := newWorld()
+	for index := range hosts {
+		service := lb.ServiceName(fmt.Sprintf("service-%d", index%services))
+		world.host(lb.BackendName(fmt.Sprintf("i-%d", index)), service, lb.Zone(fmt.Sprintf("zone-%d", index%12)), lb.BackendActive)
+	}
+	for index := range frontends {
+		service := lb.ServiceName(fmt.Sprintf("service-%d", index%services))
+		world.route(uint16(1000+index), view.Target{Service: service, Weight: 1})
+	}
+	replica := world.replica()
+	b.ReportAllocs()
+	for b.Loop() {
+		Compile(replica, "zone-1", 0)
+	}
+}
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,7 +26,7 @@
 	settings *config.Settings
 	logger   zerolog.Logger
 	clock    func() time.Duration // since the start of the process, monotonic
-	transmit func(netip.AddrPort, message.Message)
+	transmit func([]netip.AddrPort, message.Message)
 	// reads has the call to the store that is to be carried out.
 	reads chan follower.Read
 	// viewed is closed when the first table is compiled.
@@ -46,6 +47,9 @@
 	others          int             // living members besides this node
 	calls           callCounts
 	decisions       decisionLog
+	decisionTime    times
+	callTime        times
+	readAt          time.Duration // when the call under way was started
 }
 
 // newEngine makes the deterministic parts. The caller sets clock and transmit.
@@ -108,9 +112,12 @@
 
 // decide is asked for each packet by the data plane.
 func (engine *engine) decide(packet *core.Packet) core.Decision {
+	begun := engine.clock()
 	engine.mutex.Lock()
 	engine.core.Step(engine.now(), &core.Event{Packet: packet}, &engine.coreEffects)
 	decision := engine.coreEffects.Decision
+	engine.logBackends()
+	engine.decisionTime.add(engine.clock() - begun)
 	note := engine.decisions.note(engine.last, packet, &decision)
 	if note.kind != noteNone {
 		note.revision, note.version = engine.viewOf()
@@ -134,6 +141,7 @@
 		engine.memberStep(&member.Event{})
 		engine.followerStep(&follower.Event{})
 		engine.core.Step(engine.now(), &core.Event{Tick: true}, &engine.coreEffects)
+		engine.logBackends()
 		if engine.table != nil && engine.table.Expires() != 0 && engine.last >= engine.table.Expires() {
 			engine.compile()
 		}
@@ -159,6 +167,7 @@
 // finishRead takes the end of a call to the store.
 func (engine *engine) finishRead(result *follower.ReadResult) {
 	engine.input(func() {
+		engine.callTime.add(engine.now() - engine.readAt)
 		engine.noteCall(result)
 		engine.followerStep(&follower.Event{Read: result})
 	})
@@ -177,7 +186,9 @@
 func (engine *engine) memberStep(event *member.Event) {
 	engine.member.Step(engine.now(), event, &engine.memberEffects)
 	for _, outgoing := range engine.memberEffects.Messages {
-		engine.outbox = append(engine.outbox, follower.Outgoing{To: outgoing.Address, Message: outgoing.Message})
+		engine.outbox = append(engine.outbox, follower.Outgoing{
+			To: []netip.AddrPort{outgoing.Address}, Message: outgoing.Message,
+		})
 	}
 	if engine.memberEffects.Changed {
 		engine.followerStep(&follower.Event{Peers: engine.peers()})
@@ -211,6 +222,7 @@
 		engine.logView(engine.followerEffects.Source)
 	}
 	if read := engine.followerEffects.Read; read != nil {
+		engine.readAt = engine.last
 		engine.reads <- *read // there is one at a time, so that it never blocks
 	}
 }
@@ -242,6 +254,21 @@
 	event.Send()
 }
 
+// logBackends logs back ends that have fallen silent or answer again.
+func (engine *engine) logBackends() {
+	for _, change := range engine.coreEffects.Backends {
+		event := logging.EventBackendAnswers
+		if change.Silent {
+			event = logging.EventBackendSilent
+		}
+		engine.logger.Info().
+			Str(logging.FieldEvent, string(event)).
+			Str(logging.FieldBackend, strconv.FormatUint(uint64(change.Identity), 16)).
+			Int(logging.FieldMissing, change.Missing).
+			Send()
+	}
+}
+
 // noteCall counts a call to the store and logs when the store is lost and regained.
 func (engine *engine) noteCall(result *follower.ReadResult) {
 	engine.calls.count(result)
--- /dev/null
+++ b/internal/tokennode/metrics_test.go
@@ -0,0 +1,44 @@
+package tokennode
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestOperationsPageIsComplete checks that the page names every metric, and no
+// metric that is not there.
+func TestOperationsPageIsComplete(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../docs/operations-platform.md")
+	is.NoErr(err)
+	page := string(text)
+	known := map[string]bool{}
+	for _, metric := range metrics {
+		known[metric.name] = true
+		if !strings.Contains(page, "`"+metric.name+"`") {
+			t.Errorf("the operations page lacks the metric %s", metric.name)
+		}
+	}
+	for _, word := range strings.Split(page, "`") {
+		name, _, _ := strings.Cut(word, "{") // labels may follow
+		if strings.HasPrefix(name, metricPrefix) && !known[name] {
+			t.Errorf("the operations page has the metric %s, which does not exist", name)
+		}
+	}
+}
+
+func TestTimes(t *testing.T) {
+	is := is.New(t)
+	var times times
+	for _, took := range []time.Duration{0, 500 * time.Nanosecond, 3 * time.Microsecond, time.Hour, -time.Second} {
+		times.add(took)
+	}
+	buckets := times.buckets()
+	is.Equal(times.count, uint64(5))
+	is.Equal(buckets[1e-6], uint64(3)) // below a microsecond, the negative one too
+	is.Equal(buckets[4e-6], uint64(4))
+}
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -53,11 +53,12 @@
 
 	adminListener net.Listener
 	opened        atomic.Bool // all endpoints are open
-	timings       atomic.Pointer[config.Timings]
-	stopping      chan struct{} // closed when the planned stop begins
-	stopOnce      sync.Once
-	reload        chan struct{} // has one element after a request
-	background    sync.WaitGroup
+	// settings are those in force: Options.Settings, or what was read again since.
+	settings   atomic.Pointer[config.Settings]
+	stopping   chan struct{} // closed when the planned stop begins
+	stopOnce   sync.Once
+	reload     chan struct{} // has one element after a request
+	background sync.WaitGroup
 }
 
 // New opens the endpoints of a balancer. Run must follow, which closes them.
@@ -68,7 +69,7 @@
 		stopping: make(chan struct{}),
 		reload:   make(chan struct{}, 1),
 	}
-	node.timings.Store(&options.Settings.Timings)
+	node.settings.Store(options.Settings)
 	started := time.Now()
 	var err error
 	node.engine, err = newEngine(options.Settings, options.Logger, uint64(started.UnixMilli()))
@@ -111,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	node.engine.transmit = node.transport.Send
+	node.engine.transmit = node.transport.SendAll
 	node.opened.Store(true)
 	return nil
 }
@@ -167,9 +168,7 @@
 	node.logEvent(logging.EventStarting)
 	node.background.Go(func() { node.tickUntil(running) })
 	node.background.Go(func() { node.reloadUntil(running) })
-	if len(node.options.Settings.Seeds) > 0 {
-		node.background.Go(func() { node.joinSeeds(running) })
-	}
+	node.background.Go(func() { node.joinSeeds(running) })
 	select {
 	case <-node.stopping:
 	case <-ctx.Done():
@@ -236,7 +235,7 @@
 func (node *Node) joinSeeds(ctx context.Context) {
 	for {
 		request, alone := node.engine.joinRequest()
-		for _, seed := range node.options.Settings.Seeds {
+		for _, seed := range node.settings.Load().Seeds {
 			if seed != node.options.Settings.ControlAddress {
 				node.transport.Send(seed, request)
 			}
--- a/internal/tokennode/stop.go
+++ b/internal/tokennode/stop.go
@@ -30,7 +30,7 @@
 	node.logEvent(logging.EventStopping)
 	node.engine.leave()
 	begun := time.Now()
-	timings := node.timings.Load()
+	timings := &node.settings.Load().Timings
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	quietSince := begun
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -148,27 +148,39 @@
 // Send puts a message on its way. It never blocks and reports no error: what
 // cannot be sent is counted.
 func (transport *Transport) Send(to netip.AddrPort, outgoing message.Message) {
+	transport.SendAll([]netip.AddrPort{to}, outgoing)
+}
+
+// SendAll puts one message on its way to several peers; it is encoded once.
+func (transport *Transport) SendAll(peers []netip.AddrPort, outgoing message.Message) {
 	line, err := message.Encode(nil, transport.settings.Self, outgoing)
 	if err != nil {
 		transport.meter.fault(FaultEncode)
 		return
 	}
-	if transport.blocked(to) {
+	kind := outgoing.MessageType()
+	queued := Queued{Type: kind, Class: ClassOf(kind, len(line)), Line: Pack(kind, line)}
+	for _, to := range peers {
+		queued.To = to
+		transport.push(queued)
+	}
+	select {
+	case transport.wake <- struct{}{}:
+	default:
+	}
+}
+
+// push queues one message.
+func (transport *Transport) push(queued Queued) {
+	if transport.blocked(queued.To) {
 		transport.meter.fault(FaultBlocked)
 		return
 	}
-	kind := outgoing.MessageType()
-	queued := Queued{To: to, Type: kind, Class: ClassOf(kind, len(line)), Line: Pack(kind, line)}
 	transport.mutex.Lock()
 	pushed := transport.queue.Push(queued)
 	transport.mutex.Unlock()
 	if !pushed {
 		transport.meter.fault(FaultQueueFull)
-		return
-	}
-	select {
-	case transport.wake <- struct{}{}:
-	default:
 	}
 }
 
