Bound the whole views that a node sends

Cause: while it knew nothing, every node asked all seeds for the whole view five times a second.

Ruled out: not asking peers at a start (with the store down they are the only source).

Change: a node asks one seed and one peer, 100 ms after its start at the earliest; those who want the whole view are answered together at a tick, eight at the most, from one encoding. TestWholeViewsAreBounded failed before (100 messages).

--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -392,3 +392,27 @@
 	fleet := calm(t, 3, 20, 1) // 10 s
 	is.True(fleet.calls() <= 60+3*9)
 }
+
+// TestWholeViewsAreBounded: a node that many ask for its whole view answers a
+// few of them at a time.
+func TestWholeViewsAreBounded(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 1, 2, 1)
+	seed := fleet.nodes[0]
+	var effects Effects
+	answered := 0
+	for asker := range 100 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(asker)}), 7946)
+		want := &PeerMessage{From: "asker", Address: address, Message: message.ViewWant{}}
+		seed.core.Step(fleet.now, &Event{Message: want}, &effects)
+		is.Equal(len(effects.Messages), 0)
+	}
+	seed.core.Step(fleet.now, &Event{}, &effects)
+	for _, outgoing := range effects.Messages {
+		if delta, found := outgoing.Message.(message.ViewDelta); found {
+			is.Equal(delta.Delta.After, int64(0))
+			answered += len(outgoing.To)
+		}
+	}
+	is.Equal(answered, wholeAnswers)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -168,6 +168,8 @@
 	rank int
 	// heads are the first nodes of the other zones.
 	heads []Peer
+	// wholes are those that want the whole view.
+	wholes []netip.AddrPort
 	// ranked are the nodes of the own zone by rank, self included unless it leaves.
 	ranked []Peer
 
@@ -237,6 +239,7 @@
 		core.askForView(effects)
 		return
 	}
+	core.answerWholes(effects)
 	if core.tells() && core.now >= core.nextDigest {
 		core.sendDigest(effects)
 	}
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -137,15 +137,19 @@
 	return message.ViewDelta{AgeMillis: core.age().Milliseconds(), Delta: *core.replica.Delta(core.now, after)}
 }
 
-// askForView asks seeds and peers for the whole view.
+// askForView asks a seed and a peer for the whole view, unless the store has
+// just been asked and will answer sooner.
 func (core *Core) askForView(effects *Effects) {
-	if core.now < core.nextWant {
+	if core.now < core.nextWant || core.now-core.startAt < wantInterval {
 		return
 	}
 	core.nextWant = core.now + 2*wantInterval
-	asked := slices.Clone(core.settings.Seeds)
-	if len(core.peers) > 0 {
-		asked = append(asked, core.peers[core.random.IntN(len(core.peers))].Control)
+	var asked []netip.AddrPort
+	if count := len(core.settings.Seeds); count > 0 {
+		asked = append(asked, core.settings.Seeds[core.random.IntN(count)])
+	}
+	if count := len(core.peers); count > 0 {
+		asked = append(asked, core.peers[core.random.IntN(count)].Control)
 	}
 	if len(asked) > 0 {
 		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: message.ViewWant{}})
@@ -200,9 +204,33 @@
 	if !from.Address.IsValid() || core.replica.Revision() <= want.After {
 		return
 	}
+	if want.After == 0 {
+		core.noteWhole(from.Address)
+		return
+	}
 	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{from.Address}, Message: core.delta(want.After)})
 }
 
+// noteWhole remembers who wants the whole view. They are answered together at
+// the next tick, wholeAnswers of them; the others ask again, elsewhere too. So a
+// start of the whole fleet costs its seeds no more than a few views a second.
+func (core *Core) noteWhole(address netip.AddrPort) {
+	if len(core.wholes) < wholeAnswers && !slices.Contains(core.wholes, address) {
+		core.wholes = append(core.wholes, address)
+	}
+}
+
+// wholeAnswers is how many whole views are sent at a tick at the most.
+const wholeAnswers = 8
+
+func (core *Core) answerWholes(effects *Effects) {
+	if len(core.wholes) == 0 {
+		return
+	}
+	effects.Messages = append(effects.Messages, Outgoing{To: core.wholes, Message: core.delta(0)})
+	core.wholes = nil
+}
+
 func (core *Core) takeDelta(from *PeerMessage, told *message.ViewDelta, effects *Effects) {
 	core.heardAt = core.now
 	if told.Delta.After > core.replica.Revision() {
