--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -17,18 +16,11 @@
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/rapidseed"
 )
 
 // TestMain fixes the seed of the property tests, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "4")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidseed.Run(m)) }
 
 // fakeStore is a key-value store with revisions; every change stays in its log.
 type fakeStore struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,7 +32,7 @@
 	ordered  []*service // by name, so that walks are deterministic
 	// bucketCount is the number of buckets of which something is held, over all services.
 	bucketCount int
-	frontends   map[frontendKey]*service
+	frontends   map[lb.FrontendKey]*service
 
 	sure      bool          // the view may be trusted
 	sureSince time.Duration // when it last became so
@@ -71,7 +71,7 @@
 		nodes:     make(map[lb.NodeID]*node),
 		byHash:    make(map[lb.NodeHash]*node),
 		services:  make(map[lb.ServiceName]*service),
-		frontends: make(map[frontendKey]*service),
+		frontends: make(map[lb.FrontendKey]*service),
 		groups:    newGroups(),
 		groupsKey: rendezvous.NewKey(groupsKey),
 		missing:   make(map[lb.NodeID]time.Duration),
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -16,7 +16,7 @@
 	bucket   *bucket // nil while nothing is held of the bucket
 	index    uint16  // of the bucket
 	flow     lb.FlowID
-	key      frontendKey
+	key      lb.FrontendKey
 }
 
 // proposal is what a head proposes to a tail: a back end, or refusal.
@@ -45,7 +45,7 @@
 		current.drop(ReasonPaused)
 		return
 	}
-	current.key = frontendKey{packet.Key.Destination, packet.Key.DestinationPort, packet.Key.Protocol}
+	current.key = packet.Key.Frontend()
 	current.service = core.frontends[current.key]
 	if current.service == nil {
 		current.drop(ReasonUnknownService)
--- a/internal/core/service.go
+++ b/internal/core/service.go
@@ -11,28 +11,13 @@
 	"robinpulley.example/robinpulley/internal/rendezvous"
 )
 
-// frontendKey is a front end in the form found in packets.
-type frontendKey struct {
-	address  [16]byte
-	port     uint16
-	protocol lb.Protocol
-}
-
-func newFrontendKey(frontend *lb.Frontend) frontendKey {
-	return frontendKey{
-		address:  frontend.Address.Addr().As16(),
-		port:     frontend.Address.Port(),
-		protocol: frontend.Protocol,
-	}
-}
-
 // service is the state of one service at this node.
 type service struct {
 	name  lb.ServiceName
 	key   rendezvous.Key
 	table *placement.Table
 	// frontendKeys are the front ends of table.
-	frontendKeys []frontendKey
+	frontendKeys []lb.FrontendKey
 	// frontendsSince is when they last changed.
 	frontendsSince time.Duration
 	admission      limiter
@@ -192,20 +177,20 @@
 }
 
 // documentKeys gives the front ends of a document; a deleted service has none.
-func documentKeys(document *lb.Placement) []frontendKey {
+func documentKeys(document *lb.Placement) []lb.FrontendKey {
 	if document.Deleted {
 		return nil
 	}
-	keys := make([]frontendKey, 0, len(document.Frontends))
+	keys := make([]lb.FrontendKey, 0, len(document.Frontends))
 	for index := range document.Frontends {
-		keys = append(keys, newFrontendKey(&document.Frontends[index]))
+		keys = append(keys, document.Frontends[index].Key())
 	}
 	return keys
 }
 
 // claimFrontend indexes a front end of a service. One that two services claim
 // goes to the first by name, at every node.
-func (core *Core) claimFrontend(claimant *service, key frontendKey) {
+func (core *Core) claimFrontend(claimant *service, key lb.FrontendKey) {
 	owner := core.frontends[key]
 	if owner == nil || claimant.name < owner.name {
 		core.frontends[key] = claimant
@@ -213,7 +198,7 @@
 }
 
 // indexFrontend finds the service of a front end that another one has given up.
-func (core *Core) indexFrontend(key frontendKey) {
+func (core *Core) indexFrontend(key lb.FrontendKey) {
 	delete(core.frontends, key)
 	for _, known := range core.ordered {
 		if slices.Contains(known.frontendKeys, key) {
--- a/internal/dataplane/guard.go
+++ b/internal/dataplane/guard.go
@@ -15,28 +15,21 @@
 	lock     sync.RWMutex
 	services map[lb.ServiceName]*guardedService
 	// frontends leads to the service that claimed the front end last.
-	frontends map[frontendKey]*guardedService
+	frontends map[lb.FrontendKey]*guardedService
 }
 
 // guardedService is what the guard knows of one service.
 type guardedService struct {
 	version   lb.Version
-	frontends []frontendKey
+	frontends []lb.FrontendKey
 	hosts     map[netip.AddrPort]struct{}
 }
 
-// frontendKey is a front end as it is in a FlowKey.
-type frontendKey struct {
-	address  [16]byte
-	port     uint16
-	protocol lb.Protocol
-}
-
 // NewGuard gives a guard that knows no service and allows nothing.
 func NewGuard() *Guard {
 	return &Guard{
 		services:  make(map[lb.ServiceName]*guardedService),
-		frontends: make(map[frontendKey]*guardedService),
+		frontends: make(map[lb.FrontendKey]*guardedService),
 	}
 }
 
@@ -78,7 +71,7 @@
 		return service
 	}
 	for _, frontend := range placement.Frontends {
-		service.frontends = append(service.frontends, newFrontendKey(frontend))
+		service.frontends = append(service.frontends, frontend.Key())
 	}
 	for _, backend := range placement.Backends {
 		service.hosts[unmapped(backend.Host)] = struct{}{}
@@ -86,26 +79,13 @@
 	return service
 }
 
-func newFrontendKey(frontend lb.Frontend) frontendKey {
-	return frontendKey{
-		address:  frontend.Address.Addr().As16(),
-		port:     frontend.Address.Port(),
-		protocol: frontend.Protocol,
-	}
-}
-
-// unmapped gives an IPv4 address in its own form, so that both forms compare equal.
 func unmapped(address netip.AddrPort) netip.AddrPort {
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 }
 
 // Allows tells whether a packet of the flow may go to the host.
 func (guard *Guard) Allows(flow *lb.FlowKey, host netip.AddrPort) bool {
-	key := frontendKey{
-		address:  flow.Destination,
-		port:     flow.DestinationPort,
-		protocol: flow.Protocol,
-	}
+	key := flow.Frontend()
 	guard.lock.RLock()
 	defer guard.lock.RUnlock()
 	service, found := guard.frontends[key]
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -16,32 +14,20 @@
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
-// adminHeaderTimeout bounds how long a client may take for its request header.
-const adminHeaderTimeout = 5 * time.Second
-
 // serveAdmin serves metrics, health and debugging until the node is closed.
 func (node *Node) serveAdmin() {
-	node.admin = &http.Server{Handler: node.adminRoutes(), ReadHeaderTimeout: adminHeaderTimeout}
-	node.background.Go(func() {
-		err := node.admin.Serve(node.adminListener)
-		if !errors.Is(err, http.ErrServerClosed) {
-			node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
-		}
-	})
-}
-
-func (node *Node) adminRoutes() *http.ServeMux {
 	routes := http.NewServeMux()
-	routes.HandleFunc("GET /healthz", func(response http.ResponseWriter, _ *http.Request) {
-		response.WriteHeader(http.StatusOK)
-	})
 	routes.HandleFunc("GET /readyz", node.serveReady)
 	routes.Handle("GET /metrics", promhttp.HandlerFor(node.registry(), promhttp.HandlerOpts{}))
 	if node.settings.AllowFaultInjection {
 		routes.HandleFunc("POST /debug/cut", node.serveCut)
 	}
 	routes.HandleFunc("GET /debug/state", node.serveState)
-	return routes
+	node.background.Go(func() {
+		if err := node.admin.Serve(routes); err != nil {
+			node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
+		}
+	})
 }
 
 // registry holds the metrics of this node and of its process.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,106 +5,88 @@
 
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/store"
 )
 
-// metricPrefix begins the name of every metric.
-const metricPrefix = "robinpulley_"
-
-// metric is one metric: its description and type.
-type metric struct {
-	description *prometheus.Desc
-	kind        prometheus.ValueType
-	name        string
-}
-
-func newMetric(kind prometheus.ValueType, name, help string, labels ...string) *metric {
-	full := metricPrefix + name
-	return &metric{
-		description: prometheus.NewDesc(full, help, labels, nil),
-		kind:        kind,
-		name:        full,
-	}
-}
-
 // The metrics. docs/operations-node.md explains each.
 var (
-	metricDecisions = newMetric(prometheus.CounterValue, "decisions_total",
+	metricDecisions = metrics.New(prometheus.CounterValue, "decisions_total",
 		"Packets decided on, by action.", "action")
-	metricReasons = newMetric(prometheus.CounterValue, "decision_reasons_total",
+	metricReasons = metrics.New(prometheus.CounterValue, "decision_reasons_total",
 		"Packets dropped or refused, by reason.", "reason")
-	metricPinned = newMetric(prometheus.CounterValue, "pinned_packets_total",
+	metricPinned = metrics.New(prometheus.CounterValue, "pinned_packets_total",
 		"Packets forwarded by a pin.")
-	metricRerouted = newMetric(prometheus.CounterValue, "rerouted_packets_total",
+	metricRerouted = metrics.New(prometheus.CounterValue, "rerouted_packets_total",
 		"Packets passed on by a node that is not the head in its own view.")
-	metricHints = newMetric(prometheus.CounterValue, "hints_total",
+	metricHints = metrics.New(prometheus.CounterValue, "hints_total",
 		"Pins and confirmations, by outcome (sent, suppressed).", "outcome")
-	metricHandover = newMetric(prometheus.CounterValue, "handover_records_total",
+	metricHandover = metrics.New(prometheus.CounterValue, "handover_records_total",
 		"Records handed over to other nodes.")
-	metricHandoverResent = newMetric(prometheus.CounterValue, "handover_messages_resent_total",
+	metricHandoverResent = metrics.New(prometheus.CounterValue, "handover_messages_resent_total",
 		"Messages of records that had to be repeated.")
-	metricPauses = newMetric(prometheus.CounterValue, "pauses_total",
+	metricPauses = metrics.New(prometheus.CounterValue, "pauses_total",
 		"Pauses of this process longer than timings.pause_limit.")
-	metricVersionConflicts = newMetric(prometheus.CounterValue, "placement_conflicts_total",
+	metricVersionConflicts = metrics.New(prometheus.CounterValue, "placement_conflicts_total",
 		"Placements of a known version with another write id; always 0 if the store compares and swaps.")
-	metricInvalidPlacements = newMetric(prometheus.CounterValue, "invalid_placements_total",
+	metricInvalidPlacements = metrics.New(prometheus.CounterValue, "invalid_placements_total",
 		"Placements that were not adopted because they are invalid.")
-	metricSure = newMetric(prometheus.GaugeValue, "sure",
+	metricSure = metrics.New(prometheus.GaugeValue, "sure",
 		"1 while this node trusts its view of the placements.")
-	metricRecords = newMetric(prometheus.GaugeValue, "records",
+	metricRecords = metrics.New(prometheus.GaugeValue, "records",
 		"Records of flows held, by service.", "service")
-	metricPins = newMetric(prometheus.GaugeValue, "pins",
+	metricPins = metrics.New(prometheus.GaugeValue, "pins",
 		"Pins held, by service.", "service")
-	metricKnownUDP = newMetric(prometheus.GaugeValue, "known_udp_flows",
+	metricKnownUDP = metrics.New(prometheus.GaugeValue, "known_udp_flows",
 		"UDP flows remembered, by service.", "service")
-	metricFlowBytes = newMetric(prometheus.GaugeValue, "flow_state_bytes",
+	metricFlowBytes = metrics.New(prometheus.GaugeValue, "flow_state_bytes",
 		"Bytes of records, pins and known UDP flows, by service.", "service")
-	metricVersion = newMetric(prometheus.GaugeValue, "placement_version",
+	metricVersion = metrics.New(prometheus.GaugeValue, "placement_version",
 		"Version of the placement, by service.", "service")
-	metricMoving = newMetric(prometheus.GaugeValue, "moving_buckets",
+	metricMoving = metrics.New(prometheus.GaugeValue, "moving_buckets",
 		"Buckets in motion, by service.", "service")
-	metricMembers = newMetric(prometheus.GaugeValue, "members",
+	metricMembers = metrics.New(prometheus.GaugeValue, "members",
 		"Members in this node's view, by zone and state (alive, leaving).", "peer_zone", "state")
-	metricControlBytes = newMetric(prometheus.CounterValue, "control_bytes_total",
+	metricControlBytes = metrics.New(prometheus.CounterValue, "control_bytes_total",
 		"Bytes of control messages, by type and direction (sent, received).", "type", "direction")
-	metricControlMessages = newMetric(prometheus.CounterValue, "control_messages_total",
+	metricControlMessages = metrics.New(prometheus.CounterValue, "control_messages_total",
 		"Control messages, by type and direction (sent, received).", "type", "direction")
-	metricControlFaults = newMetric(prometheus.CounterValue, "control_faults_total",
+	metricControlFaults = metrics.New(prometheus.CounterValue, "control_faults_total",
 		"Control messages not sent or not taken, by fault.", "fault")
-	metricStoreUp = newMetric(prometheus.GaugeValue, "store_up",
+	metricStoreUp = metrics.New(prometheus.GaugeValue, "store_up",
 		"1 while the store answers.")
-	metricStoreRequests = newMetric(prometheus.CounterValue, "store_requests_total",
+	metricStoreRequests = metrics.New(prometheus.CounterValue, "store_requests_total",
 		"Requests to the store.")
-	metricStoreFailures = newMetric(prometheus.CounterValue, "store_failures_total",
+	metricStoreFailures = metrics.New(prometheus.CounterValue, "store_failures_total",
 		"Requests to the store without a usable answer.")
-	metricStoreThrottled = newMetric(prometheus.CounterValue, "store_throttled_total",
+	metricStoreThrottled = metrics.New(prometheus.CounterValue, "store_throttled_total",
 		"Requests that the store's rate limit refused.")
-	metricStoreRetries = newMetric(prometheus.CounterValue, "store_retries_total",
+	metricStoreRetries = metrics.New(prometheus.CounterValue, "store_retries_total",
 		"Requests to the store that were repeated.")
-	metricStoreLostAnswers = newMetric(prometheus.CounterValue, "store_lost_answers_total",
+	metricStoreLostAnswers = metrics.New(prometheus.CounterValue, "store_lost_answers_total",
 		"Writes whose answer was lost.")
-	metricStoreResolved = newMetric(prometheus.CounterValue, "store_resolved_answers_total",
+	metricStoreResolved = metrics.New(prometheus.CounterValue, "store_resolved_answers_total",
 		"Writes whose lost answer was resolved.")
-	metricWrites = newMetric(prometheus.CounterValue, "placement_writes_total",
+	metricWrites = metrics.New(prometheus.CounterValue, "placement_writes_total",
 		"Placements this node tried to publish, by kind and outcome (done, conflict, unknown, not_run).", "kind", "outcome")
-	metricPublished = newMetric(prometheus.GaugeValue, "published_revision",
+	metricPublished = metrics.New(prometheus.GaugeValue, "published_revision",
 		"Store revision up to which every configuration change is published, as this node has seen it as a watcher.")
-	metricInForce = newMetric(prometheus.GaugeValue, "in_force_revision",
+	metricInForce = metrics.New(prometheus.GaugeValue, "in_force_revision",
 		"Store revision up to which every configuration change is in force at all live nodes of this zone; at watchers only.")
-	metricZoneNodes = newMetric(prometheus.GaugeValue, "zone_nodes",
+	metricZoneNodes = metrics.New(prometheus.GaugeValue, "zone_nodes",
 		"Live nodes of this zone that the last statement speaks of; at watchers only.")
-	metricZoneBehind = newMetric(prometheus.GaugeValue, "zone_nodes_behind",
+	metricZoneBehind = metrics.New(prometheus.GaugeValue, "zone_nodes_behind",
 		"Nodes of this zone not known to have the newest placements; at watchers only.")
-	metricWatcher = newMetric(prometheus.GaugeValue, "watcher",
+	metricWatcher = metrics.New(prometheus.GaugeValue, "watcher",
 		"1 while this node watches the store and may publish.")
-	metricProbes = newMetric(prometheus.CounterValue, "probes_total",
+	metricProbes = metrics.New(prometheus.CounterValue, "probes_total",
 		"Probes of back ends, by outcome (begun, failed).", "outcome")
-	metricReady = newMetric(prometheus.GaugeValue, "ready",
+	metricReady = metrics.New(prometheus.GaugeValue, "ready",
 		"1 once this node has placements.")
 )
 
-// metrics lists every metric.
-var metrics = []*metric{
+// allMetrics lists every metric.
+var allMetrics = []*metrics.Metric{
 	metricDecisions, metricReasons, metricPinned, metricRerouted, metricHints, metricHandover,
 	metricHandoverResent, metricPauses, metricVersionConflicts, metricInvalidPlacements, metricSure,
 	metricRecords, metricPins, metricKnownUDP, metricFlowBytes, metricVersion, metricMoving,
@@ -117,9 +99,9 @@
 
 // MetricNames lists the names of all metrics of this package.
 func MetricNames() []string {
-	names := make([]string, len(metrics))
-	for index, metric := range metrics {
-		names[index] = metric.name
+	names := make([]string, len(allMetrics))
+	for index, metric := range allMetrics {
+		names[index] = metric.Name
 	}
 	return names
 }
@@ -130,15 +112,15 @@
 
 // Describe gives the descriptions of all metrics.
 func (collector collector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, metric := range metrics {
-		descriptions <- metric.description
+	for _, metric := range allMetrics {
+		descriptions <- metric.Description
 	}
 }
 
 // Collect gives the present values of all metrics.
 func (collector collector) Collect(samples chan<- prometheus.Metric) {
 	node := collector.node
-	output := sampler{samples: samples}
+	output := sampler{metrics.Sampler{Samples: samples}}
 	snapshot := node.engine.snapshot()
 	output.core(&snapshot.stats)
 	output.state(&snapshot.state)
@@ -146,11 +128,11 @@
 	output.control(node)
 	output.store(node.store.Stats())
 	output.publisher(node, &snapshot)
-	output.add(metricWatcher, flag(snapshot.watcher))
-	output.add(metricReady, flag(node.ready.Load()))
+	output.Add(metricWatcher, flag(snapshot.watcher))
+	output.Add(metricReady, flag(node.ready.Load()))
 	probes := node.prober.Counters()
-	output.count(metricProbes, probes.Begun, "begun")
-	output.count(metricProbes, probes.Failed, "failed")
+	output.Count(metricProbes, probes.Begun, "begun")
+	output.Count(metricProbes, probes.Failed, "failed")
 	output.plane(node)
 }
 
@@ -177,46 +159,38 @@
 }
 
 // sampler writes samples of metrics.
-type sampler struct{ samples chan<- prometheus.Metric }
-
-func (output sampler) add(metric *metric, value float64, labels ...string) {
-	output.samples <- prometheus.MustNewConstMetric(metric.description, metric.kind, value, labels...)
-}
-
-func (output sampler) count(metric *metric, value uint64, labels ...string) {
-	output.add(metric, float64(value), labels...)
-}
+type sampler struct{ metrics.Sampler }
 
 func (output sampler) core(stats *core.Stats) {
-	output.count(metricDecisions, stats.Forwarded, "forward")
-	output.count(metricDecisions, stats.Relayed, "relay")
-	output.count(metricDecisions, stats.Dropped, "drop")
-	output.count(metricDecisions, stats.Refused, "refuse")
+	output.Count(metricDecisions, stats.Forwarded, "forward")
+	output.Count(metricDecisions, stats.Relayed, "relay")
+	output.Count(metricDecisions, stats.Dropped, "drop")
+	output.Count(metricDecisions, stats.Refused, "refuse")
 	for index, reason := range core.Reasons {
-		output.count(metricReasons, stats.ByReason[index], string(reason))
+		output.Count(metricReasons, stats.ByReason[index], string(reason))
 	}
-	output.count(metricPinned, stats.PinnedPackets)
-	output.count(metricRerouted, stats.Rerouted)
-	output.count(metricHints, stats.HintsSent, "sent")
-	output.count(metricHints, stats.HintsSuppressed, "suppressed")
-	output.count(metricHandover, stats.HandoverSent)
-	output.count(metricHandoverResent, stats.HandoverResent)
-	output.count(metricPauses, stats.Pauses)
-	output.count(metricVersionConflicts, stats.VersionConflicts)
-	output.count(metricInvalidPlacements, stats.InvalidPlacements)
+	output.Count(metricPinned, stats.PinnedPackets)
+	output.Count(metricRerouted, stats.Rerouted)
+	output.Count(metricHints, stats.HintsSent, "sent")
+	output.Count(metricHints, stats.HintsSuppressed, "suppressed")
+	output.Count(metricHandover, stats.HandoverSent)
+	output.Count(metricHandoverResent, stats.HandoverResent)
+	output.Count(metricPauses, stats.Pauses)
+	output.Count(metricVersionConflicts, stats.VersionConflicts)
+	output.Count(metricInvalidPlacements, stats.InvalidPlacements)
 }
 
 func (output sampler) state(state *core.State) {
-	output.add(metricSure, flag(state.Sure))
+	output.Add(metricSure, flag(state.Sure))
 	for index := range state.Services {
 		service := &state.Services[index]
 		name := string(service.Service)
-		output.add(metricRecords, float64(service.Records), name)
-		output.add(metricPins, float64(service.Pins), name)
-		output.add(metricKnownUDP, float64(service.KnownUDP), name)
-		output.add(metricFlowBytes, float64(service.Bytes), name)
-		output.add(metricVersion, float64(service.Version), name)
-		output.add(metricMoving, float64(service.MovingBuckets), name)
+		output.Add(metricRecords, float64(service.Records), name)
+		output.Add(metricPins, float64(service.Pins), name)
+		output.Add(metricKnownUDP, float64(service.KnownUDP), name)
+		output.Add(metricFlowBytes, float64(service.Bytes), name)
+		output.Add(metricVersion, float64(service.Version), name)
+		output.Add(metricMoving, float64(service.MovingBuckets), name)
 	}
 }
 
@@ -227,42 +201,42 @@
 		counts[group{string(entry.Zone), stateOf(&entry)}]++
 	}
 	for group, count := range counts {
-		output.add(metricMembers, float64(count), group.zone, group.state)
+		output.Add(metricMembers, float64(count), group.zone, group.state)
 	}
 }
 
 func (output sampler) publisher(node *Node, snapshot *snapshot) {
 	node.writes.each(func(kind, outcome string, count uint64) {
-		output.count(metricWrites, count, kind, outcome)
+		output.Count(metricWrites, count, kind, outcome)
 	})
-	output.add(metricPublished, float64(snapshot.published))
+	output.Add(metricPublished, float64(snapshot.published))
 	if snapshot.zone == nil || !snapshot.watcher {
 		return
 	}
-	output.add(metricInForce, float64(snapshot.zone.ConfigRevision))
-	output.add(metricZoneNodes, float64(snapshot.zone.Nodes))
-	output.add(metricZoneBehind, float64(snapshot.zone.Behind))
+	output.Add(metricInForce, float64(snapshot.zone.ConfigRevision))
+	output.Add(metricZoneNodes, float64(snapshot.zone.Nodes))
+	output.Add(metricZoneBehind, float64(snapshot.zone.Behind))
 }
 
 func (output sampler) control(node *Node) {
 	counters := node.transport.Counters()
 	for _, traffic := range counters.Traffic {
-		output.count(metricControlBytes, traffic.Bytes, string(traffic.Type), string(traffic.Direction))
-		output.count(metricControlMessages, traffic.Messages, string(traffic.Type), string(traffic.Direction))
+		output.Count(metricControlBytes, traffic.Bytes, string(traffic.Type), string(traffic.Direction))
+		output.Count(metricControlMessages, traffic.Messages, string(traffic.Type), string(traffic.Direction))
 	}
 	for _, fault := range counters.Faults {
-		output.count(metricControlFaults, fault.Count, string(fault.Fault))
+		output.Count(metricControlFaults, fault.Count, string(fault.Fault))
 	}
 }
 
 func (output sampler) store(stats store.Stats) {
-	output.add(metricStoreUp, flag(stats.Circuit == store.CircuitClosed))
-	output.count(metricStoreRequests, stats.Requests)
-	output.count(metricStoreFailures, stats.Failures)
-	output.count(metricStoreThrottled, stats.Throttled)
-	output.count(metricStoreRetries, stats.Retries)
-	output.count(metricStoreLostAnswers, stats.LostAnswers)
-	output.count(metricStoreResolved, stats.Resolved)
+	output.Add(metricStoreUp, flag(stats.Circuit == store.CircuitClosed))
+	output.Count(metricStoreRequests, stats.Requests)
+	output.Count(metricStoreFailures, stats.Failures)
+	output.Count(metricStoreThrottled, stats.Throttled)
+	output.Count(metricStoreRetries, stats.Retries)
+	output.Count(metricStoreLostAnswers, stats.LostAnswers)
+	output.Count(metricStoreResolved, stats.Resolved)
 }
 
 func flag(set bool) float64 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -15,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"robinpulley.example/robinpulley/internal/adminserver"
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/health"
@@ -52,15 +51,14 @@
 	prober    *health.Prober
 	writes    writeCounts
 	targets   probeTargets // owned by the watch of the store
-	admin     *http.Server
-
-	statusMutex   sync.Mutex // held while the zone's report is written
-	adminListener net.Listener
-	opened        atomic.Bool // all endpoints are open
-	ready         atomic.Bool
-	stopping      chan struct{} // closed when the planned stop begins
-	stopOnce      sync.Once
-	background    sync.WaitGroup
+	admin     *adminserver.Server
+
+	statusMutex sync.Mutex  // held while the zone's report is written
+	opened      atomic.Bool // all endpoints are open
+	ready       atomic.Bool
+	stopping    chan struct{} // closed when the planned stop begins
+	stopOnce    sync.Once
+	background  sync.WaitGroup
 }
 
 // New opens the endpoints of a balancer. Run must follow, which closes them.
@@ -83,8 +81,8 @@
 	if node.store, err = store.New(store.DefaultSettings(node.settings.StoreEndpoints, seed)); err != nil {
 		return err
 	}
-	if node.adminListener, err = net.Listen("tcp", node.settings.AdminAddress.String()); err != nil {
-		return errors.Wrapf(err, "listen on admin address %s", node.settings.AdminAddress)
+	if node.admin, err = adminserver.Open(node.settings.AdminAddress); err != nil {
+		return err
 	}
 	budget := transport.DefaultBudget()
 	budget.BytesPerSecond = node.settings.Limits.ControlBytesPerSecond
@@ -113,10 +111,7 @@
 		_ = node.transport.Close()
 	}
 	if node.admin != nil {
-		_ = node.admin.Close()
-	}
-	if node.adminListener != nil {
-		_ = node.adminListener.Close()
+		node.admin.Close()
 	}
 }
 
--- a/internal/node/operations_test.go
+++ b/internal/node/operations_test.go
@@ -9,6 +9,7 @@
 
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/metrics"
 )
 
 // TestOperationsPageIsComplete checks that the page names every setting, log
@@ -30,13 +31,13 @@
 		expect("log event", string(event))
 	}
 	known := map[string]bool{}
-	for _, metric := range metrics {
-		known[metric.name] = true
-		expect("metric", metric.name)
+	for _, metric := range allMetrics {
+		known[metric.Name] = true
+		expect("metric", metric.Name)
 	}
 	for _, word := range strings.Split(page, "`") {
 		name, _, _ := strings.Cut(word, "{") // labels may follow
-		if strings.HasPrefix(name, metricPrefix) && !known[name] {
+		if strings.HasPrefix(name, metrics.Prefix) && !known[name] {
 			t.Errorf("the operations page has the metric %s, which does not exist", name)
 		}
 	}
--- a/internal/node/plane.go
+++ b/internal/node/plane.go
@@ -7,6 +7,7 @@
 
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/packet"
 )
 
@@ -32,38 +33,38 @@
 
 // The metrics of the data plane.
 var (
-	metricReceived = newMetric(prometheus.CounterValue, "received_packets_total",
+	metricReceived = metrics.New(prometheus.CounterValue, "received_packets_total",
 		"Well-formed packets received, by source (fabric, peer).", "source")
-	metricReceivedBytes = newMetric(prometheus.CounterValue, "received_bytes_total",
+	metricReceivedBytes = metrics.New(prometheus.CounterValue, "received_bytes_total",
 		"Bytes of datagrams received on the data address.")
-	metricSent = newMetric(prometheus.CounterValue, "sent_packets_total",
+	metricSent = metrics.New(prometheus.CounterValue, "sent_packets_total",
 		"Packets handed to the socket, by action (forward, relay, refuse).", "action")
-	metricMalformed = newMetric(prometheus.CounterValue, "malformed_packets_total",
+	metricMalformed = metrics.New(prometheus.CounterValue, "malformed_packets_total",
 		"Datagrams dropped because they are malformed, by cause.", "cause")
-	metricUnsent = newMetric(prometheus.CounterValue, "unsent_packets_total",
+	metricUnsent = metrics.New(prometheus.CounterValue, "unsent_packets_total",
 		"Packets that could not be sent, by cause (unanswered, unknown_peer, unsendable, wrong_service, loop).", "cause")
-	metricSocketErrors = newMetric(prometheus.CounterValue, "socket_errors_total",
+	metricSocketErrors = metrics.New(prometheus.CounterValue, "socket_errors_total",
 		"Errors of the data socket, by direction (read, write).", "direction")
 )
 
 func (output sampler) plane(node *Node) {
 	counters := node.plane.Counters()
-	output.count(metricReceived, counters.FromFabric, "fabric")
-	output.count(metricReceived, counters.FromPeers, "peer")
-	output.count(metricReceivedBytes, counters.ReceivedBytes)
-	output.count(metricSent, counters.Forwarded, "forward")
-	output.count(metricSent, counters.Relayed, "relay")
-	output.count(metricSent, counters.Refused, "refuse")
+	output.Count(metricReceived, counters.FromFabric, "fabric")
+	output.Count(metricReceived, counters.FromPeers, "peer")
+	output.Count(metricReceivedBytes, counters.ReceivedBytes)
+	output.Count(metricSent, counters.Forwarded, "forward")
+	output.Count(metricSent, counters.Relayed, "relay")
+	output.Count(metricSent, counters.Refused, "refuse")
 	for cause, count := range counters.Malformed {
 		if count > 0 {
-			output.count(metricMalformed, count, packet.Cause(cause).String())
+			output.Count(metricMalformed, count, packet.Cause(cause).String())
 		}
 	}
-	output.count(metricUnsent, counters.Unanswered, "unanswered")
-	output.count(metricUnsent, counters.UnknownPeer, "unknown_peer")
-	output.count(metricUnsent, counters.Unsendable, "unsendable")
-	output.count(metricUnsent, counters.WrongService, "wrong_service")
-	output.count(metricUnsent, counters.Loops, "loop")
-	output.count(metricSocketErrors, counters.ReadErrors, "read")
-	output.count(metricSocketErrors, counters.WriteErrors, "write")
+	output.Count(metricUnsent, counters.Unanswered, "unanswered")
+	output.Count(metricUnsent, counters.UnknownPeer, "unknown_peer")
+	output.Count(metricUnsent, counters.Unsendable, "unsendable")
+	output.Count(metricUnsent, counters.WrongService, "wrong_service")
+	output.Count(metricUnsent, counters.Loops, "loop")
+	output.Count(metricSocketErrors, counters.ReadErrors, "read")
+	output.Count(metricSocketErrors, counters.WriteErrors, "write")
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,7 +1,6 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
 	"os"
@@ -12,18 +11,11 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/placement"
+	"robinpulley.example/robinpulley/internal/rapidseed"
 )
 
 // TestMain fixes the seed of the property tests, so that every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		_ = flag.Set("rapid.seed", "4")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(rapidseed.Run(m)) }
 
 func stamp(revision int64) placement.Stamp {
 	return placement.Stamp{WriteID: fmt.Sprintf("write-%d", revision), ConfigRevision: revision}
--- a/internal/tokennode/admin.go
+++ b/internal/tokennode/admin.go
@@ -2,39 +2,25 @@
 
 import (
 	"net/http"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
-// adminHeaderTimeout bounds how long a client may take for its request header.
-const adminHeaderTimeout = 5 * time.Second
-
 // serveAdmin serves metrics and health until the node is closed.
 func (node *Node) serveAdmin() {
-	node.admin = &http.Server{Handler: node.adminRoutes(), ReadHeaderTimeout: adminHeaderTimeout}
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /readyz", node.serveReady)
+	routes.HandleFunc("GET /metrics", node.serveMetrics)
 	node.background.Go(func() {
-		err := node.admin.Serve(node.adminListener)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if err := node.admin.Serve(routes); err != nil {
 			node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
 		}
 	})
 }
 
-func (node *Node) adminRoutes() *http.ServeMux {
-	routes := http.NewServeMux()
-	routes.HandleFunc("GET /healthz", func(response http.ResponseWriter, _ *http.Request) {
-		response.WriteHeader(http.StatusOK)
-	})
-	routes.HandleFunc("GET /readyz", node.serveReady)
-	routes.HandleFunc("GET /metrics", node.serveMetrics)
-	return routes
-}
-
 // serveMetrics makes the registry only when it is asked for.
 func (node *Node) serveMetrics(response http.ResponseWriter, request *http.Request) {
 	registry := prometheus.NewRegistry()
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -6,6 +6,7 @@
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/packet"
 )
 
@@ -28,59 +29,44 @@
 	counts.calls[callKey{result.Read.Kind, result.Failure}]++
 }
 
-// metricPrefix begins the name of every metric.
-const metricPrefix = "robinpulley_"
-
-// metric is one metric: its description and type.
-type metric struct {
-	name        string
-	description *prometheus.Desc
-	kind        prometheus.ValueType
-}
-
-func newMetric(kind prometheus.ValueType, name, help string, labels ...string) *metric {
-	full := metricPrefix + name
-	return &metric{name: full, description: prometheus.NewDesc(full, help, labels, nil), kind: kind}
-}
-
 // The metrics. docs/operations-platform.md explains each.
 var (
-	metricReasons = newMetric(prometheus.CounterValue, "decision_reasons_total",
+	metricReasons = metrics.New(prometheus.CounterValue, "decision_reasons_total",
 		"Packets dropped or refused, by reason.", "reason")
-	metricDecisions = newMetric(prometheus.CounterValue, "decisions_total",
+	metricDecisions = metrics.New(prometheus.CounterValue, "decisions_total",
 		"Packets decided on, by action.", "action")
-	metricCalls = newMetric(prometheus.CounterValue, "store_calls_total",
+	metricCalls = metrics.New(prometheus.CounterValue, "store_calls_total",
 		"Calls to the platform's store, by kind (list, watch) and failure (empty: none).", "kind", "failure")
-	metricRejected = newMetric(prometheus.CounterValue, "documents_rejected_total",
+	metricRejected = metrics.New(prometheus.CounterValue, "documents_rejected_total",
 		"Entries of the store that could not be read.")
-	metricRevision = newMetric(prometheus.GaugeValue, "view_revision",
+	metricRevision = metrics.New(prometheus.GaugeValue, "view_revision",
 		"Store revision of the view.")
-	metricAge = newMetric(prometheus.GaugeValue, "view_age_seconds",
+	metricAge = metrics.New(prometheus.GaugeValue, "view_age_seconds",
 		"Time since the view was last known to be the newest.")
-	metricVersion = newMetric(prometheus.GaugeValue, "configuration_version",
+	metricVersion = metrics.New(prometheus.GaugeValue, "configuration_version",
 		"Version of the configuration in force.")
-	metricRank = newMetric(prometheus.GaugeValue, "reader_rank",
+	metricRank = metrics.New(prometheus.GaugeValue, "reader_rank",
 		"Place of this node among those of its zone that may read the store; 0 reads.")
-	metricMembers = newMetric(prometheus.GaugeValue, "members_alive",
+	metricMembers = metrics.New(prometheus.GaugeValue, "members_alive",
 		"Living balancers known, this one included.")
-	metricReady = newMetric(prometheus.GaugeValue, "ready",
+	metricReady = metrics.New(prometheus.GaugeValue, "ready",
 		"1 while this node may be sent packets.")
-	metricReceived = newMetric(prometheus.CounterValue, "received_packets_total",
+	metricReceived = metrics.New(prometheus.CounterValue, "received_packets_total",
 		"Datagrams received on the data address.")
-	metricSent = newMetric(prometheus.CounterValue, "sent_packets_total",
+	metricSent = metrics.New(prometheus.CounterValue, "sent_packets_total",
 		"Packets handed to the socket, by action (forward, refuse).", "action")
-	metricMalformed = newMetric(prometheus.CounterValue, "malformed_packets_total",
+	metricMalformed = metrics.New(prometheus.CounterValue, "malformed_packets_total",
 		"Datagrams dropped because they are malformed, by cause.", "cause")
-	metricSocketErrors = newMetric(prometheus.CounterValue, "socket_errors_total",
+	metricSocketErrors = metrics.New(prometheus.CounterValue, "socket_errors_total",
 		"Errors of the data socket, by direction (read, write).", "direction")
-	metricDecisionTime = newMetric(prometheus.UntypedValue, "decision_seconds",
+	metricDecisionTime = metrics.New(prometheus.UntypedValue, "decision_seconds",
 		"Time from a packet's decoding to the decision on it, as a histogram.")
-	metricCallTime = newMetric(prometheus.UntypedValue, "store_call_seconds",
+	metricCallTime = metrics.New(prometheus.UntypedValue, "store_call_seconds",
 		"Time that calls to the platform's store took, as a histogram; watches wait for changes.")
 )
 
-// metrics lists every metric.
-var metrics = []*metric{
+// allMetrics lists every metric.
+var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
 	metricRank, metricMembers, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime,
@@ -92,73 +78,65 @@
 
 // Describe gives the descriptions of all metrics.
 func (collector collector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, metric := range metrics {
-		descriptions <- metric.description
+	for _, metric := range allMetrics {
+		descriptions <- metric.Description
 	}
 }
 
 // Collect gives the present values of all metrics.
 func (collector collector) Collect(samples chan<- prometheus.Metric) {
 	node := collector.node
-	output := sampler{samples: samples}
+	output := sampler{metrics.Sampler{Samples: samples}}
 	state := node.engine.state()
 	output.decisions(&state.stats)
 	output.view(&state)
-	output.add(metricReady, readyValue(node))
+	output.Add(metricReady, readyValue(node))
 	output.plane(node.plane.Counters())
 }
 
 // sampler writes samples of metrics.
-type sampler struct{ samples chan<- prometheus.Metric }
-
-func (output sampler) add(metric *metric, value float64, labels ...string) {
-	output.samples <- prometheus.MustNewConstMetric(metric.description, metric.kind, value, labels...)
-}
-
-func (output sampler) count(metric *metric, value uint64, labels ...string) {
-	output.add(metric, float64(value), labels...)
-}
+type sampler struct{ metrics.Sampler }
 
 func (output sampler) decisions(stats *core.Stats) {
-	output.count(metricDecisions, stats.Forwarded, "forward")
-	output.count(metricDecisions, stats.Dropped, "drop")
-	output.count(metricDecisions, stats.Refused, "refuse")
+	output.Count(metricDecisions, stats.Forwarded, "forward")
+	output.Count(metricDecisions, stats.Dropped, "drop")
+	output.Count(metricDecisions, stats.Refused, "refuse")
 	for index, reason := range core.Reasons {
 		if stats.ByReason[index] > 0 {
-			output.count(metricReasons, stats.ByReason[index], string(reason))
+			output.Count(metricReasons, stats.ByReason[index], string(reason))
 		}
 	}
 }
 
 func (output sampler) view(state *engineState) {
 	for key, calls := range state.calls {
-		output.count(metricCalls, calls, string(key.kind), string(key.failure))
+		output.Count(metricCalls, calls, string(key.kind), string(key.failure))
 	}
-	output.count(metricRejected, state.rejected)
-	output.add(metricRevision, float64(state.revision))
-	output.add(metricAge, state.age)
-	output.count(metricVersion, state.version)
-	output.add(metricRank, float64(state.rank))
-	output.add(metricMembers, float64(state.members))
+	output.Count(metricRejected, state.rejected)
+	output.Add(metricRevision, float64(state.revision))
+	output.Add(metricAge, state.age)
+	output.Count(metricVersion, state.version)
+	output.Add(metricRank, float64(state.rank))
+	output.Add(metricMembers, float64(state.members))
 	output.histogram(metricDecisionTime, state.decisionTime)
 	output.histogram(metricCallTime, state.callTime)
 }
 
-func (output sampler) histogram(metric *metric, times times) {
-	output.samples <- prometheus.MustNewConstHistogram(metric.description, times.count, times.sum.Seconds(), times.buckets())
+func (output sampler) histogram(metric *metrics.Metric, times times) {
+	output.Samples <- prometheus.MustNewConstHistogram(metric.Description, times.count, times.sum.Seconds(), times.buckets())
 }
 
 func (output sampler) plane(counters dataplane.Counters) {
-	output.count(metricReceived, counters.Received)
-	output.count(metricSent, counters.Forwarded, "forward")
-	output.count(metricSent, counters.Refused, "refuse")
+	output.Count(metricReceived, counters.Received)
+	output.Count(metricSent, counters.Forwarded, "forward")
+	output.Count(metricSent, counters.Refused, "refuse")
 	for cause, count := range counters.Malformed {
 		if count > 0 {
-			output.count(metricMalformed, count, packet.Cause(cause).String())
+			output.Count(metricMalformed, count, packet.Cause(cause).String())
 		}
 	}
-	output.count(metricSocketErrors, counters.ReadErrors, "read")
-	output.count(metricSocketErrors, counters.WriteErrors, "write")
+	output.Count(metricSocketErrors, counters.ReadErrors, "read")
+	output.Count(metricSocketErrors, counters.WriteErrors, "write")
 }
 
 func readyValue(node *Node) float64 {
--- a/internal/tokennode/metrics_test.go
+++ b/internal/tokennode/metrics_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/metrics"
 )
 
 // TestOperationsPageIsComplete checks that the page names every metric, and no
@@ -17,15 +19,15 @@
 	is.NoErr(err)
 	page := string(text)
 	known := map[string]bool{}
-	for _, metric := range metrics {
-		known[metric.name] = true
-		if !strings.Contains(page, "`"+metric.name+"`") {
-			t.Errorf("the operations page lacks the metric %s", metric.name)
+	for _, metric := range allMetrics {
+		known[metric.Name] = true
+		if !strings.Contains(page, "`"+metric.Name+"`") {
+			t.Errorf("the operations page lacks the metric %s", metric.Name)
 		}
 	}
 	for _, word := range strings.Split(page, "`") {
 		name, _, _ := strings.Cut(word, "{") // labels may follow
-		if strings.HasPrefix(name, metricPrefix) && !known[name] {
+		if strings.HasPrefix(name, metrics.Prefix) && !known[name] {
 			t.Errorf("the operations page has the metric %s, which does not exist", name)
 		}
 	}
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"robinpulley.example/robinpulley/internal/adminserver"
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
@@ -49,10 +48,9 @@
 	engine    *engine
 	transport *transport.Transport
 	plane     *dataplane.Plane
-	admin     *http.Server
+	admin     *adminserver.Server
 
-	adminListener net.Listener
-	opened        atomic.Bool // all endpoints are open
+	opened atomic.Bool // all endpoints are open
 	// settings are those in force: Options.Settings, or what was read again since.
 	settings   atomic.Pointer[config.Settings]
 	stopping   chan struct{} // closed when the planned stop begins
@@ -97,8 +95,8 @@
 	if err != nil {
 		return err
 	}
-	if node.adminListener, err = net.Listen("tcp", settings.AdminAddress.String()); err != nil {
-		return errors.Wrapf(err, "listen on admin address %s", settings.AdminAddress)
+	if node.admin, err = adminserver.Open(settings.AdminAddress); err != nil {
+		return err
 	}
 	budget := transport.DefaultBudget()
 	budget.BytesPerSecond = settings.Limits.ControlBytesPerSecond
@@ -126,10 +124,7 @@
 		_ = node.transport.Close()
 	}
 	if node.admin != nil {
-		_ = node.admin.Close()
-	}
-	if node.adminListener != nil {
-		_ = node.adminListener.Close()
+		node.admin.Close()
 	}
 }
 
