Take the limits of a stop and of a change from the platform's bounds

Cause: deployments we have not seen may kill sooner than 6 s after SIGTERM, or ask for changes within less than 3 s; both times were built in. Removed routes were remembered without a bound.

Ruled out: arithmetic in the template (there is none): the margin of 0.5 s before the kill is the node's.

Change: timings.change_limit shortens the follower's times alike; drain_limit is the platform's grace; removed routes are forgotten when there are over 4,096.

--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -37,6 +37,7 @@
 	IdleTimeout  string `yaml:"idle_timeout"`
 	PinLifetime  string `yaml:"pin_lifetime"`
 	PrepareLimit string `yaml:"prepare_limit"`
+	ChangeLimit  string `yaml:"change_limit"`
 	PauseLimit   string `yaml:"pause_limit"`
 	RetryAfter   string `yaml:"retry_after"`
 	DrainGrace   string `yaml:"drain_grace"`
@@ -59,6 +60,7 @@
 	DefaultIdleTimeout           = 300 * time.Second
 	DefaultPinLifetime           = 60 * time.Second
 	DefaultPrepareLimit          = 1500 * time.Millisecond
+	DefaultChangeLimit           = 3 * time.Second
 	DefaultPauseLimit            = time.Second
 	DefaultRetryAfter            = 500 * time.Millisecond
 	DefaultDrainGrace            = 3 * time.Second
@@ -82,6 +84,7 @@
 			IdleTimeout:  DefaultIdleTimeout.String(),
 			PinLifetime:  DefaultPinLifetime.String(),
 			PrepareLimit: DefaultPrepareLimit.String(),
+			ChangeLimit:  DefaultChangeLimit.String(),
 			PauseLimit:   DefaultPauseLimit.String(),
 			RetryAfter:   DefaultRetryAfter.String(),
 			DrainGrace:   DefaultDrainGrace.String(),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -64,6 +64,8 @@
 	PinLifetime time.Duration
 	// PrepareLimit bounds the wait for lagging nodes before a change commits.
 	PrepareLimit time.Duration
+	// ChangeLimit is the time in which a change must be in force (AffinityToken).
+	ChangeLimit time.Duration
 	// PauseLimit is the gap between steps after which the node distrusts its view.
 	PauseLimit time.Duration
 	// RetryAfter is the base of the time to come back given with refusals.
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -62,7 +62,7 @@
 	now        time.Duration
 }
 
-func newFleet(t *testing.T, zones, perZone int, seed uint64) *fleet {
+func newFleet(t *testing.T, zones, perZone int, seed uint64, limit time.Duration) *fleet {
 	fleet := &fleet{t: t, store: viewtest.NewStore()}
 	for zone := range zones {
 		for index := range perZone {
@@ -72,7 +72,7 @@
 				sent:    map[time.Duration]int{},
 				address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone), 0, byte(index)}), 7946),
 			}
-			settings := DefaultSettings(node.id, node.zone, seed)
+			settings := DefaultSettings(node.id, node.zone, seed).Within(limit)
 			if len(fleet.nodes) > 0 {
 				settings.Seeds = []netip.AddrPort{fleet.nodes[0].address}
 			}
@@ -204,7 +204,12 @@
 
 // calm gives a fleet that has started and settled.
 func calm(t *testing.T, zones, perZone int, seed uint64) *fleet {
-	fleet := newFleet(t, zones, perZone, seed)
+	return calmWithin(t, zones, perZone, seed, usualLimit)
+}
+
+// calmWithin is calm with settings for a limit.
+func calmWithin(t *testing.T, zones, perZone int, seed uint64, limit time.Duration) *fleet {
+	fleet := newFleet(t, zones, perZone, seed, limit)
 	fleet.store.Configure(1, 80, 81)
 	fleet.store.Put("a", lb.BackendActive)
 	fleet.run(200 * time.Millisecond)
@@ -253,30 +258,39 @@
 // TestChangeIsInForceWhateverFailsWithIt has the readers, or any other nodes,
 // fail at the moment of a change in every way, at every phase of their watch.
 func TestChangeIsInForceWhateverFailsWithIt(t *testing.T) {
-	faults := []storeFault{faultSilent, faultRefused, faultThrottled}
-	for seed := range uint64(60) {
-		random := rand.New(rand.NewPCG(seed, 2))
-		fleet := calm(t, 1+int(seed%3), 2+random.IntN(4), seed)
-		fleet.run(time.Duration(random.IntN(200)) * simulationStep)
-		hit := fleet.readers()
-		if random.IntN(3) == 0 {
-			hit = append(hit, fleet.nodes[random.IntN(len(fleet.nodes))])
-		}
-		alive := len(fleet.nodes)
-		for _, node := range hit {
-			if random.IntN(2) == 0 {
-				node.fault = faults[random.IntN(len(faults))]
-			} else if !node.dead && alive > 1 {
-				node.dead = true
-				alive--
+	for _, limit := range []time.Duration{usualLimit, time.Second} {
+		for seed := range uint64(60) {
+			fleet := changeWithFailures(t, seed, limit)
+			allowed := inForceLimit * limit / usualLimit
+			fleet.run(allowed)
+			if behind := fleet.behind(); behind > 0 {
+				t.Errorf("limit %s, seed %d: %d of %d nodes are behind after %s", limit, seed, behind, len(fleet.nodes), allowed)
 			}
 		}
-		fleet.store.Configure(2, 81)
-		fleet.run(inForceLimit)
-		if behind := fleet.behind(); behind > 0 {
-			t.Errorf("seed %d: %d of %d nodes are behind after %s", seed, behind, len(fleet.nodes), inForceLimit)
+	}
+}
+
+// changeWithFailures gives a fleet in which some nodes fail as a change is written.
+func changeWithFailures(t *testing.T, seed uint64, limit time.Duration) *fleet {
+	faults := []storeFault{faultSilent, faultRefused, faultThrottled}
+	random := rand.New(rand.NewPCG(seed, 2))
+	fleet := calmWithin(t, 1+int(seed%3), 2+random.IntN(4), seed, limit)
+	fleet.run(time.Duration(random.IntN(200)) * simulationStep)
+	hit := fleet.readers()
+	if random.IntN(3) == 0 {
+		hit = append(hit, fleet.nodes[random.IntN(len(fleet.nodes))])
+	}
+	alive := len(fleet.nodes)
+	for _, node := range hit {
+		if random.IntN(2) == 0 {
+			node.fault = faults[random.IntN(len(faults))]
+		} else if !node.dead && alive > 1 {
+			node.dead = true
+			alive--
 		}
 	}
+	fleet.store.Configure(2, 81)
+	return fleet
 }
 
 func TestNodesWithoutTheStoreLearnFromOthers(t *testing.T) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// usualLimit is the time in which DefaultSettings put a change into force.
+const usualLimit = 3 * time.Second
+
+// Within gives settings that put a change into force within a limit: all times
+// are shortened alike where it is below the usual one. Calls keep CallTimeout.
+func (settings Settings) Within(limit time.Duration) Settings {
+	if limit >= usualLimit {
+		return settings
+	}
+	for _, duration := range []*time.Duration{
+		&settings.WatchWait, &settings.ChangeInterval, &settings.Patience, &settings.PatienceStep,
+		&settings.PatienceLimit, &settings.SilenceLimit, &settings.DigestInterval, &settings.BackoffLimit,
+	} {
+		*duration = *duration * limit / usualLimit
+	}
+	return settings
+}
+
 // Peer is a living balancer that does not leave.
 type Peer struct {
 	ID      lb.NodeID
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -41,8 +41,9 @@
 	}
 }
 
-// confirmMargin is what is left of the others' patience when a watch ends.
-const confirmMargin = 300 * time.Millisecond
+// confirmParts is the part of the others' patience, one in so many, that is
+// left when a watch ends.
+const confirmParts = 6
 
 // shortestWait is the wait of a watch that is to confirm the view at once.
 const shortestWait = 20 * time.Millisecond
@@ -50,7 +51,7 @@
 // watchWait is how long a watch may wait, so that its end confirms the view
 // before the other nodes lose patience and read too.
 func (core *Core) watchWait() time.Duration {
-	left := core.settings.Patience - core.age() - confirmMargin
+	left := core.settings.Patience - core.age() - core.settings.Patience/confirmParts
 	return max(shortestWait, min(core.settings.WatchWait, left))
 }
 
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -68,7 +68,7 @@
 	deciding.Affinity = core.AffinityToken
 	deciding.PauseLimit = settings.Timings.PauseLimit
 	deciding.RetryAfter = settings.Timings.RetryAfter
-	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation)
+	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation).Within(settings.Timings.ChangeLimit)
 	for _, seed := range settings.Seeds {
 		if seed != settings.ControlAddress {
 			following.Seeds = append(following.Seeds, seed)
--- a/internal/tokennode/stop.go
+++ b/internal/tokennode/stop.go
@@ -14,6 +14,8 @@
 	// leaveTime is what the routers need at least to notice that this node is
 	// not ready any more.
 	leaveTime = time.Second
+	// endMargin is left of timings.drain_limit when the node ends.
+	endMargin = 500 * time.Millisecond
 	// endLinger lets the last messages to peers go.
 	endLinger = 20 * time.Millisecond
 )
@@ -46,7 +48,7 @@
 			packets = now
 			quietSince = time.Now()
 		}
-		if time.Since(begun) >= timings.DrainLimit {
+		if time.Since(begun) >= timings.DrainLimit-endMargin {
 			return node.endPlanned(stoppedByLimit)
 		}
 		if time.Since(begun) >= leaveTime && time.Since(quietSince) >= timings.DrainGrace {
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -172,8 +172,13 @@
 	replica.changed = max(replica.changed, revision)
 }
 
-// Prune forgets what has been gone for long and tells whether there was any.
+// maxGoneRoutes bounds the removed routes that are remembered.
+const maxGoneRoutes = 1 << 12
+
+// Prune forgets what has been gone for long, and removed routes if they are
+// many, and tells whether a back end was forgotten.
 func (replica *Replica) Prune(now time.Duration) bool {
+	replica.pruneRoutes()
 	found := false
 	for name, entry := range replica.backends {
 		if entry.Gone && now-entry.goneAt > GoneRetention {
@@ -185,6 +190,22 @@
 	return found
 }
 
+func (replica *Replica) pruneRoutes() {
+	var gone []lb.Frontend
+	for frontend, entry := range replica.routes {
+		if entry.Gone {
+			gone = append(gone, frontend)
+		}
+	}
+	if len(gone) <= maxGoneRoutes {
+		return
+	}
+	for _, frontend := range gone {
+		replica.pruned = max(replica.pruned, replica.routes[frontend].Revision)
+		delete(replica.routes, frontend)
+	}
+}
+
 // Delta gives what changed after a revision, or the whole view if that cannot
 // be told apart any more.
 func (replica *Replica) Delta(now time.Duration, after int64) *Delta {
--- a/internal/view/replica_test.go
+++ b/internal/view/replica_test.go
@@ -168,3 +168,22 @@
 func drawName(t *rapid.T) lb.BackendName {
 	return rapid.SampledFrom([]lb.BackendName{"a", "b", "c"}).Draw(t, "name")
 }
+
+func TestRemovedRoutesAreForgottenWhenMany(t *testing.T) {
+	is := is.New(t)
+	store := viewtest.NewStore()
+	ports := make([]uint16, 5000)
+	for index := range ports {
+		ports[index] = uint16(index + 1)
+	}
+	store.Configure(1, ports...)
+	replica := view.NewReplica()
+	replica.ApplyListing(0, store.List())
+	before := replica.Revision()
+	store.Configure(2, 1)
+	replica.ApplyChanges(0, store.Changes(before))
+	is.Equal(len(replica.Delta(0, before).Routes), 4999)
+	replica.Prune(0)
+	is.Equal(replica.Delta(0, before).After, int64(0)) // the whole view
+	is.Equal(len(replica.Delta(0, 0).Routes), 1)
+}
