--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -200,12 +200,28 @@
 // gives by how much this balancer lowers the weight of a host, from 0 to 1;
 // nil: by nothing, for a choice that is the same at all balancers of the zone.
 func (service *Service) Pick(flow lb.FlowID, factor func(*Host) float64) *Host {
+	if factor != nil && mostlyZero(service.Ready, factor) {
+		factor = nil
+	}
 	if found := first(service.Ready, flow, factor); found != nil {
 		return found
 	}
 	return first(service.Lapsed, flow, nil)
 }
 
+// mostlyZero tells whether more than half of the hosts have the factor 0. Then
+// it is more likely this balancer, or its network, that is at fault than they
+// are, and to crowd the rest would make it worse.
+func mostlyZero(hosts []*Host, factor func(*Host) float64) bool {
+	zero := 0
+	for _, host := range hosts {
+		if factor(host) == 0 {
+			zero++
+		}
+	}
+	return 2*zero > len(hosts)
+}
+
 // first ranks by -ln(u)/weight, lowest first, with u uniform in (0,1) by hash
 // (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). A
 // host of factor 0 comes only when there is no other.
