--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -21,6 +21,7 @@
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/lab/platformsim"
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/tokennode"
 	"robinpulley.example/robinpulley/platform"
 )
@@ -52,12 +53,13 @@
 	caller  *platformsim.Caller
 	version int
 	ids     uint64
+	logger  zerolog.Logger // of nodes launched from now on
 }
 
 // newSite starts balancers in two zones, hosts of two services and a caller.
 func newSite(t *testing.T, nodes int) *site {
 	is := is.New(t)
-	site := &site{t: t}
+	site := &site{t: t, logger: zerolog.Nop()}
 	var err error
 	site.store, err = platformsim.NewStore()
 	is.NoErr(err)
@@ -144,7 +146,7 @@
 	var err error
 	node.Node, err = tokennode.New(tokennode.Options{
 		Settings: &settings,
-		Logger:   zerolog.Nop(),
+		Logger:   site.logger,
 		Adapter: tokennode.Adapter{
 			NewCodec: func() dataplane.Codec { return platform.NewCodec(site.port) },
 			Store:    platform.NewStore(site.store.URL()),
@@ -429,7 +431,7 @@
 	is.NoErr(err)
 	t.Cleanup(store.Close)
 	store.SetFault(platformsim.FaultBusy)
-	site := &site{t: t, store: store, port: freePort(t)}
+	site := &site{t: t, store: store, port: freePort(t), logger: zerolog.Nop()}
 	site.nodes = append(site.nodes, site.newNode(0))
 	site.until("the node says why", func() bool {
 		status, body := site.get(0, "/readyz")
@@ -439,3 +441,39 @@
 	site.configure(map[netip.AddrPort]string{webFront: "web"})
 	site.until("the node is ready", func() bool { return site.ready(0) })
 }
+
+// blockedWriter is a standard output that nobody reads.
+type blockedWriter struct{ released chan struct{} }
+
+func (writer blockedWriter) Write(line []byte) (int, error) {
+	<-writer.released
+	return len(line), nil
+}
+
+// TestBlockedLogHoldsUpNothing: every line waits for a reader that never comes,
+// and flows are served all the same.
+func TestBlockedLogHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	site := newSite(t, 2)
+	blocked := blockedWriter{released: make(chan struct{})}
+	output := logging.NonBlocking(blocked, func(int) {})
+	t.Cleanup(func() {
+		close(blocked.released)
+		_ = output.Close()
+	})
+	logger, err := logging.New(output, "info", "n0", "zone-0")
+	is.NoErr(err)
+	site.logger = logger
+	for _, node := range site.nodes {
+		site.kill(node)
+		site.launch(node)
+	}
+	site.until("the nodes are back", func() bool { return site.ready(0) && site.ready(1) })
+	flows := site.open(webFront, 100)
+	for range 20 {
+		_, err := site.caller.Open(netip.MustParseAddrPort("198.18.0.9:9"))
+		is.True(errors.Is(err, platformsim.ErrReset))
+	}
+	site.useAll(flows)
+	site.check()
+}
