--- a/internal/lab/platformsim/host.go
+++ b/internal/lab/platformsim/host.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // identityBytes stand before a packet for a host: which host is meant.
@@ -39,6 +40,7 @@
 	socket   *net.UDPConn
 	reply    uint16
 	answers  atomic.Bool // false: it has fallen silent
+	cold     time.Time   // until then it takes coldAnswer for each packet
 
 	mutex  sync.Mutex
 	flows  map[flowKey]*hostFlow
@@ -66,6 +68,13 @@
 	return host, nil
 }
 
+// coldAnswer is what a host that has just started takes for each packet.
+const coldAnswer = 5 * time.Millisecond
+
+// StartCold has the host be slow for a while from now on. It must be called
+// before packets come.
+func (host *Host) StartCold(duration time.Duration) { host.cold = time.Now().Add(duration) }
+
 // Address is where the host takes packets.
 func (host *Host) Address() netip.AddrPort { return host.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
 
@@ -101,6 +110,9 @@
 		if err != nil {
 			return
 		}
+		if time.Now().Before(host.cold) {
+			time.Sleep(coldAnswer)
+		}
 		if size >= identityBytes && host.answers.Load() {
 			host.take(binary.BigEndian.Uint64(buffer), buffer[identityBytes:size])
 		}
--- a/internal/lab/platformsim/store.go
+++ b/internal/lab/platformsim/store.go
@@ -21,6 +21,7 @@
 	FaultSilent    Fault = "silent"    // no answer
 	FaultReset     Fault = "reset"     // the connection is broken off
 	FaultThrottled Fault = "throttled" // 429 to every call
+	FaultSlow      Fault = "slow"      // answers take slowAnswer longer
 )
 
 // Item is one entry, or, in a watch, the news of its removal.
@@ -32,6 +33,9 @@
 	Gone     bool   `json:"gone,omitempty"`
 }
 
+// slowAnswer is what FaultSlow adds to every answer.
+const slowAnswer = 300 * time.Millisecond
+
 // pageSize is how many items one answer holds.
 const pageSize = 4
 
@@ -146,6 +150,9 @@
 			panic(http.ErrAbortHandler)
 		case FaultSilent:
 			<-request.Context().Done()
+		case FaultSlow:
+			time.Sleep(slowAnswer)
+			answer(response, request)
 		default:
 			answer(response, request)
 		}
--- a/internal/lab/runs/platform.go
+++ b/internal/lab/runs/platform.go
@@ -116,6 +116,7 @@
 			return err
 		}
 		world.hosts = append(world.hosts, host)
+		host.StartCold(platformPhase)
 		host.Announce(world.store, "ready")
 	}
 	world.configure(1)
@@ -202,7 +203,7 @@
 	for ctx.Err() == nil {
 		flow, err := world.caller.Open(platformFront)
 		if err != nil {
-			world.counts.notOpened.Add(1)
+			world.counts.notOpened.Add(1) // and tried again from another port
 			continue
 		}
 		world.counts.opened.Add(1)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -39,6 +39,7 @@
 	EventDropped          Event = "dropped"
 	EventBackendSilent    Event = "backend_silent"
 	EventBackendAnswers   Event = "backend_answers"
+	EventMalformed        Event = "malformed_packets"
 	EventReloaded         Event = "reloaded"
 	EventReloadFailed     Event = "reload_failed"
 	EventReloadIgnored    Event = "reload_ignored"
@@ -51,7 +52,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -164,6 +164,7 @@
 	node.background.Go(func() { node.tickUntil(running) })
 	node.background.Go(func() { node.reloadUntil(running) })
 	node.background.Go(func() { node.joinSeeds(running) })
+	node.background.Go(func() { node.reportMalformed(running) })
 	select {
 	case <-node.stopping:
 	case <-ctx.Done():
@@ -218,6 +219,38 @@
 	}
 }
 
+// malformedInterval is the time between log lines about malformed packets.
+const malformedInterval = 10 * time.Second
+
+// reportMalformed logs now and then how many malformed packets have come, until ctx ends.
+func (node *Node) reportMalformed(ctx context.Context) {
+	ticker := time.NewTicker(malformedInterval)
+	defer ticker.Stop()
+	reported := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if count := malformed(node.plane.Counters()); count > reported {
+			node.logger.Warn().
+				Str(logging.FieldEvent, string(logging.EventMalformed)).
+				Uint64("count", count-reported).
+				Send()
+			reported = count
+		}
+	}
+}
+
+func malformed(counters dataplane.Counters) uint64 {
+	sum := uint64(0)
+	for _, count := range counters.Malformed {
+		sum += count
+	}
+	return sum
+}
+
 // Times between attempts to reach the seeds.
 const (
 	seedInterval       = 500 * time.Millisecond
--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -353,7 +353,7 @@
 
 func TestStoreOutage(t *testing.T) {
 	for _, fault := range []platformsim.Fault{
-		platformsim.FaultBusy, platformsim.FaultSilent, platformsim.FaultReset, platformsim.FaultThrottled,
+		platformsim.FaultBusy, platformsim.FaultSilent, platformsim.FaultReset, platformsim.FaultThrottled, platformsim.FaultSlow,
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			site := newSite(t, 3)
