Shorten the longest functions of the follower and the store client

Cause: setPeers and list did several things each; the engine's file held its log lines. Behaviour as before otherwise.

--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -20,40 +21,40 @@
 func (core *Core) setPeers(peers []Peer) {
 	core.peers = core.peers[:0]
 	core.ranked = nil
-	core.heads = nil
-	core.rank = 0
-	zones := make(map[lb.Zone]Peer)
-	self := rendezvous.Candidate{ID: core.settings.Self, Hash: core.settings.Self.Hash()}
-	stays := false
 	for _, peer := range peers {
-		if peer.ID == core.settings.Self {
-			stays = true
-			core.ranked = append(core.ranked, peer)
-			continue
+		if peer.ID != core.settings.Self {
+			core.peers = append(core.peers, peer)
 		}
-		core.peers = append(core.peers, peer)
-		candidate := candidateOf(&peer)
 		if peer.Zone == core.settings.Zone {
 			core.ranked = append(core.ranked, peer)
-			if rendezvous.Before(readerKey, &candidate, &self) {
-				core.rank++
-			}
-			continue
-		}
-		head, found := zones[peer.Zone]
-		headCandidate := candidateOf(&head)
-		if !found || rendezvous.Before(readerKey, &candidate, &headCandidate) {
-			zones[peer.Zone] = peer
 		}
 	}
-	if !stays {
-		core.rank = len(core.ranked) // others read first while this node leaves
-	}
 	slices.SortFunc(core.ranked, compareRank)
-	for _, head := range zones {
-		core.heads = append(core.heads, head)
+	core.rank = core.position(core.settings.Self)
+	if core.rank < 0 {
+		core.rank = len(core.ranked) // this node leaves: others read first
+	}
+	core.setHeads()
+}
+
+// position is the place of a node of the own zone by rank; -1: it is not there.
+func (core *Core) position(id lb.NodeID) int {
+	return slices.IndexFunc(core.ranked, func(peer Peer) bool { return peer.ID == id })
+}
+
+// setHeads finds the first node of each other zone.
+func (core *Core) setHeads() {
+	first := make(map[lb.Zone]Peer)
+	for _, peer := range core.peers {
+		head, found := first[peer.Zone]
+		if !found || compareRank(peer, head) < 0 {
+			first[peer.Zone] = peer
+		}
 	}
-	slices.SortFunc(core.heads, func(left, right Peer) int { return left.Control.Compare(right.Control) })
+	delete(first, core.settings.Zone)
+	core.heads = slices.SortedFunc(maps.Values(first), func(left, right Peer) int {
+		return left.Control.Compare(right.Control)
+	})
 }
 
 func compareRank(left, right Peer) int {
@@ -108,8 +109,8 @@
 // the zone has. Nodes whose views of the zone differ may leave somebody out;
 // that one reads by itself or asks after the next digest.
 func (core *Core) children(origin lb.NodeID) []Peer {
-	position := slices.IndexFunc(core.ranked, func(peer Peer) bool { return peer.ID == core.settings.Self })
-	root := slices.IndexFunc(core.ranked, func(peer Peer) bool { return peer.ID == origin })
+	position := core.position(core.settings.Self)
+	root := core.position(origin)
 	count := len(core.ranked)
 	if position < 0 || root < 0 {
 		return nil
--- /dev/null
+++ b/internal/tokennode/enginelog.go
@@ -0,0 +1,74 @@
+package tokennode
+
+import (
+	"strconv"
+
+	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/logging"
+)
+
+// logView logs that the view has changed, by word of the source.
+func (engine *engine) logView(source string) {
+	replica := engine.follower.Replica()
+	event := engine.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventViewChanged)).
+		Str(logging.FieldSource, source).
+		Int64(logging.FieldRevision, replica.Revision()).
+		Uint64(logging.FieldVersion, replica.Version())
+	if engine.table != nil {
+		frontends, ready := engine.table.Counts()
+		event = event.Int("frontends", frontends).Int("ready_backends", ready)
+	}
+	event.Send()
+}
+
+// logBackends logs back ends that have fallen silent or answer again.
+func (engine *engine) logBackends() {
+	for _, change := range engine.coreEffects.Backends {
+		event := logging.EventBackendAnswers
+		if change.Silent {
+			event = logging.EventBackendSilent
+		}
+		engine.logger.Info().
+			Str(logging.FieldEvent, string(event)).
+			Str(logging.FieldBackend, strconv.FormatUint(uint64(change.Identity), 16)).
+			Int(logging.FieldMissing, change.Missing).
+			Send()
+	}
+}
+
+// noteCall counts a call to the store and logs when the store is lost and regained.
+func (engine *engine) noteCall(result *follower.ReadResult) {
+	engine.calls.count(result)
+	up := result.Failure == follower.FailureNone || result.Failure == follower.FailureCompacted
+	if result.Listing != nil {
+		for _, rejected := range result.Listing.Rejected {
+			engine.logRejected(rejected.Key, rejected.Error)
+		}
+	}
+	if result.Changes != nil {
+		for _, rejected := range result.Changes.Rejected {
+			engine.logRejected(rejected.Key, rejected.Error)
+		}
+	}
+	if up == engine.calls.up {
+		return
+	}
+	engine.calls.up = up
+	event := logging.EventStoreUp
+	if !up {
+		event = logging.EventStoreDown
+	}
+	engine.logger.Warn().
+		Str(logging.FieldEvent, string(event)).
+		Str(logging.FieldFailure, string(result.Failure)).
+		Send()
+}
+
+func (engine *engine) logRejected(key string, err error) {
+	engine.calls.rejected++
+	engine.logger.Warn().Err(err).
+		Str(logging.FieldEvent, string(logging.EventDocumentRejected)).
+		Str(logging.FieldKey, key).
+		Send()
+}
