Drop what the token path carried and did not use

Cause: the view held how long a back end is cold, when it was seen and the idle time of the configuration, and hosts an index; nothing read them. Change: removed.

--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -24,8 +24,6 @@
 // Host is one back end in a table.
 type Host struct {
 	view.Backend
-	// Index is the host's place in the table's Hosts.
-	Index int
 	// hash is this host's part of its tokens.
 	hash uint32
 	// rank is the key of the host in rendezvous hashing.
@@ -122,7 +120,6 @@
 // since their tokens could not be told apart.
 func (table *Table) addHost(known *view.Known, now time.Duration) {
 	host := newHost(&known.Backend)
-	host.Index = len(table.hosts)
 	table.hosts = append(table.hosts, host)
 	if table.byHash[host.hash] != nil {
 		return
--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -30,7 +30,6 @@
 	// Version and ConfigurationRevision are those of the configuration; zero: there is none.
 	Version               uint64         `json:"version"`
 	ConfigurationRevision int64          `json:"configuration_revision"`
-	IdleMillis            int64          `json:"idle_ms,omitempty"`
 	Routes                []RouteEntry   `json:"routes,omitempty"`
 	Backends              []BackendEntry `json:"backends,omitempty"`
 }
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -23,7 +23,6 @@
 	pruned                int64
 	version               uint64
 	configurationRevision int64
-	idleTimeout           time.Duration
 	routes                map[lb.Frontend]*RouteEntry
 	backends              map[lb.BackendName]*backendEntry
 }
@@ -31,7 +30,6 @@
 type backendEntry struct {
 	BackendEntry
 	goneAt time.Duration
-	seenAt time.Duration // when this entry was taken in
 }
 
 // NewReplica gives a replica that knows nothing.
@@ -51,9 +49,6 @@
 // Version is that of the configuration; 0: there is none.
 func (replica *Replica) Version() uint64 { return replica.version }
 
-// IdleTimeout is that of the configuration; 0: not said.
-func (replica *Replica) IdleTimeout() time.Duration { return replica.idleTimeout }
-
 // Configured tells whether a configuration is known.
 func (replica *Replica) Configured() bool { return replica.configurationRevision > 0 }
 
@@ -76,7 +71,7 @@
 	for index := range listing.Backends {
 		stored := &listing.Backends[index]
 		listed[stored.Backend.Name] = true
-		replica.setBackend(now, stored.Revision, &stored.Backend)
+		replica.setBackend(stored.Revision, &stored.Backend)
 	}
 	for _, rejected := range listing.Rejected {
 		listed[lb.BackendName(rejected.Key)] = true
@@ -107,7 +102,7 @@
 		case change.Configuration != nil:
 			replica.setConfiguration(change.Revision, change.Configuration)
 		case change.Backend != nil:
-			replica.setBackend(now, change.Revision, change.Backend)
+			replica.setBackend(change.Revision, change.Backend)
 		default:
 			replica.removeBackend(now, change.Revision, change.Gone)
 		}
@@ -122,7 +117,6 @@
 	}
 	replica.configurationRevision = revision
 	replica.version = configuration.Version
-	replica.idleTimeout = configuration.IdleTimeout
 	replica.changed = max(replica.changed, revision)
 	present := make(map[lb.Frontend]bool, len(configuration.Routes))
 	for index := range configuration.Routes {
@@ -149,14 +143,13 @@
 	replica.routes[route.Frontend] = &RouteEntry{Revision: revision, Route: *route}
 }
 
-func (replica *Replica) setBackend(now time.Duration, revision int64, backend *Backend) {
+func (replica *Replica) setBackend(revision int64, backend *Backend) {
 	known := replica.backends[backend.Name]
 	if known != nil && known.Revision >= revision {
 		return
 	}
 	replica.backends[backend.Name] = &backendEntry{
 		BackendEntry: BackendEntry{Revision: revision, Backend: *backend},
-		seenAt:       now,
 	}
 	replica.changed = max(replica.changed, revision)
 }
@@ -217,7 +210,6 @@
 		Revision:              replica.revision,
 		Version:               replica.version,
 		ConfigurationRevision: replica.configurationRevision,
-		IdleMillis:            replica.idleTimeout.Milliseconds(),
 	}
 	for _, entry := range replica.routes {
 		if entry.Revision > after && (after > 0 || !entry.Gone) {
@@ -269,7 +261,6 @@
 	}
 	replica.configurationRevision = delta.ConfigurationRevision
 	replica.version = delta.Version
-	replica.idleTimeout = time.Duration(delta.IdleMillis) * time.Millisecond
 	replica.changed = max(replica.changed, delta.ConfigurationRevision)
 	told := make(map[lb.Frontend]bool, len(delta.Routes))
 	for index := range delta.Routes {
@@ -301,7 +292,6 @@
 		replica.backends[name] = &backendEntry{
 			BackendEntry: BackendEntry{Revision: entry.Revision, Gone: entry.Gone, Backend: entry.Backend},
 			goneAt:       now - time.Duration(entry.GoneMillis)*time.Millisecond,
-			seenAt:       now,
 		}
 		replica.changed = max(replica.changed, entry.Revision)
 	}
@@ -333,7 +323,6 @@
 	// Gone: it has no entry any more. GoneAt is when that was learned.
 	Gone   bool
 	GoneAt time.Duration
-	SeenAt time.Duration // when its last entry was learned
 }
 
 // Backends gives all back ends that are known, those that have gone included, by name.
@@ -341,7 +330,7 @@
 	known := make([]Known, 0, len(replica.backends))
 	for _, entry := range replica.backends {
 		known = append(known, Known{
-			Backend: entry.Backend, Gone: entry.Gone, GoneAt: entry.goneAt, SeenAt: entry.seenAt,
+			Backend: entry.Backend, Gone: entry.Gone, GoneAt: entry.goneAt,
 		})
 	}
 	slices.SortFunc(known, func(left, right Known) int {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -7,7 +7,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
 )
@@ -27,8 +26,6 @@
 	Created int64 `json:"created"`
 	// Slots is how many requests the back end works on at once; 0: it does not say.
 	Slots int `json:"slots,omitempty"`
-	// ColdMillis is how long the back end is slow, from the write of the entry.
-	ColdMillis int64 `json:"cold_ms,omitempty"`
 }
 
 // Target is one part of a split: a service and its weight in the sum of all.
@@ -45,9 +42,8 @@
 
 // Configuration is what the operator has put in force.
 type Configuration struct {
-	Version     uint64
-	IdleTimeout time.Duration // after which a resting flow may be forgotten; 0: not said
-	Routes      []Route
+	Version uint64
+	Routes  []Route
 }
 
 // StoredBackend is a back end with the revision of its entry.
