Say once how a packet is dropped or refused, and how a zone is told

Change: Decision.drop and Decision.refuse, follower spread, metrics.Describe; hosts of factor 0 are passed over. Behaviour as before, no test changed.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -100,6 +100,17 @@
 	Identity uint64
 }
 
+func (decision *Decision) drop(reason Reason) {
+	decision.Action = ActionDrop
+	decision.Reason = reason
+}
+
+func (decision *Decision) refuse(reason Reason, refusal lb.Refusal) {
+	decision.Action = ActionRefuse
+	decision.Reason = reason
+	decision.Refusal = refusal
+}
+
 // Outgoing is a message to a peer.
 type Outgoing struct {
 	To      lb.NodeID
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -83,10 +83,7 @@
 
 func (current *turn) opening() bool { return current.packet.Kind == PacketOpening }
 
-func (current *turn) drop(reason Reason) {
-	current.decision.Action = ActionDrop
-	current.decision.Reason = reason
-}
+func (current *turn) drop(reason Reason) { current.decision.drop(reason) }
 
 // relay sends the packet on to another balancer.
 func (current *turn) relay(peer *node, relay lb.Relay) {
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -8,9 +8,7 @@
 
 // refuse answers the caller at once, with a verdict and the time to come back.
 func (current *turn) refuse(verdict lb.Verdict, reason Reason) {
-	current.decision.Action = ActionRefuse
-	current.decision.Reason = reason
-	current.decision.Refusal = lb.Refusal{Verdict: verdict, RetryAfter: current.retryAfter()}
+	current.decision.refuse(reason, lb.Refusal{Verdict: verdict, RetryAfter: current.retryAfter()})
 }
 
 // retryAfter is when the caller should come back.
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -43,9 +43,9 @@
 func (affinity *tokenAffinity) packet(packet *Packet, decision *Decision) {
 	switch {
 	case affinity.core.now < affinity.core.discardUntil:
-		drop(decision, ReasonPaused)
+		decision.drop(ReasonPaused)
 	case affinity.table == nil:
-		drop(decision, ReasonNoView)
+		decision.drop(ReasonNoView)
 	case packet.Kind == PacketOpening:
 		affinity.open(packet, decision)
 	default:
@@ -92,7 +92,7 @@
 	frontend := packet.Key.Frontend()
 	host := affinity.table.Resolve(&frontend, packet.Token)
 	if host == nil {
-		drop(decision, ReasonUnknownToken)
+		decision.drop(ReasonUnknownToken)
 		return
 	}
 	forwardTo(decision, host)
@@ -108,11 +108,6 @@
 	decision.Identity = host.Identity
 }
 
-func drop(decision *Decision, reason Reason) {
-	decision.Action = ActionDrop
-	decision.Reason = reason
-}
-
 // refuse answers an opening at once. An earlier copy may have been forwarded
 // by another node, so that only the first copy is known not to have run.
 func (affinity *tokenAffinity) refuse(packet *Packet, decision *Decision, flow lb.FlowID, reason Reason) {
@@ -120,12 +115,8 @@
 	if packet.Copies > 0 {
 		verdict = lb.MayHaveRun
 	}
-	decision.Action = ActionRefuse
-	decision.Reason = reason
-	decision.Refusal = lb.Refusal{
-		Verdict:    verdict,
-		RetryAfter: spreadRetry(affinity.core.settings.RetryAfter, flow, packet.OpeningID),
-	}
+	retryAfter := spreadRetry(affinity.core.settings.RetryAfter, flow, packet.OpeningID)
+	decision.refuse(reason, lb.Refusal{Verdict: verdict, RetryAfter: retryAfter})
 }
 
 // spreadRetry spreads callers evenly over [base, 2 × base) by the hash of their
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -78,18 +78,21 @@
 // sendDigest tells the zone, and the first nodes of the others, how new the view is.
 func (core *Core) sendDigest(effects *Effects) {
 	core.nextDigest = core.now + core.settings.DigestInterval
-	digest := core.digest()
-	core.send(digest, core.heads, effects)
-	digest.Origin = core.settings.Self
-	core.send(digest, core.children(core.settings.Self), effects)
+	core.spread(effects, func(origin lb.NodeID) message.Message {
+		return message.ViewDigest{
+			Revision:  core.replica.Revision(),
+			Changed:   core.replica.Changed(),
+			AgeMillis: core.age().Milliseconds(),
+			Origin:    origin,
+		}
+	})
 }
 
-func (core *Core) digest() message.ViewDigest {
-	return message.ViewDigest{
-		Revision:  core.replica.Revision(),
-		Changed:   core.replica.Changed(),
-		AgeMillis: core.age().Milliseconds(),
-	}
+// spread tells the first nodes of the other zones, which do not pass it on, and
+// the own zone, through the tree of which this node is the root.
+func (core *Core) spread(effects *Effects, told func(origin lb.NodeID) message.Message) {
+	core.send(told(""), core.heads, effects)
+	core.send(told(core.settings.Self), core.children(core.settings.Self), effects)
 }
 
 func (core *Core) send(told message.Message, peers []Peer, effects *Effects) {
@@ -128,10 +131,11 @@
 	if after == 0 {
 		return // this node has just started; others know it already
 	}
-	told := core.delta(after)
-	core.send(told, core.heads, effects)
-	told.Origin = core.settings.Self
-	core.send(told, core.children(core.settings.Self), effects)
+	delta := core.delta(after)
+	core.spread(effects, func(origin lb.NodeID) message.Message {
+		delta.Origin = origin
+		return delta
+	})
 }
 
 func (core *Core) delta(after int64) message.ViewDelta {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -20,6 +20,13 @@
 	return &Metric{Name: full, Description: prometheus.NewDesc(full, help, labels, nil), kind: kind}
 }
 
+// Describe gives the descriptions of metrics, as a collector does.
+func Describe(metrics []*Metric, descriptions chan<- *prometheus.Desc) {
+	for _, metric := range metrics {
+		descriptions <- metric.Description
+	}
+}
+
 // Sampler writes samples of metrics.
 type Sampler struct{ Samples chan<- prometheus.Metric }
 
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -18,7 +18,7 @@
 )
 
 // Token is what a packet carries to name its back end. It holds for one front
-// end only. Zero is no token.
+// end only. Zero, as in a packet that was given none, names a host by chance only.
 type Token uint32
 
 // Host is one back end in a table.
@@ -220,8 +220,8 @@
 }
 
 // first ranks by -ln(u)/weight, lowest first, with u uniform in (0,1) by hash
-// (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). A
-// host of factor 0 comes only when there is no other.
+// (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). Hosts
+// of factor 0 are passed over.
 func first(candidates []*Host, flow lb.FlowID, factor func(*Host) float64) *Host {
 	var best *Host
 	bestCost := math.Inf(1)
@@ -230,10 +230,10 @@
 		if factor != nil {
 			weight *= factor(host)
 		}
-		cost := math.MaxFloat64
-		if weight > 0 {
-			cost = -math.Log(uniform(rendezvous.Mix(uint64(flow)^host.rank))) / weight
+		if weight == 0 {
+			continue
 		}
+		cost := -math.Log(uniform(rendezvous.Mix(uint64(flow)^host.rank))) / weight
 		if cost < bestCost {
 			best, bestCost = host, cost
 		}
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -78,9 +78,7 @@
 
 // Describe gives the descriptions of all metrics.
 func (collector collector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, metric := range allMetrics {
-		descriptions <- metric.Description
-	}
+	metrics.Describe(allMetrics, descriptions)
 }
 
 // Collect gives the present values of all metrics.
