--- /dev/null
+++ b/internal/availability/availability_test.go
@@ -0,0 +1,99 @@
+package availability_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/availability"
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// zoneOf gives a zone of which the named nodes are known to serve.
+func zoneOf(self lb.NodeID, ids ...lb.NodeID) *availability.Zone {
+	zone := availability.New(availability.DefaultSettings(self))
+	zone.Update(0, serving(ids...))
+	return zone
+}
+
+func serving(ids ...lb.NodeID) []availability.Member {
+	var members []availability.Member
+	for _, id := range ids {
+		members = append(members, availability.Member{ID: id})
+	}
+	return members
+}
+
+func leaving(ids ...lb.NodeID) []availability.Member {
+	members := serving(ids...)
+	for index := range members {
+		members[index].Leaving = true
+	}
+	return members
+}
+
+func TestStopAloneGoesAtOnce(t *testing.T) {
+	for _, others := range [][]lb.NodeID{nil, {"b"}, {"b", "c"}, {"b", "c", "d", "e"}} {
+		is := is.New(t)
+		zone := zoneOf("a", others...)
+		zone.Stop(time.Second)
+		is.True(zone.CanSpare(time.Second))
+	}
+}
+
+// TestSecondStopOfThreeWaits: b is told to stop while a still is; b goes when
+// a is back and routers have found it ready.
+func TestSecondStopOfThreeWaits(t *testing.T) {
+	is := is.New(t)
+	zone := zoneOf("b", "a", "c")
+	zone.Update(time.Second, append(serving("c"), leaving("a")...))
+	zone.Stop(2 * time.Second)
+	is.True(!zone.CanSpare(2 * time.Second))
+	zone.Update(3*time.Second, serving("c")) // a has ended
+	is.True(!zone.CanSpare(3 * time.Second))
+	zone.Update(4*time.Second, serving("a", "c"))
+	is.True(!zone.CanSpare(4 * time.Second)) // routers do not know yet
+	is.True(zone.CanSpare(4600 * time.Millisecond))
+}
+
+// TestFirstStopDoesNotWaitForLaterOnes: else two nodes would wait for each other.
+func TestFirstStopDoesNotWaitForLaterOnes(t *testing.T) {
+	is := is.New(t)
+	zone := zoneOf("a", "b", "c")
+	zone.Stop(time.Second)
+	zone.Update(1100*time.Millisecond, leaving("b", "c"))
+	is.True(zone.CanSpare(1200 * time.Millisecond))
+}
+
+// TestLargeZoneSparesSeveral: half of the nodes may be out.
+func TestLargeZoneSparesSeveral(t *testing.T) {
+	is := is.New(t)
+	zone := zoneOf("a", "b", "c", "d", "e", "f")
+	zone.Update(time.Second, append(serving("d", "e", "f"), leaving("b", "c")...))
+	zone.Stop(2 * time.Second)
+	is.True(zone.CanSpare(2 * time.Second)) // 3 of 6 stay
+	zone = zoneOf("a", "b", "c", "d", "e")
+	zone.Update(time.Second, append(serving("d", "e"), leaving("b", "c")...))
+	zone.Stop(2 * time.Second)
+	is.True(!zone.CanSpare(2 * time.Second)) // 2 of 5 would stay
+}
+
+// TestNodeThatNeverReturnsIsForgotten: a machine taken away counts for a while only.
+func TestNodeThatNeverReturnsIsForgotten(t *testing.T) {
+	is := is.New(t)
+	zone := zoneOf("b", "a", "c")
+	zone.Update(time.Second, serving("c"))
+	zone.Stop(2 * time.Second)
+	is.True(!zone.CanSpare(2 * time.Second))
+	is.True(zone.CanSpare(9100 * time.Millisecond))
+}
+
+// TestLastNodesOfAZoneDoNotWait: when none is left in, routers use other zones.
+func TestLastNodesOfAZoneDoNotWait(t *testing.T) {
+	is := is.New(t)
+	zone := zoneOf("b", "a")
+	zone.Update(time.Second, leaving("a"))
+	zone.Stop(2 * time.Second)
+	is.True(zone.CanSpare(2 * time.Second))
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,6 +19,7 @@
 	EventStarting         Event = "starting"
 	EventReady            Event = "ready"
 	EventStopping         Event = "stopping"
+	EventNotReady         Event = "not_ready"
 	EventHandedOver       Event = "handed_over"
 	EventStopped          Event = "stopped"
 	EventStoppedAtOnce    Event = "stopped_at_once"
@@ -48,7 +49,7 @@
 // Events lists every log event.
 func Events() []Event {
 	return []Event{
-		EventStarting, EventReady, EventStopping, EventHandedOver, EventStopped,
+		EventStarting, EventReady, EventStopping, EventNotReady, EventHandedOver, EventStopped,
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
--- a/internal/tokennode/admin.go
+++ b/internal/tokennode/admin.go
@@ -29,9 +29,9 @@
 }
 
 // serveReady answers 200 when the node may be sent packets. Before it has a
-// view, and from the beginning of its planned stop, it answers 503.
+// view, and in a planned stop once the zone can spare it, it answers 503.
 func (node *Node) serveReady(response http.ResponseWriter, _ *http.Request) {
-	if node.isStopping() {
+	if node.unready.Load() {
 		http.Error(response, "stopping", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"robinpulley.example/robinpulley/internal/availability"
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/follower"
@@ -43,7 +44,9 @@
 	follower        *follower.Core
 	followerEffects follower.Effects
 	table           *steering.Table // nil: no view yet
-	others          int             // living members besides this node
+	zone            *availability.Zone
+	others          int // living members besides this node
+	leaving         int // living members in a planned stop, this one included
 	calls           callCounts
 	decisions       decisionLog
 	decisionTime    times
@@ -81,6 +84,7 @@
 		core:      core.New(deciding),
 		member:    membership,
 		follower:  follower.New(following),
+		zone:      availability.New(availability.DefaultSettings(settings.Node)),
 		calls:     newCallCounts(),
 		decisions: newDecisionLog(logger),
 	}, nil
@@ -174,7 +178,17 @@
 
 // leave announces the planned stop; end says that this node ends now.
 func (engine *engine) leave() {
-	engine.input(func() { engine.memberStep(&member.Event{Leave: true}) })
+	engine.input(func() {
+		engine.zone.Stop(engine.now())
+		engine.memberStep(&member.Event{Leave: true})
+	})
+}
+
+// canSpare tells whether the zone can do without this node now.
+func (engine *engine) canSpare() bool {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.zone.CanSpare(engine.now())
 }
 
 func (engine *engine) end() {
@@ -198,12 +212,18 @@
 func (engine *engine) peers() []follower.Peer {
 	members := engine.member.Members(nil)
 	peers := make([]follower.Peer, 0, len(members))
+	var zone []availability.Member
 	for _, entry := range members {
+		if entry.Zone == engine.settings.Zone {
+			zone = append(zone, availability.Member{ID: entry.ID, Leaving: entry.Leaving})
+		}
 		if !entry.Leaving {
 			peers = append(peers, follower.Peer{ID: entry.ID, Zone: entry.Zone, Control: entry.Control})
 		}
 	}
+	engine.zone.Update(engine.last, zone)
 	engine.others = len(members) - 1
+	engine.leaving = len(members) - len(peers)
 	engine.logger.Info().
 		Str(logging.FieldEvent, string(logging.EventMemberChanged)).
 		Int("alive", len(members)).
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -49,6 +49,8 @@
 		"Place of this node among those of its zone that may read the store; 0 reads.")
 	metricMembers = metrics.New(prometheus.GaugeValue, "members_alive",
 		"Living balancers known, this one included.")
+	metricLeaving = metrics.New(prometheus.GaugeValue, "members_leaving",
+		"Living balancers known that are in a planned stop, this one included.")
 	metricReady = metrics.New(prometheus.GaugeValue, "ready",
 		"1 while this node may be sent packets.")
 	metricReceived = metrics.New(prometheus.CounterValue, "received_packets_total",
@@ -68,7 +70,7 @@
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricRank, metricMembers, metricReady, metricReceived, metricSent, metricMalformed,
+	metricRank, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime,
 }
 
@@ -116,6 +118,7 @@
 	output.Count(metricVersion, state.version)
 	output.Add(metricRank, float64(state.rank))
 	output.Add(metricMembers, float64(state.members))
+	output.Add(metricLeaving, float64(state.leaving))
 	output.histogram(metricDecisionTime, state.decisionTime)
 	output.histogram(metricCallTime, state.callTime)
 }
@@ -138,7 +141,7 @@
 }
 
 func readyValue(node *Node) float64 {
-	if ready, _ := node.engine.readiness(); ready && !node.isStopping() {
+	if ready, _ := node.engine.readiness(); ready && !node.unready.Load() {
 		return 1
 	}
 	return 0
@@ -154,6 +157,7 @@
 	age      float64 // seconds
 	rank     int
 	members  int
+	leaving  int
 
 	decisionTime times
 	callTime     times
@@ -170,6 +174,7 @@
 		version:  engine.follower.Replica().Version(),
 		rank:     engine.follower.Rank(),
 		members:  engine.others + 1,
+		leaving:  engine.leaving,
 
 		decisionTime: engine.decisionTime,
 		callTime:     engine.callTime,
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -54,6 +54,7 @@
 	// settings are those in force: Options.Settings, or what was read again since.
 	settings   atomic.Pointer[config.Settings]
 	stopping   chan struct{} // closed when the planned stop begins
+	unready    atomic.Bool   // routers are told not to send packets here any more
 	stopOnce   sync.Once
 	reload     chan struct{} // has one element after a request
 	background sync.WaitGroup
--- a/internal/tokennode/stop.go
+++ b/internal/tokennode/stop.go
@@ -14,6 +14,8 @@
 	// leaveTime is what the routers need at least to notice that this node is
 	// not ready any more.
 	leaveTime = time.Second
+	// quietTime is what callers may go on for after that, with copies and resends.
+	quietTime = 1500 * time.Millisecond
 	// endMargin is left of timings.drain_limit when the node ends.
 	endMargin = 500 * time.Millisecond
 	// endLinger lets the last messages to peers go.
@@ -26,54 +28,67 @@
 	stoppedByLimit = "drain_limit" // timings.drain_limit has passed
 )
 
-// stopAsPlanned makes this node not ready, serves on until the routers no
-// longer send to it, and ends.
+// stopAsPlanned stays ready until the zone can spare this node, makes it not
+// ready, serves on until the routers no longer send to it, and ends.
 func (node *Node) stopAsPlanned(ctx context.Context) error {
 	node.logEvent(logging.EventStopping)
 	node.engine.leave()
 	begun := time.Now()
 	timings := &node.settings.Load().Timings
+	limit := timings.DrainLimit - endMargin
+	waitLimit := limit - leaveTime - quietTime
+	err := node.poll(ctx, func() bool { return time.Since(begun) >= waitLimit || node.engine.canSpare() })
+	if err != nil {
+		return err
+	}
+	node.unready.Store(true)
+	node.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventNotReady)).
+		Int64(logging.FieldDuration, time.Since(begun).Milliseconds()).
+		Send()
+	reason := stoppedByLimit
+	notReady := time.Now()
+	quietSince := notReady
+	packets := node.plane.Counters().Received
+	err = node.poll(ctx, func() bool {
+		if now := node.plane.Counters().Received; now != packets {
+			packets = now
+			quietSince = time.Now()
+		}
+		if time.Since(notReady) >= leaveTime && time.Since(quietSince) >= timings.DrainGrace {
+			reason = stoppedQuiet
+			return true
+		}
+		return time.Since(begun) >= limit
+	})
+	if err != nil {
+		return err
+	}
+	node.endPlanned(reason)
+	return nil
+}
+
+// poll waits until the condition holds, looked at now and then.
+func (node *Node) poll(ctx context.Context, holds func() bool) error {
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	quietSince := begun
-	packets := node.plane.Counters().Received
-	for {
+	for !holds() {
 		select {
 		case <-ctx.Done():
 			node.logEvent(logging.EventStoppedAtOnce)
 			return ErrStoppedAtOnce
 		case <-ticker.C:
 		}
-		if now := node.plane.Counters().Received; now != packets {
-			packets = now
-			quietSince = time.Now()
-		}
-		if time.Since(begun) >= timings.DrainLimit-endMargin {
-			return node.endPlanned(stoppedByLimit)
-		}
-		if time.Since(begun) >= leaveTime && time.Since(quietSince) >= timings.DrainGrace {
-			return node.endPlanned(stoppedQuiet)
-		}
 	}
+	return nil
 }
 
 // endPlanned tells the others that this node ends.
-func (node *Node) endPlanned(reason string) error {
+func (node *Node) endPlanned(reason string) {
 	node.engine.end()
 	time.Sleep(endLinger)
 	node.logger.Info().
 		Str(logging.FieldEvent, string(logging.EventStopped)).
 		Str(logging.FieldReason, reason).
 		Send()
-	return nil
-}
-
-// isStopping tells whether the planned stop has begun.
-func (node *Node) isStopping() bool {
-	select {
-	case <-node.stopping:
-		return true
-	default:
-		return false
-	}
 }
