--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -157,7 +157,7 @@
 	kind := sent.MessageType()
 	packed := transport.Pack(kind, line)
 	fleet.carried[&packed[0]] = sent
-	if !from.out.Push(transport.Queued{To: address, Type: kind, Class: transport.ClassOf(kind, len(line)), Line: packed}) {
+	if !from.out.Push(transport.Queued{To: address, Type: kind, Class: transport.ClassOf(sent, len(line)), Line: packed}) {
 		delete(fleet.carried, &packed[0])
 	}
 	fleet.flush(from)
--- a/internal/message/view.go
+++ b/internal/message/view.go
@@ -37,6 +37,9 @@
 	Delta     view.Delta `json:"delta"`
 }
 
+// Whole tells whether the delta is a whole view.
+func (delta ViewDelta) Whole() bool { return delta.Delta.After == 0 }
+
 // MessageType implements Message.
 func (ViewDigest) MessageType() Type { return TypeViewDigest }
 
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -196,7 +196,7 @@
 	}
 	kind := sent.MessageType()
 	from.queue.Push(transport.Queued{
-		To: to, Type: kind, Class: transport.ClassOf(kind, len(line)), Line: transport.Pack(kind, line),
+		To: to, Type: kind, Class: transport.ClassOf(sent, len(line)), Line: transport.Pack(kind, line),
 	})
 	run.drain(from)
 }
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -25,7 +25,7 @@
 	FaultEncode        Fault = "encode"         // a message of our own that the codec refuses
 	FaultDecode        Fault = "decode"         // a line that the codec refuses
 	FaultQueueFull     Fault = "queue_full"     // more waiting than the queue holds
-	FaultBudget        Fault = "budget"         // membership or hints beyond the byte budget
+	FaultBudget        Fault = "budget"         // dropped while it waited: the byte budget is spent
 	FaultBlocked       Fault = "blocked"        // cut by the fault tests
 	FaultUnknownSender Fault = "unknown_sender" // beyond the allowance of unknown senders
 	FaultNetwork       Fault = "network"        // the system refused to send, dial or read
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -26,8 +26,9 @@
 	ClassReport
 	// ClassHint only saves hops; it is dropped when bytes are short.
 	ClassHint
-	// ClassBulk is a line longer than BulkLineBytes, as in the snapshot of a
-	// starting node (placements, members); it has a budget of its own.
+	// ClassBulk is a snapshot (members, a whole view), or a line longer than
+	// BulkLineBytes; it has a budget of its own, so that a fleet that starts
+	// holds up no change.
 	ClassBulk
 	classCount
 )
@@ -83,6 +84,8 @@
 	Type  message.Type
 	Class Class
 	Line  []byte // as given by Pack
+	// Until is when the message is dropped if it still waits; zero: never.
+	Until time.Time
 }
 
 // Queue holds the messages of one node until the budget lets them go. It has
@@ -105,25 +108,50 @@
 	}
 }
 
-// ClassOf ranks a message by its type and the size of its line before compression.
-func ClassOf(kind message.Type, lineBytes int) Class {
-	switch kind {
-	case message.TypePing, message.TypePingAck, message.TypePingReq:
+// ClassOf ranks a message by what it says and the size of its line before compression.
+func ClassOf(m message.Message, lineBytes int) Class {
+	switch m := m.(type) {
+	case message.Ping, message.PingAck, message.PingReq:
 		return ClassMember
-	case message.TypePins:
+	case message.Pins:
 		return ClassHint
-	case message.TypeInForce:
+	case message.InForce:
 		return ClassReport
+	case message.Members:
+		return ClassBulk
+	case message.ViewDelta:
+		if m.Whole() {
+			return ClassBulk
+		}
 	}
 	if lineBytes > BulkLineBytes {
 		return ClassBulk
 	}
-	if kind == message.TypePlacements || kind == message.TypeViewDelta {
+	if m.MessageType() == message.TypePlacements {
 		return ClassDocument
 	}
 	return ClassState
 }
 
+// How long messages may wait that say how old the sender's view is: the age is
+// that of when they were made, and a receiver takes what waited for fresher
+// than it is.
+const (
+	digestLifetime = 200 * time.Millisecond // another one follows
+	deltaLifetime  = time.Second            // it is asked for again
+)
+
+// Lifetime is how long a message may wait; zero: as long as it takes.
+func Lifetime(m message.Message) time.Duration {
+	switch m.(type) {
+	case message.ViewDigest:
+		return digestLifetime
+	case message.ViewDelta, message.ViewWant:
+		return deltaLifetime
+	}
+	return 0
+}
+
 // Push adds a message. When its class is full the message is dropped, counted, and false given.
 func (queue *Queue) Push(item Queued) bool {
 	if len(queue.waiting[item.Class]) >= queue.budget.QueueLength {
@@ -182,6 +210,7 @@
 }
 
 func (queue *Queue) popWaiting(now time.Time, class Class, limiter *rate.Limiter) (Queued, bool, time.Duration) {
+	queue.dropExpired(now, class)
 	if len(queue.waiting[class]) == 0 {
 		return Queued{}, false, 0
 	}
@@ -194,6 +223,18 @@
 	return Queued{}, false, max(time.Millisecond, time.Duration(seconds*float64(time.Second)))
 }
 
+// dropExpired drops what has waited for too long at the head of a class.
+func (queue *Queue) dropExpired(now time.Time, class Class) {
+	for len(queue.waiting[class]) > 0 {
+		until := queue.waiting[class][0].Until
+		if until.IsZero() || now.Before(until) {
+			return
+		}
+		queue.take(class)
+		queue.dropped[class]++
+	}
+}
+
 // popHint drops hints that would eat into the reserve of other classes.
 func (queue *Queue) popHint(now time.Time) (Queued, bool) {
 	reserve := float64(queue.budget.BurstBytes / hintReserveShare)
@@ -217,3 +258,12 @@
 
 // Dropped counts the messages of a class that were never sent.
 func (queue *Queue) Dropped(class Class) uint64 { return queue.dropped[class] }
+
+// droppedInAll counts the messages of all classes that were never sent.
+func (queue *Queue) droppedInAll() uint64 {
+	sum := uint64(0)
+	for _, count := range queue.dropped {
+		sum += count
+	}
+	return sum
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -159,7 +159,10 @@
 		return
 	}
 	kind := outgoing.MessageType()
-	queued := Queued{Type: kind, Class: ClassOf(kind, len(line)), Line: Pack(kind, line)}
+	queued := Queued{Type: kind, Class: ClassOf(outgoing, len(line)), Line: Pack(kind, line)}
+	if lifetime := Lifetime(outgoing); lifetime > 0 {
+		queued.Until = time.Now().Add(lifetime)
+	}
 	for _, to := range peers {
 		queued.To = to
 		transport.push(queued)
@@ -215,9 +218,9 @@
 func (transport *Transport) pop() (Queued, bool, time.Duration) {
 	transport.mutex.Lock()
 	defer transport.mutex.Unlock()
-	before := transport.queue.Dropped(ClassMember) + transport.queue.Dropped(ClassHint)
+	before := transport.queue.droppedInAll()
 	item, ready, wait := transport.queue.Pop(time.Now())
-	after := transport.queue.Dropped(ClassMember) + transport.queue.Dropped(ClassHint)
+	after := transport.queue.droppedInAll()
 	for range after - before {
 		transport.meter.fault(FaultBudget)
 	}
