Answer joins with the member list only where views differ

Cause: every node asked all seeds for the whole membership every 10 s: at 91 nodes 95 KB each time from a seed whose budget is 14 KB/s; and a node that asked again before its whole view had come was sent another one. Change: a join carries the hash of the asker's members; a seed that has the same sends no list. A node that knows others asks one seed in turn by chance, not all. A whole view goes to one asker once a second at the most. Tests: TestJoinThatAgreesCostsNoList failed before; TestWholeViewIsOnItsWay.

--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -430,3 +430,30 @@
 	}
 	is.Equal(answered, wholeAnswers)
 }
+
+// TestWholeViewIsOnItsWay: a node that asks again before the answer can have
+// come is not answered again; later it is.
+func TestWholeViewIsOnItsWay(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 1, 2, 1)
+	seed := fleet.nodes[0]
+	address := netip.MustParseAddrPort("10.9.0.1:7946")
+	var effects Effects
+	wholes := func() int {
+		want := &PeerMessage{From: "asker", Address: address, Message: message.ViewWant{}}
+		seed.core.Step(fleet.now, &Event{Message: want}, &effects)
+		seed.core.Step(fleet.now, &Event{}, &effects)
+		count := 0
+		for _, outgoing := range effects.Messages {
+			if delta, found := outgoing.Message.(message.ViewDelta); found && delta.Whole() {
+				count += len(outgoing.To)
+			}
+		}
+		return count
+	}
+	is.Equal(wholes(), 1)
+	fleet.now += wholeInterval / 2
+	is.Equal(wholes(), 0)
+	fleet.now += wholeInterval / 2
+	is.Equal(wholes(), 1)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -188,6 +188,8 @@
 	heads []Peer
 	// wholes are those that want the whole view.
 	wholes []netip.AddrPort
+	// answeredAt is when they were last sent it, for wholeInterval.
+	answeredAt map[netip.AddrPort]time.Duration
 	// ranked are the nodes of the own zone by rank, self included unless it leaves.
 	ranked []Peer
 
@@ -211,6 +213,8 @@
 		settings: settings,
 		random:   rand.New(rand.NewPCG(settings.Seed, uint64(settings.Self.Hash()))),
 		replica:  view.NewReplica(),
+
+		answeredAt: make(map[netip.AddrPort]time.Duration),
 	}
 }
 
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -219,12 +219,20 @@
 // noteWhole remembers who wants the whole view. They are answered together at
 // the next tick, wholeAnswers of them; the others ask again, elsewhere too. So a
 // start of the whole fleet costs its seeds no more than a few views a second.
+// Who has been answered a short time ago has the answer on the way.
 func (core *Core) noteWhole(address netip.AddrPort) {
+	answeredAt, answered := core.answeredAt[address]
+	if answered && core.now-answeredAt < wholeInterval {
+		return
+	}
 	if len(core.wholes) < wholeAnswers && !slices.Contains(core.wholes, address) {
 		core.wholes = append(core.wholes, address)
 	}
 }
 
+// wholeInterval is the shortest time between two whole views for one node.
+const wholeInterval = time.Second
+
 // wholeAnswers is how many whole views are sent at a tick at the most.
 const wholeAnswers = 8
 
@@ -233,6 +241,10 @@
 		return
 	}
 	effects.Messages = append(effects.Messages, Outgoing{To: core.wholes, Message: core.delta(0)})
+	maps.DeleteFunc(core.answeredAt, func(_ netip.AddrPort, at time.Duration) bool { return core.now-at >= wholeInterval })
+	for _, address := range core.wholes {
+		core.answeredAt[address] = core.now
+	}
 	core.wholes = nil
 }
 
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -189,8 +189,9 @@
 	}
 }
 
-// JoinRequest announces this node to a seed and asks for the whole membership.
-// Its sequence is zero, since no probe waits for an answer.
+// JoinRequest announces this node to a seed and asks for the whole membership,
+// unless the seed takes the same nodes as alive. Its sequence is zero, since no
+// probe waits for an answer.
 func (core *Core) JoinRequest() message.Ping {
 	self := message.MemberUpdate{
 		Node:        core.settings.Self.ID,
@@ -203,6 +204,7 @@
 	return message.Ping{
 		Incarnation: self.Incarnation,
 		Updates:     []message.MemberUpdate{self},
+		View:        core.viewHash,
 		Full:        true,
 	}
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -219,7 +219,8 @@
 	if !ok {
 		return
 	}
-	if ping.Full {
+	agreedJoin := ping.Sequence == 0 && ping.View == core.viewHash
+	if ping.Full && !agreedJoin {
 		core.send(effects, &sender, message.Members{Updates: core.allUpdates()})
 	}
 	if ping.Sequence == 0 {
--- a/internal/member/rules_test.go
+++ b/internal/member/rules_test.go
@@ -103,6 +103,34 @@
 	is.Equal(other.core.Incarnation(), old+1) // nothing to refute
 }
 
+// TestJoinThatAgreesCostsNoList: a member that asks a seed now and then is
+// answered with the whole membership only when the two differ.
+func TestJoinThatAgreesCostsNoList(t *testing.T) {
+	is := is.New(t)
+	fleet := settled(t, 6, 3)
+	seed, asker := fleet.nodes[0], fleet.nodes[1]
+	lists := func() int {
+		fleet.step(seed, &member.Event{Peer: &member.PeerEvent{
+			From: asker.machine.ID, Address: asker.machine.Control, Message: asker.core.JoinRequest(),
+		}})
+		count := 0
+		for _, outgoing := range seed.effects.Messages {
+			if _, found := outgoing.Message.(message.Members); found {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(lists(), 0)
+	fleet.step(asker, &member.Event{Peer: &member.PeerEvent{
+		From: fleet.nodes[2].machine.ID, Address: fleet.nodes[2].machine.Control,
+		Message: message.Ping{Updates: []message.MemberUpdate{{
+			Node: fleet.nodes[3].machine.ID, State: message.MemberDead, Incarnation: fleet.nodes[3].core.Incarnation(),
+		}}},
+	}})
+	is.Equal(lists(), 1)
+}
+
 // TestRumoursKeepToTheirBytes: many nodes restarted at once make much news; the
 // extra messages stay within their rate.
 func TestRumoursKeepToTheirBytes(t *testing.T) {
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -258,16 +261,14 @@
 	joinedSeedInterval = 10 * time.Second // when other members are known
 )
 
-// joinSeeds asks the seeds for their membership until ctx ends: often while
-// this node knows no other member, and later now and then, so that two parts
-// of a fleet that lost each other come together again.
+// joinSeeds asks seeds for their membership until ctx ends: all of them, often,
+// while this node knows no other member, and later one now and then, so that
+// two parts of a fleet that lost each other come together again.
 func (node *Node) joinSeeds(ctx context.Context) {
 	for {
 		request, alone := node.engine.joinRequest()
-		for _, seed := range node.settings.Load().Seeds {
-			if seed != node.options.Settings.ControlAddress {
-				node.transport.Send(seed, request)
-			}
+		for _, seed := range seedsToAsk(node.settings.Load(), alone) {
+			node.transport.Send(seed, request)
 		}
 		interval := joinedSeedInterval
 		if alone {
@@ -281,6 +282,17 @@
 	}
 }
 
+// seedsToAsk gives the seeds besides this node: all, or one of them by chance.
+func seedsToAsk(settings *config.Settings, all bool) []netip.AddrPort {
+	seeds := slices.DeleteFunc(slices.Clone(settings.Seeds), func(seed netip.AddrPort) bool {
+		return seed == settings.ControlAddress
+	})
+	if all || len(seeds) < 2 {
+		return seeds
+	}
+	return []netip.AddrPort{seeds[rand.IntN(len(seeds))]}
+}
+
 func (node *Node) logEvent(event logging.Event) {
 	node.logger.Info().Str(logging.FieldEvent, string(event)).Send()
 }
