Add a randomized fault soak of real balancers on the platform path

The stand-in tells who handled a packet, tells a balancer's reset from a host's, and can lose packets.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets: build, test (all of CI), lint, model, demo, faults, bench.
+# Targets: build, test (all of CI), lint, model, demo, faults, soak, bench.
 GO ?= go
 export CGO_ENABLED ?= 1
 TOOLS := $(CURDIR)/bin
 
-.PHONY: build test unit lint model demo faults bench tools clean
+.PHONY: build test unit lint model demo faults soak bench tools clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -36,6 +36,9 @@
 faults: build
 	bin/robinlab faults
 
+soak: build
+	bin/robinlab soak
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
 
--- a/cmd/robinlab/main.go
+++ b/cmd/robinlab/main.go
@@ -23,6 +23,7 @@
 	Demo     demoCommand     `cmd:"" help:"Run the demo on real processes and print a table."`
 	Platform platformCommand `cmd:"" help:"Run balancers on a stand-in of the users' platform and print a table."`
 	Faults   faultsCommand   `cmd:"" help:"Do fault runs on real processes and print a table."`
+	Soak     soakCommand     `cmd:"" help:"Run balancers on a stand-in of the users' platform under random faults and check what must hold."`
 
 	Experiment labcommand.Experiment `cmd:"" help:"Run scenarios in virtual time on the decision core."`
 	Report     labcommand.Report     `cmd:"" help:"Make a table and plots of results."`
--- /dev/null
+++ b/cmd/robinlab/soak.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lab/soak"
+	"robinpulley.example/robinpulley/internal/lab/soak/faults"
+)
+
+// soakCommand does a fault soak.
+type soakCommand struct {
+	Seed     uint64        `help:"Seed of the faults; 0 draws one."`
+	Duration time.Duration `help:"How long faults are injected." default:"2m"`
+	Seeds    string        `help:"File of seeds that once failed: each is played instead, one line each, SEED CAUSE." type:"existingfile"`
+	Out      string        `help:"Directory for logs and settings files." default:"out/soak"`
+}
+
+// Run does the soak, or one for each seed of the file.
+func (command *soakCommand) Run(ctx context.Context) error {
+	seeds, err := command.seeds()
+	if err != nil {
+		return err
+	}
+	var failed []uint64
+	for _, seed := range seeds {
+		report, err := command.play(ctx, seed)
+		if err != nil {
+			return err
+		}
+		if len(report.Violations) > 0 {
+			failed = append(failed, seed)
+		}
+	}
+	if len(failed) > 0 {
+		return errors.Newf("promises were not kept with the seeds %d; logs are in %s", failed, command.Out)
+	}
+	return nil
+}
+
+func (command *soakCommand) play(ctx context.Context, seed uint64) (*soak.Report, error) {
+	binaries, err := binaryDirectory()
+	if err != nil {
+		return nil, err
+	}
+	fmt.Printf("soak with seed %d for %s\n", seed, command.Duration)
+	report, err := soak.Run(ctx, soak.Settings{
+		Seed:      seed,
+		Duration:  command.Duration,
+		Size:      soak.DefaultSize(),
+		Bounds:    soak.DefaultBounds(),
+		Program:   filepath.Join(binaries, "robinpulley"),
+		Directory: filepath.Join(command.Out, strconv.FormatUint(seed, 10)),
+	}, faults.All(), os.Stdout)
+	if err != nil {
+		return nil, err
+	}
+	return report, report.Print(os.Stdout)
+}
+
+// seeds gives those to be played.
+func (command *soakCommand) seeds() ([]uint64, error) {
+	if command.Seeds != "" {
+		return readSeeds(command.Seeds)
+	}
+	if command.Seed == 0 {
+		return []uint64{uint64(rand.Uint32())}, nil
+	}
+	return []uint64{command.Seed}, nil
+}
+
+// readSeeds reads a file of seeds. Empty lines and those that begin with # are passed over.
+func readSeeds(path string) ([]uint64, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "seeds")
+	}
+	defer file.Close()
+	var seeds []uint64
+	scanner := bufio.NewScanner(file)
+	for line := 1; scanner.Scan(); line++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		number, _, _ := strings.Cut(text, " ")
+		seed, err := strconv.ParseUint(number, 10, 64)
+		if err != nil || seed == 0 {
+			return nil, errors.Newf("%s: line %d: seed %q is no number above 0", path, line, number)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, errors.Wrap(scanner.Err(), path)
+}
--- /dev/null
+++ b/cmd/robinlab/soak_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestReadSeeds(t *testing.T) {
+	cases := []struct {
+		name, text string
+		seeds      []uint64
+		err        string
+	}{
+		{"comments and causes", "# seeds\n\n17 a lost removal\n 18\n", []uint64{17, 18}, ""},
+		{"a word", "17 ok\nseventeen a cause\n", nil, `line 2: seed "seventeen" is no number above 0`},
+		{"zero, which would draw one", "0\n", nil, `line 1: seed "0" is no number above 0`},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "seeds.txt")
+			is.NoErr(os.WriteFile(path, []byte(test.text), 0o600))
+			seeds, err := readSeeds(path)
+			if test.err != "" {
+				is.Equal(err.Error(), path+": "+test.err)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(seeds, test.seeds)
+		})
+	}
+}
--- a/internal/lab/platformsim/caller.go
+++ b/internal/lab/platformsim/caller.go
@@ -17,6 +17,10 @@
 	ErrNotOpened = errors.New("the flow did not open")
 	// ErrReset: the flow was reset.
 	ErrReset = errors.New("the flow was reset")
+	// ErrResetByNode: it was a balancer that reset it. It is an ErrReset as well.
+	ErrResetByNode = errors.Wrap(ErrReset, "by a balancer")
+	// ErrMixed: the answer is that to another request.
+	ErrMixed = errors.New("the answer is that to another request")
 	// ErrNoAnswer: no answer to a request, however often it was sent.
 	ErrNoAnswer = errors.New("no answer")
 )
@@ -86,7 +90,7 @@
 
 func (caller *Caller) take(datagram []byte) {
 	packet, forged, ok := decode(datagram)
-	ownReset := packet.Sum == 0 && packet.Flags == flagRST && len(packet.Data) == 0
+	ownReset := packet.isNodeReset()
 	caller.mutex.Lock()
 	if !ok || forged && !ownReset {
 		caller.forged++
@@ -113,9 +117,15 @@
 	echo     uint32
 	sequence uint32
 	ack      uint32 // acknowledges the host's opening
+
+	// Copies is how many copies of the opening were sent besides the first.
+	Copies int
+	// Node is the balancer that the last packet went to.
+	Node netip.AddrPort
 }
 
-// Open opens a flow to a front end.
+// Open opens a flow to a front end. The flow tells how it was tried also when
+// it did not open.
 func (caller *Caller) Open(front netip.AddrPort) (*Flow, error) {
 	caller.mutex.Lock()
 	caller.next++
@@ -123,10 +133,12 @@
 	caller.flows[flow.port] = flow
 	caller.mutex.Unlock()
 	for copies, wait := range openingWaits {
+		flow.Copies = copies
 		flow.send(flagSYN, uint32(copies), nil)
 		answer, err := flow.wait(wait, func(packet *head) bool { return packet.has(flagSYN | flagACK) })
 		if errors.Is(err, ErrReset) {
-			return nil, err
+			flow.forget()
+			return flow, err
 		}
 		if err == nil {
 			flow.ack = answer.Sequence + 1
@@ -135,9 +147,13 @@
 			return flow, nil
 		}
 	}
-	return nil, ErrNotOpened
+	flow.forget()
+	return flow, ErrNotOpened
 }
 
+// requestBytes is the size of a request: its id.
+const requestBytes = 8
+
 // Request sends a request and gives the id of the host that answered it.
 func (flow *Flow) Request(id uint64) (host string, err error) {
 	data := binary.BigEndian.AppendUint64(nil, id)
@@ -155,7 +171,7 @@
 		flow.sequence = end
 		name, body, _ := strings.Cut(string(answer.Data), " ")
 		if body != string(data) {
-			return name, errors.Newf("the answer to request %d is that to another one", id)
+			return name, errors.Wrapf(ErrMixed, "request %d", id)
 		}
 		return name, nil
 	}
@@ -166,9 +182,19 @@
 func (flow *Flow) Close() {
 	flow.send(flagFIN|flagACK, flow.ack, nil)
 	_, _ = flow.wait(firstResend, func(packet *head) bool { return packet.has(flagFIN) })
+	flow.forget()
+}
+
+// Address is the caller's end of the flow.
+func (flow *Flow) Address() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(flow.caller.address), flow.port)
+}
+
+// forget frees the flow's port.
+func (flow *Flow) forget() {
 	flow.caller.mutex.Lock()
+	defer flow.caller.mutex.Unlock()
 	delete(flow.caller.flows, flow.port)
-	flow.caller.mutex.Unlock()
 }
 
 func (flow *Flow) send(flags uint8, acknowledgment uint32, data []byte) {
@@ -177,8 +203,11 @@
 		Source: flow.caller.address, SourcePort: flow.port,
 		Destination: flow.front.Addr().As4(), DestinationPort: flow.front.Port(),
 	}
-	to := flow.caller.router.pick(packet.flow())
-	_, _ = flow.caller.socket.WriteToUDPAddrPort(packet.encode(nil), to) // sent again if lost
+	to, lost := flow.caller.router.pick(packet.flow())
+	flow.Node = to
+	if !lost {
+		_, _ = flow.caller.socket.WriteToUDPAddrPort(packet.encode(nil), to) // sent again if lost
+	}
 }
 
 // wait gives the first packet that is wanted. Whatever comes brings its echo.
@@ -188,6 +217,9 @@
 	for {
 		select {
 		case packet := <-flow.received:
+			if packet.isNodeReset() {
+				return head{}, ErrResetByNode
+			}
 			if packet.has(flagRST) {
 				return head{}, ErrReset
 			}
--- a/internal/lab/platformsim/head.go
+++ b/internal/lab/platformsim/head.go
@@ -30,6 +30,7 @@
 	Destination, Source            [4]byte
 	Echo, Sequence, Acknowledgment uint32
 	Data                           []byte
+	from                           netip.AddrPort // who sent it here
 }
 
 // encode appends the packet with its sum.
@@ -85,6 +86,11 @@
 	field[0], field[1], field[2], field[3] = address[3], address[2], address[1], address[0]
 }
 
+// isNodeReset tells whether it is a reset that a balancer wrote.
+func (packet *head) isNodeReset() bool {
+	return packet.Sum == 0 && packet.Flags == flagRST && len(packet.Data) == 0
+}
+
 func (packet *head) has(flags uint8) bool { return packet.Flags&flags == flags }
 
 // answer gives a packet back to the sender of this one.
--- a/internal/lab/platformsim/host.go
+++ b/internal/lab/platformsim/host.go
@@ -24,6 +24,28 @@
 	Openings uint64 // openings received, copies included
 }
 
+// HostEvent is something that a host has seen, for those who check it.
+type HostEvent struct {
+	Host *Host
+	Kind HostEventKind
+	// Node is where the packet came from.
+	Node netip.AddrPort
+	// Front and Caller are the two ends of the flow.
+	Front, Caller netip.AddrPort
+	// Request is the id of a request that ran.
+	Request uint64
+}
+
+// HostEventKind is the kind of a HostEvent.
+type HostEventKind string
+
+// The kinds.
+const (
+	HostOpening HostEventKind = "opening" // a packet that opens a flow, or a copy of it
+	HostRan     HostEventKind = "ran"     // a request ran
+	HostUnknown HostEventKind = "unknown" // a later packet of a flow that it does not hold
+)
+
 // hostFlow is one flow at its host.
 type hostFlow struct {
 	initial uint32 // the host's own first sequence number
@@ -42,10 +64,11 @@
 	answers  atomic.Bool // false: it has fallen silent
 	cold     time.Time   // until then it takes coldAnswer for each packet
 
-	mutex  sync.Mutex
-	flows  map[flowKey]*hostFlow
-	counts HostCounts
-	ended  chan struct{}
+	mutex   sync.Mutex
+	flows   map[flowKey]*hostFlow
+	counts  HostCounts
+	observe func(HostEvent) // nil: nobody
+	ended   chan struct{}
 }
 
 // NewHost starts a host at a loopback address, port 0 for a free one. Packets
@@ -89,6 +112,23 @@
 // Silence has the host answer nothing, or answer again.
 func (host *Host) Silence(silent bool) { host.answers.Store(!silent) }
 
+// Observe has a function called for all that the host sees from now on. It must
+// not block, nor call the host.
+func (host *Host) Observe(observe func(HostEvent)) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	host.observe = observe
+}
+
+// tell tells the observer of a packet.
+func (host *Host) tell(kind HostEventKind, packet *head, request uint64) {
+	if host.observe == nil {
+		return
+	}
+	flow := packet.flow()
+	host.observe(HostEvent{Host: host, Kind: kind, Node: packet.from, Front: flow.front, Caller: flow.caller, Request: request})
+}
+
 // Counts gives what the host has seen.
 func (host *Host) Counts() HostCounts {
 	host.mutex.Lock()
@@ -106,7 +146,7 @@
 	defer close(host.ended)
 	buffer := make([]byte, 2048)
 	for {
-		size, err := host.socket.Read(buffer)
+		size, from, err := host.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -114,15 +154,16 @@
 			time.Sleep(coldAnswer)
 		}
 		if size >= identityBytes && host.answers.Load() {
-			host.take(binary.BigEndian.Uint64(buffer), buffer[identityBytes:size])
+			host.take(from, binary.BigEndian.Uint64(buffer), buffer[identityBytes:size])
 		}
 	}
 }
 
-func (host *Host) take(meant uint64, datagram []byte) {
+func (host *Host) take(from netip.AddrPort, meant uint64, datagram []byte) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
 	packet, forged, ok := decode(datagram)
+	packet.from = from
 	switch {
 	case !ok || forged:
 		host.counts.Forged++
@@ -137,6 +178,7 @@
 
 func (host *Host) open(packet *head) {
 	host.counts.Openings++
+	host.tell(HostOpening, packet, 0)
 	if packet.Echo == 0 {
 		host.counts.NoToken++
 	}
@@ -155,6 +197,7 @@
 	flow := host.flows[packet.flow()]
 	if flow == nil || !flow.open && packet.Acknowledgment != flow.initial+1 {
 		host.counts.Unknown++
+		host.tell(HostUnknown, packet, 0)
 		answer := packet.answer(flagRST)
 		answer.Sequence = packet.Acknowledgment
 		host.send(packet, &answer)
@@ -179,6 +222,9 @@
 func (host *Host) answer(flow *hostFlow, packet *head) {
 	if _, known := flow.answers[packet.Sequence]; !known {
 		host.counts.Ran++
+		if len(packet.Data) == requestBytes {
+			host.tell(HostRan, packet, binary.BigEndian.Uint64(packet.Data))
+		}
 		flow.answers[packet.Sequence] = append([]byte(host.ID+" "), packet.Data...)
 	}
 	answer := packet.answer(flagACK)
--- a/internal/lab/platformsim/router.go
+++ b/internal/lab/platformsim/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -29,6 +30,7 @@
 	mutex  sync.Mutex
 	nodes  []RouterNode
 	misses []int
+	loss   float64 // part of the packets that is lost
 }
 
 // NewRouter probes the nodes until ctx ends. All are out at first.
@@ -100,11 +102,18 @@
 	return in
 }
 
-// pick gives the node for a flow's packets at present.
-func (router *Router) pick(flow flowKey) netip.AddrPort {
+// SetLoss has a part of all packets, from 0 to 1, lost from now on.
+func (router *Router) SetLoss(part float64) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.loss = part
+}
+
+// pick gives the node for a flow's packets at present, and whether this one is lost.
+func (router *Router) pick(flow flowKey) (node netip.AddrPort, lost bool) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	in := router.in()
 	hash := xxhash.Sum64String(flow.caller.String() + flow.front.String())
-	return in[hash%uint64(len(in))].Data
+	return in[hash%uint64(len(in))].Data, rand.Float64() < router.loss
 }
--- /dev/null
+++ b/internal/lab/proxy/proxy_test.go
@@ -0,0 +1,93 @@
+package proxy_test
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lab/proxy"
+)
+
+// echoServer answers each line with itself and counts the lines.
+func echoServer(t *testing.T) (address string, lines chan string) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	lines = make(chan string, 100)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				scanner := bufio.NewScanner(c)
+				for scanner.Scan() {
+					lines <- scanner.Text()
+					if _, err := c.Write(append(scanner.Bytes(), '\n')); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), lines
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func TestProxyModes(t *testing.T) {
+	is := is.New(t)
+	server, lines := echoServer(t)
+	p, end, err := proxy.New(server)
+	is.NoErr(err)
+	defer end()
+
+	c, answers := dial(t, p.Address)
+	ask := func(text string) (string, error) {
+		_, err := c.Write([]byte(text + "\n"))
+		is.NoErr(err)
+		return answers.ReadString('\n')
+	}
+	for _, mode := range []proxy.Mode{proxy.Pass, proxy.Delay} {
+		p.SetMode(mode)
+		answer, err := ask(string(mode))
+		is.NoErr(err)
+		is.Equal(answer, string(mode)+"\n")
+		is.Equal(<-lines, string(mode))
+	}
+
+	p.SetMode(proxy.OneWay)
+	_, err = c.Write([]byte("asked\n"))
+	is.NoErr(err)
+	is.Equal(<-lines, "asked") // the server hears it, and its answer is lost
+
+	p.SetMode(proxy.Silence)
+	_, err = c.Write([]byte("unheard\n"))
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)))
+	_, err = answers.ReadString('\n')
+	is.True(err != nil) // neither answer came
+	is.Equal(len(lines), 0)
+
+	is.NoErr(c.SetReadDeadline(time.Time{}))
+	p.SetMode(proxy.Reset)
+	_, err = answers.ReadString('\n')
+	is.True(err != nil) // the open connection is reset
+
+	p.SetMode(proxy.Pass)
+	c, answers = dial(t, p.Address)
+	answer, err := ask("again")
+	is.NoErr(err)
+	is.Equal(answer, "again\n")
+}
--- /dev/null
+++ b/internal/lab/soak/checker.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lab/platformsim"
+)
+
+// Rule names a promise.
+type Rule string
+
+// The promises that are checked.
+const (
+	RuleFlow    Rule = "flow"    // an open flow is not reset, moved or left without an answer while its host lives
+	RuleOnce    Rule = "once"    // a request runs once at most, and only if it was sent
+	RuleRoute   Rule = "route"   // a request runs at a service that its front end named at some time
+	RuleMixed   Rule = "mixed"   // an answer belongs to its request
+	RuleForged  Rule = "forged"  // packets arrive as they were sent
+	RuleDrain   Rule = "drain"   // a draining host gets nothing new after Bounds.Change
+	RuleChange  Rule = "change"  // a change is in force after Bounds.Change and never reverts
+	RuleRecover Rule = "recover" // all is served again after Bounds.Recovery
+	RuleExit    Rule = "exit"    // no balancer ends by itself
+)
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	At     time.Time
+	Rule   Rule
+	Detail string
+}
+
+// Version is one state of the routes.
+type Version struct {
+	Number int
+	At     time.Time                 // when the store took it
+	Routes map[netip.AddrPort]string // service by front end
+}
+
+// Opening is how a caller's try to open a flow went.
+type Opening struct {
+	Front  netip.AddrPort
+	SentAt time.Time
+	Node   netip.AddrPort // that the only copy went to
+	Copies int            // sent besides the first
+	// Service is that of the host that answered; empty: it was refused.
+	Service string
+}
+
+// Checker holds what was seen against the promises. It is safe for concurrent use.
+type Checker struct {
+	bounds Bounds
+
+	mutex      sync.Mutex
+	violations []Violation
+	checked    Checked
+	versions   []Version
+	sent       map[uint64]netip.AddrPort // requests, and their front ends
+	ran        map[uint64]string         // requests, and the hosts that ran them
+	drained    map[string]time.Time      // hosts, and when the store took that they drain
+	disturbed  map[netip.AddrPort]time.Time
+	disturbing map[netip.AddrPort]int // faults under way
+	gone       map[string]bool        // hosts that crash, fall silent or end
+}
+
+// NewChecker gives a checker that has seen nothing.
+func NewChecker(bounds Bounds) *Checker {
+	return &Checker{
+		bounds:     bounds,
+		sent:       make(map[uint64]netip.AddrPort),
+		ran:        make(map[uint64]string),
+		drained:    make(map[string]time.Time),
+		disturbed:  make(map[netip.AddrPort]time.Time),
+		disturbing: make(map[netip.AddrPort]int),
+		gone:       make(map[string]bool),
+	}
+}
+
+// Violations gives what was found so far.
+func (c *Checker) Violations() []Violation {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.violations)
+}
+
+// Checked counts the checks of the promises that are bound to a time.
+type Checked struct {
+	Routes int // openings whose node was in touch, while a route had to be in force
+	Drains int // openings whose node was in touch, while a host had drained for long
+}
+
+// Checked gives how often promises were checked that hold for nodes in touch only.
+func (c *Checker) Checked() Checked {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.checked
+}
+
+// Report notes a violation.
+func (c *Checker) Report(now time.Time, rule Rule, format string, values ...any) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.report(now, rule, format, values...)
+}
+
+func (c *Checker) report(now time.Time, rule Rule, format string, values ...any) {
+	c.violations = append(c.violations, Violation{At: now, Rule: rule, Detail: fmt.Sprintf(format, values...)})
+}
+
+// Disturb notes that a fault on the nodes begins. The function notes its end.
+func (c *Checker) Disturb(nodes ...netip.AddrPort) (end func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, node := range nodes {
+		c.disturbing[node]++
+	}
+	return func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		for _, node := range nodes {
+			c.disturbing[node]--
+			c.disturbed[node] = time.Now()
+		}
+	}
+}
+
+// inTouch tells whether the node was undisturbed for Bounds.Contact before now.
+func (c *Checker) inTouch(now time.Time, node netip.AddrPort) bool {
+	return c.disturbing[node] == 0 && now.Sub(c.disturbed[node]) >= c.bounds.Contact
+}
+
+// Changed notes that the store has taken a version of the routes.
+func (c *Checker) Changed(version Version) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.versions = append(c.versions, version)
+}
+
+// Draining notes that the store has taken that a host drains, or that its entry goes.
+func (c *Checker) Draining(now time.Time, host string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.drained[host].IsZero() {
+		c.drained[host] = now
+	}
+}
+
+// Gone notes that a host does not serve its flows from now on.
+func (c *Checker) Gone(host string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.gone[host] = true
+}
+
+// Sends notes a request that is about to be sent.
+func (c *Checker) Sends(request uint64, front netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.sent[request] = front
+}
+
+// HostSaw takes what a host has seen.
+func (c *Checker) HostSaw(event platformsim.HostEvent) {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch event.Kind {
+	case platformsim.HostOpening:
+		c.checkDrain(now, &event)
+	case platformsim.HostRan:
+		c.checkRun(now, &event)
+	}
+}
+
+func (c *Checker) checkDrain(now time.Time, event *platformsim.HostEvent) {
+	if !c.inTouch(now, event.Node) {
+		return
+	}
+	for _, since := range c.drained {
+		if now.Sub(since) > c.bounds.Change {
+			c.checked.Drains++
+			break
+		}
+	}
+	since, draining := c.drained[event.Host.ID]
+	if draining && now.Sub(since) > c.bounds.Change {
+		c.report(now, RuleDrain, "%s, draining for %s, got an opening of %s from %s",
+			event.Host.ID, now.Sub(since).Round(time.Millisecond), event.Caller, event.Node)
+	}
+}
+
+func (c *Checker) checkRun(now time.Time, event *platformsim.HostEvent) {
+	front, asked := c.sent[event.Request]
+	if !asked || front != event.Front {
+		c.report(now, RuleOnce, "%s ran request %d of %s, which nobody sent to %s", event.Host.ID, event.Request, event.Caller, event.Front)
+	}
+	if before, again := c.ran[event.Request]; again {
+		c.report(now, RuleOnce, "request %d ran at %s and again at %s", event.Request, before, event.Host.ID)
+	}
+	c.ran[event.Request] = event.Host.ID
+	named := slices.ContainsFunc(c.versions, func(v Version) bool { return v.Routes[event.Front] == event.Host.Service })
+	if !named {
+		c.report(now, RuleRoute, "%s of %s ran request %d to %s", event.Host.ID, event.Host.Service, event.Request, event.Front)
+	}
+}
+
+// FlowEnded takes how a request on an open flow failed, and the node that its
+// last packet went to. All is excused when the host is gone, and silence when
+// that node is disturbed.
+func (c *Checker) FlowEnded(now time.Time, host string, node netip.AddrPort, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	silent := errors.Is(err, platformsim.ErrNoAnswer)
+	if c.gone[host] || silent && !c.inTouch(now, node) {
+		return
+	}
+	c.report(now, RuleFlow, "a flow of %s by %s: %v", host, node, err)
+}
+
+// Opened takes how an opening went, if it was handled by one node in touch.
+func (c *Checker) Opened(opening Opening) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if opening.Copies > 0 || !c.inTouch(time.Now(), opening.Node) {
+		return
+	}
+	allowed := c.allowed(opening.SentAt, opening.Front)
+	if len(allowed) == 0 {
+		return
+	}
+	c.checked.Routes++
+	if !slices.Contains(allowed, opening.Service) {
+		c.report(opening.SentAt, RuleChange, "%s to %s was handled by service %q, want one of %q", opening.Node, opening.Front, opening.Service, allowed)
+	}
+}
+
+// allowed gives the services that may handle an opening sent at a time: those of
+// the last version that must be in force, and of all later ones.
+func (c *Checker) allowed(sentAt time.Time, front netip.AddrPort) []string {
+	var services []string
+	for _, version := range slices.Backward(c.versions) {
+		services = append(services, version.Routes[front])
+		if sentAt.Sub(version.At) > c.bounds.Change {
+			return services
+		}
+	}
+	return nil // no version has been there for long enough
+}
--- /dev/null
+++ b/internal/lab/soak/checker_test.go
@@ -0,0 +1,132 @@
+package soak_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lab/platformsim"
+	"robinpulley.example/robinpulley/internal/lab/soak"
+)
+
+var (
+	front  = netip.MustParseAddrPort("198.18.0.1:443")
+	node   = netip.MustParseAddrPort("127.0.1.1:9000")
+	caller = netip.MustParseAddrPort("127.0.2.1:1025")
+)
+
+// bounds are long over for what happened an hour ago.
+var bounds = soak.Bounds{Change: time.Minute, Contact: time.Minute}
+
+var anHourAgo = time.Now().Add(-time.Hour)
+
+func newChecker() *soak.Checker {
+	c := soak.NewChecker(bounds)
+	c.Changed(soak.Version{Number: 1, At: anHourAgo, Routes: map[netip.AddrPort]string{front: "web"}})
+	return c
+}
+
+func host(id, service string) *platformsim.Host { return &platformsim.Host{ID: id, Service: service} }
+
+func ran(at *platformsim.Host, request uint64) platformsim.HostEvent {
+	return platformsim.HostEvent{Host: at, Kind: platformsim.HostRan, Node: node, Front: front, Caller: caller, Request: request}
+}
+
+// TestCheckerSeesEachRuleBroken: for each promise, what keeps it and what breaks it.
+func TestCheckerSeesEachRuleBroken(t *testing.T) {
+	opening := platformsim.HostEvent{Host: host("i-1", "web"), Kind: platformsim.HostOpening, Node: node, Front: front, Caller: caller}
+	cases := []struct {
+		name   string
+		happen func(c *soak.Checker)
+		rules  []soak.Rule
+	}{
+		{"a request that runs once", func(c *soak.Checker) {
+			c.Sends(1, front)
+			c.HostSaw(ran(host("i-1", "web"), 1))
+		}, nil},
+		{"a request that runs twice", func(c *soak.Checker) {
+			c.Sends(1, front)
+			c.HostSaw(ran(host("i-1", "web"), 1))
+			c.HostSaw(ran(host("i-2", "web"), 1))
+		}, []soak.Rule{soak.RuleOnce}},
+		{"a request that nobody sent", func(c *soak.Checker) {
+			c.HostSaw(ran(host("i-1", "web"), 1))
+		}, []soak.Rule{soak.RuleOnce}},
+		{"another service", func(c *soak.Checker) {
+			c.Sends(1, front)
+			c.HostSaw(ran(host("i-1", "docs"), 1))
+		}, []soak.Rule{soak.RuleRoute}},
+		{"an opening at an active host", func(c *soak.Checker) { c.HostSaw(opening) }, nil},
+		{"an opening at a host that began to drain", func(c *soak.Checker) {
+			c.Draining(time.Now(), "i-1")
+			c.HostSaw(opening)
+		}, nil},
+		{"an opening at a host that has drained for long", func(c *soak.Checker) {
+			c.Draining(anHourAgo, "i-1")
+			c.HostSaw(opening)
+		}, []soak.Rule{soak.RuleDrain}},
+		{"the same from a node that is disturbed", func(c *soak.Checker) {
+			c.Draining(anHourAgo, "i-1")
+			c.Disturb(node)
+			c.HostSaw(opening)
+		}, nil},
+		{"the same from a node that was disturbed a moment ago", func(c *soak.Checker) {
+			c.Draining(anHourAgo, "i-1")
+			c.Disturb(node)()
+			c.HostSaw(opening)
+		}, nil},
+		{"a flow whose host is gone", func(c *soak.Checker) {
+			c.Gone("i-1")
+			c.FlowEnded(time.Now(), "i-1", node, platformsim.ErrNoAnswer)
+		}, nil},
+		{"a flow whose host lives", func(c *soak.Checker) {
+			c.FlowEnded(time.Now(), "i-1", node, platformsim.ErrNoAnswer)
+		}, []soak.Rule{soak.RuleFlow}},
+		{"silence by a node that is disturbed", func(c *soak.Checker) {
+			c.Disturb(node)
+			c.FlowEnded(time.Now(), "i-1", node, platformsim.ErrNoAnswer)
+		}, nil},
+		{"a reset by a node that is disturbed", func(c *soak.Checker) {
+			c.Disturb(node)
+			c.FlowEnded(time.Now(), "i-1", node, platformsim.ErrResetByNode)
+		}, []soak.Rule{soak.RuleFlow}},
+		{"an opening by the route in force", func(c *soak.Checker) {
+			c.Opened(soak.Opening{Front: front, SentAt: time.Now(), Node: node, Service: "web"})
+		}, nil},
+		{"an opening by another service", func(c *soak.Checker) {
+			c.Opened(soak.Opening{Front: front, SentAt: time.Now(), Node: node, Service: "docs"})
+		}, []soak.Rule{soak.RuleChange}},
+		{"a refusal though there is a route", func(c *soak.Checker) {
+			c.Opened(soak.Opening{Front: front, SentAt: time.Now(), Node: node})
+		}, []soak.Rule{soak.RuleChange}},
+		{"an old route soon after a change", func(c *soak.Checker) {
+			c.Changed(soak.Version{Number: 2, At: time.Now(), Routes: map[netip.AddrPort]string{}})
+			c.Opened(soak.Opening{Front: front, SentAt: time.Now(), Node: node, Service: "web"})
+		}, nil},
+		{"an old route long after a change", func(c *soak.Checker) {
+			c.Changed(soak.Version{Number: 2, At: anHourAgo.Add(time.Minute), Routes: map[netip.AddrPort]string{}})
+			c.Opened(soak.Opening{Front: front, SentAt: time.Now(), Node: node, Service: "web"})
+		}, []soak.Rule{soak.RuleChange}},
+		{"a copy of an opening, which may have met several nodes", func(c *soak.Checker) {
+			c.Opened(soak.Opening{Front: front, SentAt: time.Now(), Node: node, Copies: 1, Service: "docs"})
+		}, nil},
+		{"what others report", func(c *soak.Checker) {
+			c.Report(time.Now(), soak.RuleMixed, "%v", errors.New("mixed"))
+		}, []soak.Rule{soak.RuleMixed}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newChecker()
+			test.happen(c)
+			var rules []soak.Rule
+			for _, violation := range c.Violations() {
+				rules = append(rules, violation.Rule)
+			}
+			is.Equal(rules, test.rules)
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/run.go
@@ -0,0 +1,254 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lab/cluster"
+	"robinpulley.example/robinpulley/internal/lab/platformsim"
+)
+
+// Times of the callers.
+const (
+	requestPause = 30 * time.Millisecond
+	longestFlow  = 60 // requests
+	toggledPart  = 4  // one flow in so many goes to a front end that changes
+)
+
+// Counts is what the callers saw.
+type Counts struct {
+	Opened, NotOpened, Refused, Answered atomic.Uint64
+}
+
+// Report is how a soak went.
+type Report struct {
+	Seed       uint64
+	Steps      []Step
+	Skipped    int // steps whose target another fault had
+	Counts     *Counts
+	StoreCalls int
+	// Checked is how many openings were held against the routes, and the
+	// draining hosts, that had to be in force.
+	Checked    Checked
+	Violations []Violation
+}
+
+// run is one soak under way.
+type run struct {
+	*Site
+	counts  Counts
+	next    atomic.Uint64 // request ids
+	skipped atomic.Int64
+}
+
+// Run does one soak. The error is that of the soak itself; what the balancers
+// did wrong is in the report.
+func Run(ctx context.Context, settings Settings, kinds []Fault, output io.Writer) (*Report, error) {
+	site, end, err := newSite(ctx, settings)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	r := &run{Site: site}
+	report := &Report{Seed: settings.Seed, Steps: settings.Steps, Counts: &r.counts}
+	if report.Steps == nil {
+		report.Steps = Plan(settings.Seed, settings.Duration, kinds, settings.Size)
+	}
+	loading, stopLoad := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	for index := range settings.Size.Flows {
+		load.Go(func() { r.load(loading, uint64(index)) })
+	}
+	err = r.play(ctx, report.Steps, kinds, output)
+	if err == nil {
+		err = r.recover(ctx)
+	}
+	stopLoad()
+	load.Wait()
+	if forged := site.caller.Forged(); forged > 0 {
+		site.Checker.Report(time.Now(), RuleForged, "%d packets came to callers that nobody wrote that way", forged)
+	}
+	report.Skipped = int(r.skipped.Load())
+	report.StoreCalls = site.Store.Calls()
+	report.Checked = site.Checker.Checked()
+	report.Violations = site.Checker.Violations()
+	return report, err
+}
+
+// play injects the steps at their times and waits for their ends.
+func (r *run) play(ctx context.Context, steps []Step, kinds []Fault, output io.Writer) error {
+	byName := make(map[string]Fault)
+	for _, kind := range kinds {
+		byName[kind.Name()] = kind
+	}
+	begun := time.Now()
+	failures := make(chan error, len(steps))
+	var injected sync.WaitGroup
+	for _, step := range steps {
+		if err := sleep(ctx, step.At-time.Since(begun)); err != nil {
+			return err
+		}
+		fmt.Fprintf(output, "%8s  %-16s target %d for %s\n", step.At, step.Fault, step.Target, step.Lasts)
+		injected.Go(func() { failures <- r.inject(ctx, byName[step.Fault], step) })
+	}
+	injected.Wait()
+	close(failures)
+	var all error
+	for err := range failures {
+		all = errors.CombineErrors(all, err)
+	}
+	return all
+}
+
+// ErrHeld is given by Inject when another fault has the target.
+var ErrHeld = errors.New("another fault has the target")
+
+func (r *run) inject(ctx context.Context, kind Fault, step Step) error {
+	end, err := kind.Inject(ctx, r.Site, step.Target)
+	if errors.Is(err, ErrHeld) {
+		r.skipped.Add(1)
+		return nil
+	}
+	if err != nil {
+		return errors.Wrapf(err, "%s at %s", step.Fault, step.At)
+	}
+	_ = sleep(ctx, step.Lasts) // the fault is ended in any case
+	return errors.Wrapf(end(), "end of %s at %s", step.Fault, step.At)
+}
+
+// sleep waits, or gives the error of ctx.
+func sleep(ctx context.Context, duration time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(duration):
+		return nil
+	}
+}
+
+// recoveredOpenings in a row show that all is served again.
+const recoveredOpenings = 100
+
+// recover checks that all is served again once the faults are over.
+func (r *run) recover(ctx context.Context) error {
+	if r.Settings.Bounds.Recovery == 0 {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, r.Settings.Bounds.Recovery)
+	defer cancel()
+	row := 0
+	err := cluster.Until(limited, "all is served again", func() (bool, error) {
+		for ; row < recoveredOpenings; row++ {
+			flow, err := r.caller.Open(Fronts[row%len(Fronts)])
+			if err != nil {
+				row = 0
+				return false, err
+			}
+			flow.Close()
+		}
+		return true, nil
+	})
+	if err != nil && ctx.Err() == nil {
+		r.Checker.Report(time.Now(), RuleRecover, "%v", err)
+	}
+	return ctx.Err()
+}
+
+// load opens flows one after the other and uses each for a while.
+func (r *run) load(ctx context.Context, stream uint64) {
+	random := rand.New(rand.NewPCG(r.Settings.Seed, 2+stream))
+	for ctx.Err() == nil {
+		front := Fronts[random.IntN(len(Fronts))]
+		if random.IntN(toggledPart) == 0 {
+			front = Toggled[random.IntN(len(Toggled))]
+		}
+		opening := Opening{Front: front, SentAt: time.Now()}
+		flow, err := r.caller.Open(front)
+		opening.Node, opening.Copies = flow.Node, flow.Copies
+		switch {
+		case errors.Is(err, platformsim.ErrReset):
+			r.counts.Refused.Add(1)
+			r.Checker.Opened(opening)
+			_ = sleep(ctx, requestPause)
+			continue
+		case err != nil:
+			r.counts.NotOpened.Add(1) // nobody has promised that it opens at once
+			continue
+		}
+		r.counts.Opened.Add(1)
+		r.use(ctx, flow, opening, 1+random.IntN(longestFlow))
+		flow.Close()
+	}
+}
+
+// use sends requests on an open flow, one after the other.
+func (r *run) use(ctx context.Context, flow *platformsim.Flow, opening Opening, requests int) {
+	first := ""
+	for range requests {
+		id := r.next.Add(1)
+		r.Checker.Sends(id, opening.Front)
+		host, err := flow.Request(id)
+		now := time.Now()
+		switch {
+		case errors.Is(err, platformsim.ErrMixed):
+			r.Checker.Report(now, RuleMixed, "%v, at %s", err, host)
+			return
+		case err != nil:
+			if first != "" { // else the host is not known
+				r.Checker.FlowEnded(now, first, flow.Node, err)
+			}
+			return
+		case first == "":
+			first = host
+			opening.Service = r.service(host)
+			r.Checker.Opened(opening)
+		case host != first:
+			r.Checker.FlowEnded(now, first, flow.Node, errors.Newf("answered by %s", host))
+			return
+		}
+		r.counts.Answered.Add(1)
+		if sleep(ctx, requestPause) != nil {
+			return
+		}
+	}
+}
+
+// Print writes the report as a table.
+func (report *Report) Print(output io.Writer) error {
+	counts := report.Counts
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"seed", report.Seed},
+		{"faults", len(report.Steps)},
+		{"of them not injected, since another had the target", report.Skipped},
+		{"flows opened", counts.Opened.Load()},
+		{"requests answered", counts.Answered.Load()},
+		{"openings refused", counts.Refused.Load()},
+		{"never opened", counts.NotOpened.Load()},
+		{"calls to the store", report.StoreCalls},
+		{"openings checked against the routes in force", report.Checked.Routes},
+		{"openings checked while hosts had drained for long", report.Checked.Drains},
+		{"promises not kept", len(report.Violations)},
+	}
+	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintf(table, "%s\t%v\n", row.name, row.value)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "print the table")
+	}
+	for _, violation := range report.Violations {
+		fmt.Fprintf(output, "%s  %-8s %s\n", violation.At.UTC().Format(time.RFC3339Nano), violation.Rule, violation.Detail)
+	}
+	return nil
+}
