Never take an older view for complete by the word of a node that listed

(1) A digest said which revision its sender's view last changed at. A node that had just listed the store never knew what was removed before, so that its digest moved an older view past a removal: a back end whose entry had gone without a word stayed active there for good. (2) A whole view from a node that knew a back end as gone, and not that it came back and went again, left it active. Ruled out: routes (the configuration is one entry, whose revision is always known). Change: a digest has the later of the last change and the last listing; a whole view removes whatever it does not hold as present. Replica.Changed, which only tests used, is gone. Tests: TestNewNodeVouchesForNoOlderView and TestWholeViewRemovesWhatCameBack failed before; TestReplicasFollowTheStore has digests too: with 20,000 examples it failed before, with 200,000 it passes now.

--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -187,7 +187,7 @@
 func (fleet *fleet) behind() int {
 	count := 0
 	for _, node := range fleet.nodes {
-		if !node.dead && node.core.Replica().Changed() < fleet.store.Revision() {
+		if !node.dead && node.core.Replica().LastNews() < fleet.store.Revision() {
 			count++
 		}
 	}
@@ -457,3 +457,22 @@
 	fleet.now += wholeInterval / 2
 	is.Equal(wholes(), 1)
 }
+
+// TestNewNodeVouchesForNoOlderView: a back end goes while a node cannot read;
+// a node that starts then, and never knew of it, does not hide that.
+func TestNewNodeVouchesForNoOlderView(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 1, 2, 1)
+	old, started := fleet.nodes[0], fleet.nodes[1]
+	old.fault = faultRefused
+	started.dead = true
+	fleet.announce()
+	fleet.store.Remove("a")
+	started.dead = false
+	started.core = New(DefaultSettings(started.id, started.zone, 9))
+	started.read = nil
+	fleet.announce()
+	fleet.run(inForceLimit)
+	is.Equal(old.core.Replica().Revision(), fleet.store.Revision())
+	is.True(old.core.Replica().Backends()[0].Gone)
+}
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -81,7 +81,7 @@
 	core.spread(effects, func(origin lb.NodeID) message.Message {
 		return message.ViewDigest{
 			Revision:  core.replica.Revision(),
-			Changed:   core.replica.Changed(),
+			LastNews:  core.replica.LastNews(),
 			AgeMillis: core.age().Milliseconds(),
 			Origin:    origin,
 		}
@@ -178,7 +178,7 @@
 	core.heardAt = core.now
 	confirmedAt := core.now - time.Duration(digest.AgeMillis)*time.Millisecond
 	switch {
-	case digest.Changed > core.replica.Revision():
+	case digest.LastNews > core.replica.Revision():
 		core.want(from.Address, effects)
 		news = true
 	case digest.Revision >= core.replica.Revision() && core.replica.Revision() > 0:
--- a/internal/message/view.go
+++ b/internal/message/view.go
@@ -16,8 +16,9 @@
 // the store themselves.
 type ViewDigest struct {
 	Revision int64 `json:"revision"`
-	// Changed is the revision of the last change in the sender's view.
-	Changed int64 `json:"changed"`
+	// LastNews is the revision from which on a view lacks nothing that the
+	// sender knows (view.Replica).
+	LastNews int64 `json:"changed"`
 	// AgeMillis is the time since the store confirmed the view as the newest.
 	AgeMillis int64 `json:"age_ms"`
 	// Origin is the node whose zone is told, through the other nodes of the
@@ -50,8 +51,8 @@
 func (ViewDelta) MessageType() Type { return TypeViewDelta }
 
 func validateViewDigest(message ViewDigest) error {
-	if message.Changed < 0 || message.Changed > message.Revision {
-		return fieldError(TypeViewDigest, "changed", message.Changed, "not between 0 and revision")
+	if message.LastNews < 0 || message.LastNews > message.Revision {
+		return fieldError(TypeViewDigest, "changed", message.LastNews, "not between 0 and revision")
 	}
 	return checkAge(TypeViewDigest, message.AgeMillis)
 }
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -43,8 +43,10 @@
 // Revision is the store's revision up to which everything is known; 0: nothing is.
 func (replica *Replica) Revision() int64 { return replica.revision }
 
-// Changed is the revision of the last change of a route or a back end.
-func (replica *Replica) Changed() int64 { return replica.changed }
+// LastNews is the revision from which on another replica lacks nothing that
+// this one knows. After a listing that is the listing's: what was removed
+// before it was never known here.
+func (replica *Replica) LastNews() int64 { return max(replica.changed, replica.pruned) }
 
 // Version is that of the configuration; 0: there is none.
 func (replica *Replica) Version() uint64 { return replica.version }
@@ -280,11 +282,11 @@
 }
 
 func (replica *Replica) applyBackends(now time.Duration, delta *Delta) {
-	told := make(map[lb.BackendName]bool, len(delta.Backends))
+	present := make(map[lb.BackendName]bool, len(delta.Backends))
 	for index := range delta.Backends {
 		entry := &delta.Backends[index]
 		name := entry.Backend.Name
-		told[name] = true
+		present[name] = !entry.Gone
 		known := replica.backends[name]
 		if known != nil && known.Revision >= entry.Revision {
 			continue
@@ -298,8 +300,9 @@
 	if delta.After > 0 {
 		return
 	}
+	// What the teller knows as gone may have come back and gone again since.
 	for name, entry := range replica.backends {
-		if !told[name] && !entry.Gone && entry.Revision <= delta.Revision {
+		if !present[name] && !entry.Gone && entry.Revision <= delta.Revision {
 			replica.removeBackend(now, delta.Revision, name)
 		}
 	}
--- a/internal/view/replica_test.go
+++ b/internal/view/replica_test.go
@@ -130,7 +130,7 @@
 			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second
 			replica := replicas[rapid.IntRange(0, 2).Draw(t, "replica")]
 			revision := replica.Revision()
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0:
 				version++
 				ports := rapid.SliceOfNDistinct(rapid.Uint16Range(80, 84), 1, 3, rapid.ID[uint16]).Draw(t, "ports")
@@ -152,6 +152,11 @@
 				replica.ApplyDelta(now, peer.Delta(now, revision))
 			case 7:
 				replica.Prune(now)
+			case 8:
+				peer := replicas[rapid.IntRange(0, 2).Draw(t, "teller")]
+				if peer.LastNews() <= revision && revision > 0 {
+					replica.Advance(peer.Revision()) // as after a digest
+				}
 			}
 			if replica.Revision() < revision {
 				t.Fatalf("revision went from %d to %d", revision, replica.Revision())
@@ -187,3 +192,23 @@
 	is.Equal(replica.Delta(0, before).After, int64(0)) // the whole view
 	is.Equal(len(replica.Delta(0, 0).Routes), 1)
 }
+
+// TestWholeViewRemovesWhatCameBack: one replica knows a back end as gone, and not
+// that it came back and went again; another knows only that it came back.
+func TestWholeViewRemovesWhatCameBack(t *testing.T) {
+	is := is.New(t)
+	store := viewtest.NewStore()
+	teller, told := view.NewReplica(), view.NewReplica()
+	store.Put("a", lb.BackendActive)
+	teller.ApplyListing(0, store.List())
+	before := teller.Revision()
+	store.Remove("a")
+	teller.ApplyChanges(0, store.Changes(before))
+	store.Put("a", lb.BackendActive)
+	told.ApplyListing(0, store.List())
+	store.Remove("a")
+	teller.ApplyListing(0, store.List())
+	applied, _ := told.ApplyDelta(0, teller.Delta(0, told.Revision()))
+	is.True(applied)
+	is.Equal(describe(told), expected(store))
+}
