--- a/cmd/robinctl/cli.go
+++ b/cmd/robinctl/cli.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -36,6 +37,7 @@
 	Wait     waitCommand     `cmd:"" help:"Wait until a change is in force in every zone."`
 	Apply    applyCommand    `cmd:"" help:"Create or change the objects of a YAML file."`
 	Export   exportCommand   `cmd:"" help:"Write all objects as YAML."`
+	Trace    traceCommand    `cmd:"" help:"Find one flow in the logs of all nodes; needs no store."`
 }
 
 // session is what commands work with.
@@ -78,26 +80,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, line.Timeout)
 	defer cancel()
-	session, err := newSession(ctx, &line, stdout)
+	session := &session{ctx: ctx, printer: printer{output: line.Output, writer: stdout}, freshFor: line.FreshFor}
+	if !strings.HasPrefix(parsed.Command(), "trace ") {
+		session.operator, err = newOperator(&line)
+	}
 	if err == nil {
 		err = parsed.Run(session)
 	}
 	return report(stderr, line.Output, err)
 }
 
-func newSession(ctx context.Context, line *commandLine, stdout io.Writer) (*session, error) {
+// newOperator connects to the store.
+func newOperator(line *commandLine) (*operator.Operator, error) {
 	settings := store.DefaultSettings(line.Store, randomSeed())
 	settings.RequestsPerSecond = line.Rate
 	client, err := store.New(settings)
 	if err != nil {
 		return nil, errors.Mark(err, operator.ErrBadInput)
 	}
-	return &session{
-		ctx:      ctx,
-		operator: operator.New(client, line.As, randomID),
-		printer:  printer{output: line.Output, writer: stdout},
-		freshFor: line.FreshFor,
-	}, nil
+	return operator.New(client, line.As, randomID), nil
 }
 
 // identity names the person at this machine, e.g. "ana@desk-7".
--- a/cmd/robinctl/robinctl_test.go
+++ b/cmd/robinctl/robinctl_test.go
@@ -164,3 +164,25 @@
 		is.Equal(got.code, exitOK)
 	}
 }
+
+func TestTrace(t *testing.T) {
+	is := is.New(t)
+	log := filepath.Join(t.TempDir(), "a.log")
+	line := `{"node":"a","event":"opening","flow":"1.2.3.4:5>6.7.8.9:443","host":"10.0.0.1:80","copies":1,"version":26,"time":"2026-07-09T15:08:44.100Z"}`
+	is.NoErr(os.WriteFile(log, []byte(line+"\n"), 0o600))
+	for _, test := range []struct {
+		arguments []string
+		code      int
+		output    string // part of what is printed
+	}{
+		{[]string{"trace", "1.2.3.4:5>6.7.8.9:443", log}, exitOK, "15:08:44.100  a     opening  1       10.0.0.1:80          26"},
+		{[]string{"-o", "json", "trace", "1.2.3.4:5>6.7.8.9:443", log}, exitOK, `"host": "10.0.0.1:80"`},
+		{[]string{"trace", "1.2.3.4:6>6.7.8.9:443", log}, exitBadInput, `flow "1.2.3.4:6>6.7.8.9:443" in 1 lines of 1 logs`},
+		{[]string{"trace", "1.2.3.4:5>6.7.8.9:443", log + ".none"}, exitBadInput, "a.log.none"},
+		{[]string{"trace", "1.2.3.4:5>6.7.8.9:443"}, exitBadInput, "<logs>"},
+	} {
+		var stdout, stderr bytes.Buffer
+		is.Equal(run(t.Context(), test.arguments, &stdout, &stderr), test.code) // needs no store
+		is.True(strings.Contains(stdout.String()+stderr.String(), test.output))
+	}
+}
--- a/internal/lab/soak/faults/process.go
+++ b/internal/lab/soak/faults/process.go
@@ -34,28 +34,48 @@
 	return err
 }
 
-// kill ends a node at once and starts it again later.
-type kill struct{ nodes }
+// restart ends a node by a signal and starts it again later.
+type restart struct {
+	nodes
+	name   string
+	signal syscall.Signal
+}
 
-func (kill) Name() string { return "kill" }
+var (
+	kill = restart{name: "kill", signal: syscall.SIGKILL}
+	stop = restart{name: "stop", signal: syscall.SIGTERM} // a planned stop
+)
 
-func (kill) Inject(ctx context.Context, s *soak.Site, target int) (func() error, error) {
-	n, release, held := s.HoldNode(target)
-	if !held {
-		return nil, soak.ErrHeld
+func (f restart) Name() string { return f.name }
+
+func (f restart) Inject(ctx context.Context, s *soak.Site, target int) (func() error, error) {
+	n, release, err := disturb(s, target)
+	if err != nil {
+		return nil, err
 	}
-	calm := s.Checker.Disturb(n.Data)
-	if err := end(ctx, s, n, syscall.SIGKILL); err != nil {
+	if err := end(ctx, s, n, f.signal); err != nil {
 		release()
 		return nil, err
 	}
 	return func() error {
 		defer release()
-		defer calm()
 		return relaunch(ctx, s, n)
 	}, nil
 }
 
+// disturb takes a node's process for one fault. The function gives it back.
+func disturb(s *soak.Site, target int) (n *soak.Node, release func(), err error) {
+	n, free, held := s.HoldNode(target)
+	if !held {
+		return nil, nil, soak.ErrHeld
+	}
+	calm := s.Checker.Disturb(n.Data)
+	return n, func() {
+		calm()
+		free()
+	}, nil
+}
+
 // killAll ends all nodes at once that no other fault has, and starts them again together.
 type killAll struct{ platform }
 
@@ -64,7 +84,7 @@
 func (killAll) Inject(ctx context.Context, s *soak.Site, _ int) (func() error, error) {
 	var ends []func() error
 	for index := range s.Nodes {
-		undo, err := kill{}.Inject(ctx, s, index)
+		undo, err := kill.Inject(ctx, s, index)
 		switch {
 		case errors.Is(err, soak.ErrHeld):
 		case err != nil:
@@ -89,46 +109,22 @@
 	return all
 }
 
-// stop is a planned stop; the node is started again later.
-type stop struct{ nodes }
-
-func (stop) Name() string { return "stop" }
-
-func (stop) Inject(ctx context.Context, s *soak.Site, target int) (func() error, error) {
-	n, release, held := s.HoldNode(target)
-	if !held {
-		return nil, soak.ErrHeld
-	}
-	calm := s.Checker.Disturb(n.Data)
-	if err := end(ctx, s, n, syscall.SIGTERM); err != nil {
-		release()
-		return nil, err
-	}
-	return func() error {
-		defer release()
-		defer calm()
-		return relaunch(ctx, s, n)
-	}, nil
-}
-
 // pause freezes a node.
 type pause struct{ nodes }
 
 func (pause) Name() string { return "pause" }
 
 func (pause) Inject(_ context.Context, s *soak.Site, target int) (func() error, error) {
-	n, release, held := s.HoldNode(target)
-	if !held {
-		return nil, soak.ErrHeld
+	n, release, err := disturb(s, target)
+	if err != nil {
+		return nil, err
 	}
-	calm := s.Checker.Disturb(n.Data)
 	if err := n.Signal(syscall.SIGSTOP); err != nil {
 		release()
 		return nil, err
 	}
 	return func() error {
 		defer release()
-		defer calm()
 		return n.Signal(syscall.SIGCONT)
 	}, nil
 }
