Bound calls to the store by its silence, not by the length of its answer

Its calls to the store were cut off after 700 ms, each time: while configurations of 1,500 routes come in quick succession a watch answers 1.5 MB, which a link of 10 Mbit/s carries in 1.2 s, and the next answer is longer still. Ruled out: the store (down for nobody), the path (other calls of the node went through), the tree alone (it explains why the node was not told, not why it could not help itself).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -26,7 +26,7 @@
 	Seed uint64
 	// WatchWait is how long a watch waits in the store for a change.
 	WatchWait time.Duration
-	// CallTimeout bounds a call to the store, besides WatchWait.
+	// CallTimeout bounds the silence of the store in a call, besides WatchWait.
 	CallTimeout time.Duration
 	// ChangeInterval is the shortest time from an answer with changes to the
 	// next watch, so that changes in quick succession cost one call together.
@@ -128,8 +128,10 @@
 	// After and Wait are for ReadWatch.
 	After int64
 	Wait  time.Duration
-	// Timeout bounds each call; a listing of several pages takes several.
-	Timeout time.Duration
+	// Timeout bounds the time until a call's answer begins, and Pause each
+	// pause in it: on a thin link a long answer takes its time. A listing of
+	// several pages takes several calls.
+	Timeout, Pause time.Duration
 }
 
 // Failure says why a call gave nothing.
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -27,7 +27,7 @@
 // dueRead gives the call that is due, or nil.
 func (core *Core) dueRead() *Read {
 	if core.replica.Revision() == 0 || core.relist {
-		return &Read{Kind: ReadList, Timeout: core.settings.CallTimeout}
+		return &Read{Kind: ReadList, Timeout: core.settings.CallTimeout, Pause: core.settings.CallTimeout}
 	}
 	if !core.mustRead() {
 		return nil
@@ -38,6 +38,7 @@
 		After:   core.replica.Revision(),
 		Wait:    wait,
 		Timeout: wait + core.settings.CallTimeout,
+		Pause:   core.settings.CallTimeout,
 	}
 }
 
