--- a/cmd/robinpulley/main.go
+++ b/cmd/robinpulley/main.go
@@ -11,8 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"robinpulley.example/robinpulley/internal/config"
-	"robinpulley.example/robinpulley/internal/node"
-	"robinpulley.example/robinpulley/internal/tokennode"
+	"robinpulley.example/robinpulley/internal/lb"
 )
 
 // The exit codes.
@@ -64,7 +63,7 @@
 	switch {
 	case errors.Is(err, os.ErrNotExist), errors.Is(err, os.ErrPermission):
 		return exitBadSettings
-	case errors.Is(err, node.ErrStoppedAtOnce), errors.Is(err, tokennode.ErrStoppedAtOnce):
+	case errors.Is(err, lb.ErrStoppedAtOnce):
 		return exitStoppedAtOnce
 	}
 	return exitFailed
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,13 +10,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"robinpulley.example/robinpulley/internal/adminserver"
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/health"
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
@@ -33,10 +33,6 @@
 	readyFromPeer  = "peer"
 )
 
-// ErrStoppedAtOnce is returned by Run when its context ended before the
-// planned stop was finished.
-var ErrStoppedAtOnce = errors.New("stopped at once, before the planned stop was finished")
-
 // Node is one balancer.
 type Node struct {
 	settings  *config.Settings
@@ -138,7 +134,7 @@
 func (node *Node) Reload() { node.logEvent(logging.EventReloadIgnored) }
 
 // Run serves until a planned stop is finished, or until ctx ends, which stops
-// it at once with ErrStoppedAtOnce.
+// it at once with lb.ErrStoppedAtOnce.
 func (node *Node) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(ctx)
 	defer node.background.Wait()
@@ -165,7 +161,7 @@
 	case <-node.stopping:
 	case <-ctx.Done():
 		node.logEvent(logging.EventStoppedAtOnce)
-		return ErrStoppedAtOnce
+		return lb.ErrStoppedAtOnce
 	}
 	return node.stopAsPlanned(ctx)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -322,5 +322,5 @@
 	started := fleet.start("a", "za")
 	fleet.eventually("ready", func() bool { return started.State().Ready })
 	started.cancel()
-	is.Equal(<-started.done, node.ErrStoppedAtOnce)
+	is.Equal(<-started.done, lb.ErrStoppedAtOnce)
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
@@ -25,7 +26,7 @@
 	select {
 	case <-ctx.Done():
 		node.logEvent(logging.EventStoppedAtOnce)
-		return ErrStoppedAtOnce
+		return lb.ErrStoppedAtOnce
 	case <-time.After(endLinger):
 	}
 	node.logger.Info().
@@ -51,7 +52,7 @@
 		select {
 		case <-ctx.Done():
 			node.logEvent(logging.EventStoppedAtOnce)
-			return ErrStoppedAtOnce
+			return lb.ErrStoppedAtOnce
 		case <-limit.C:
 			return node.endPlanned(ctx, stoppedByLimit)
 		case <-ticker.C:
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -12,21 +12,17 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"robinpulley.example/robinpulley/internal/adminserver"
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/transport"
 )
 
-// ErrStoppedAtOnce is returned by Run when its context ended before the
-// planned stop was finished.
-var ErrStoppedAtOnce = errors.New("stopped at once, before the planned stop was finished")
-
 // Adapter is what a node needs of its platform.
 type Adapter struct {
 	// NewCodec gives the codec of one reader of the data address.
@@ -165,7 +161,7 @@
 }
 
 // Run serves until a planned stop is finished, or until ctx ends, which stops
-// it at once with ErrStoppedAtOnce.
+// it at once with lb.ErrStoppedAtOnce.
 func (node *Node) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(ctx)
 	defer node.background.Wait()
@@ -184,7 +180,7 @@
 	case <-node.stopping:
 	case <-ctx.Done():
 		node.logEvent(logging.EventStoppedAtOnce)
-		return ErrStoppedAtOnce
+		return lb.ErrStoppedAtOnce
 	}
 	return node.stopAsPlanned(ctx)
 }
--- a/internal/tokennode/stop.go
+++ b/internal/tokennode/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
@@ -76,7 +77,7 @@
 		select {
 		case <-ctx.Done():
 			node.logEvent(logging.EventStoppedAtOnce)
-			return ErrStoppedAtOnce
+			return lb.ErrStoppedAtOnce
 		case <-ticker.C:
 		}
 	}
