Have the demo of the platform be a soak with fixed steps

The demo is now seven steps of the soak's faults; robinlab platform checks all that the soak does, and fails on packets at a host that does not hold their flow, as it did. The soak also reports packets that reach a host changed, and openings without a token, which only the demo counted. The balancer is untouched.

--- a/cmd/robinlab/platform.go
+++ b/cmd/robinlab/platform.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"os"
+	"time"
 
-	"robinpulley.example/robinpulley/internal/lab/cluster"
-	"robinpulley.example/robinpulley/internal/lab/runs"
+	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/lab/soak"
+	"robinpulley.example/robinpulley/internal/lab/soak/faults"
 )
 
 // platformCommand runs the demo of the users' platform.
@@ -13,11 +16,40 @@
 	Out string `help:"Directory for logs and settings files." default:"out/platform"`
 }
 
+// demoSteps is what befalls the platform, one thing after the other: a host
+// is replaced, one balancer is stopped as planned, one is killed, a route
+// comes, the store falls silent and comes back, a route changes its service.
+func demoSteps() []soak.Step {
+	return []soak.Step{
+		{At: 2 * time.Second, Fault: "drain", Target: 0},
+		{At: 4 * time.Second, Fault: "stop", Target: 1},
+		{At: 7 * time.Second, Fault: "kill", Target: 2},
+		{At: 9 * time.Second, Fault: "change", Target: 0},
+		{At: 10 * time.Second, Lasts: 2 * time.Second, Fault: "store_silent"},
+		{At: 14 * time.Second, Fault: "change", Target: 0},
+		{At: 19 * time.Second, Fault: "reload", Target: 0},
+	}
+}
+
 // Run starts everything, prints the table and ends every process it started.
 func (command *platformCommand) Run(ctx context.Context) error {
-	binaries, err := binaryDirectory()
+	settings, err := soakSettings(command.Out)
+	if err != nil {
+		return err
+	}
+	settings.Seed = 1
+	settings.Steps = demoSteps()
+	settings.Size = soak.Size{Nodes: 4, Hosts: 3, Zones: 2, Flows: 40}
+	report, err := soak.Run(ctx, settings, faults.All(), os.Stdout)
 	if err != nil {
 		return err
 	}
-	return runs.Platform(ctx, cluster.Options{Binaries: binaries, Directory: command.Out}, os.Stdout)
+	if err := report.Print(os.Stdout); err != nil {
+		return err
+	}
+	if len(report.Violations) > 0 || report.Unknown > 0 {
+		return errors.Newf("%d promises were not kept, %d packets came to the wrong host; logs are in %s",
+			len(report.Violations), report.Unknown, command.Out)
+	}
+	return nil
 }
--- a/cmd/robinlab/soak.go
+++ b/cmd/robinlab/soak.go
@@ -48,25 +48,31 @@
 }
 
 func (command *soakCommand) play(ctx context.Context, seed uint64) (*soak.Report, error) {
-	binaries, err := binaryDirectory()
+	settings, err := soakSettings(filepath.Join(command.Out, strconv.FormatUint(seed, 10)))
 	if err != nil {
 		return nil, err
 	}
+	settings.Seed = seed
+	settings.Duration = command.Duration
 	fmt.Printf("soak with seed %d for %s\n", seed, command.Duration)
-	report, err := soak.Run(ctx, soak.Settings{
-		Seed:      seed,
-		Duration:  command.Duration,
-		Size:      soak.DefaultSize(),
-		Bounds:    soak.DefaultBounds(),
-		Program:   filepath.Join(binaries, "robinpulley"),
-		Directory: filepath.Join(command.Out, strconv.FormatUint(seed, 10)),
-	}, faults.All(), os.Stdout)
+	report, err := soak.Run(ctx, settings, faults.All(), os.Stdout)
 	if err != nil {
 		return nil, err
 	}
 	return report, report.Print(os.Stdout)
 }
 
+// soakSettings gives the defaults for the balancer beside this program.
+func soakSettings(directory string) (soak.Settings, error) {
+	binaries, err := binaryDirectory()
+	return soak.Settings{
+		Size:      soak.DefaultSize(),
+		Bounds:    soak.DefaultBounds(),
+		Program:   filepath.Join(binaries, "robinpulley"),
+		Directory: directory,
+	}, err
+}
+
 // seeds gives those to be played.
 func (command *soakCommand) seeds() ([]uint64, error) {
 	if command.Seeds != "" {
--- a/internal/lab/platformsim/host.go
+++ b/internal/lab/platformsim/host.go
@@ -43,7 +43,6 @@
 const (
 	HostOpening HostEventKind = "opening" // a packet that opens a flow, or a copy of it
 	HostRan     HostEventKind = "ran"     // a request ran
-	HostUnknown HostEventKind = "unknown" // a later packet of a flow that it does not hold
 )
 
 // hostFlow is one flow at its host.
@@ -197,7 +196,6 @@
 	flow := host.flows[packet.flow()]
 	if flow == nil || !flow.open && packet.Acknowledgment != flow.initial+1 {
 		host.counts.Unknown++
-		host.tell(HostUnknown, packet, 0)
 		answer := packet.answer(flagRST)
 		answer.Sequence = packet.Acknowledgment
 		host.send(packet, &answer)
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -35,6 +35,9 @@
 	Skipped    int // steps whose target another fault had
 	Counts     *Counts
 	StoreCalls int
+	// Unknown is how many later packets came to a host that does not hold their
+	// flow, such as those that were late and met a flow that had ended.
+	Unknown uint64
 	// Checked is how many openings were held against the routes, and the
 	// draining hosts, that had to be in force.
 	Checked    Checked
@@ -73,9 +76,7 @@
 	}
 	stopLoad()
 	load.Wait()
-	if forged := site.caller.Forged(); forged > 0 {
-		site.Checker.Report(time.Now(), RuleForged, "%d packets came to callers that nobody wrote that way", forged)
-	}
+	report.Unknown = site.checkPackets()
 	report.Skipped = int(r.skipped.Load())
 	report.StoreCalls = site.Store.Calls()
 	report.Checked = site.Checker.Checked()
@@ -235,6 +236,7 @@
 		{"requests answered", counts.Answered.Load()},
 		{"openings refused", counts.Refused.Load()},
 		{"never opened", counts.NotOpened.Load()},
+		{"packets at a host that does not hold their flow", report.Unknown},
 		{"calls to the store", report.StoreCalls},
 		{"openings checked against the routes in force", report.Checked.Routes},
 		{"openings checked while hosts had drained for long", report.Checked.Drains},
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -73,8 +73,8 @@
 
 	mutex    sync.Mutex
 	version  Version
-	services map[string]string // by host
-	nextHost int
+	services map[string]string   // by host
+	hosts    []*platformsim.Host // all that there were
 	closers  []func()
 }
 
@@ -87,7 +87,6 @@
 		Settings: settings,
 		Checker:  NewChecker(settings.Bounds),
 		services: make(map[string]string),
-		nextHost: 0x100,
 	}
 	if err := s.start(ctx); err != nil {
 		s.close()
@@ -243,20 +242,41 @@
 // NewHost starts a host at an address and has it announce itself.
 func (s *Site) NewHost(service, zone string, address netip.AddrPort) (*platformsim.Host, error) {
 	s.mutex.Lock()
-	s.nextHost++
-	id := fmt.Sprintf("i-%06x", s.nextHost)
+	defer s.mutex.Unlock()
+	id := fmt.Sprintf("i-%06x", firstHost+len(s.hosts))
 	s.services[id] = service
-	s.mutex.Unlock()
 	h, err := platformsim.NewHost(id, service, zone, address, s.port)
 	if err != nil {
 		return nil, err
 	}
 	h.Observe(s.Checker.HostSaw)
 	h.Announce(s.Store, "ready")
-	s.onClose(h.Close)
+	s.hosts = append(s.hosts, h)
+	s.closers = append(s.closers, h.Close)
 	return h, nil
 }
 
+// firstHost is the number of the first host.
+const firstHost = 0x100
+
+// checkPackets reports packets that somebody changed on their way, and
+// openings without a token, and gives how many later packets came to a host
+// that does not hold their flow.
+func (s *Site) checkPackets() (unknown uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	forged := s.caller.Forged()
+	for _, h := range s.hosts {
+		counts := h.Counts()
+		forged += counts.Forged + counts.NoToken
+		unknown += counts.Unknown
+	}
+	if forged > 0 {
+		s.Checker.Report(time.Now(), RuleForged, "%d packets came that nobody wrote that way, or opened a flow without a token", forged)
+	}
+	return unknown
+}
+
 // service gives that of a host.
 func (s *Site) service(host string) string {
 	s.mutex.Lock()
