Count the requests to the store by their reason, and log each call

Change: Read has a reason, ReadResult its number of requests; store_calls_total has kind, reason, failure, news; one log line a call.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -122,9 +122,24 @@
 	ReadWatch ReadKind = "watch"
 )
 
+// Reason says why a node reads the store. Each call has a price, so that the
+// sum over a fleet must be explained by its parts.
+type Reason string
+
+// The reasons.
+const (
+	ReasonStart       Reason = "start"        // it has no view yet
+	ReasonHistoryGone Reason = "history_gone" // a watch cannot go on from its revision
+	ReasonReader      Reason = "reader"       // it reads for the others
+	ReasonUnconfirmed Reason = "unconfirmed"  // nobody has confirmed its view yet
+	ReasonPatience    Reason = "patience"     // its view has not been confirmed in time
+	ReasonSilence     Reason = "silence"      // no other node tells of the view
+)
+
 // Read is a call to the store.
 type Read struct {
-	Kind ReadKind
+	Kind   ReadKind
+	Reason Reason
 	// After and Wait are for ReadWatch.
 	After int64
 	Wait  time.Duration
@@ -151,8 +166,11 @@
 type ReadResult struct {
 	Read    Read
 	Failure Failure
-	Listing *view.Listing
-	Changes *view.Changes
+	// Requests is how many requests the call took: one for each page of a
+	// listing, and one for each that was made again.
+	Requests int
+	Listing  *view.Listing
+	Changes  *view.Changes
 }
 
 // Outgoing is a message to control addresses.
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -27,14 +27,20 @@
 // dueRead gives the call that is due, or nil.
 func (core *Core) dueRead() *Read {
 	if core.replica.Revision() == 0 || core.relist {
-		return &Read{Kind: ReadList, Timeout: core.settings.CallTimeout, Pause: core.settings.CallTimeout}
+		reason := ReasonStart
+		if core.relist {
+			reason = ReasonHistoryGone
+		}
+		return &Read{Kind: ReadList, Reason: reason, Timeout: core.settings.CallTimeout, Pause: core.settings.CallTimeout}
 	}
-	if !core.mustRead() {
+	reason, due := core.reasonToRead()
+	if !due {
 		return nil
 	}
 	wait := core.watchWait()
 	return &Read{
 		Kind:    ReadWatch,
+		Reason:  reason,
 		After:   core.replica.Revision(),
 		Wait:    wait,
 		Timeout: wait + core.settings.CallTimeout,
@@ -56,22 +62,25 @@
 	return max(shortestWait, min(core.settings.WatchWait, left))
 }
 
-// mustRead tells whether this node is to read by itself: it is the first of
-// its zone, or its view has not been confirmed in time.
-func (core *Core) mustRead() bool {
+// reasonToRead tells why this node is to read by itself, if it is: it is the
+// first of its zone, or its view has not been confirmed in time.
+func (core *Core) reasonToRead() (reason Reason, due bool) {
 	rank := core.rank
 	if core.now-core.startAt < core.settings.SettleTime {
 		rank = max(rank, 1)
 	}
-	if rank == 0 || !core.confirmed {
-		return true
+	if rank == 0 {
+		return ReasonReader, true
+	}
+	if !core.confirmed {
+		return ReasonUnconfirmed, true
 	}
 	extra := time.Duration(rank-1) * core.settings.PatienceStep
 	if core.age() >= min(core.settings.Patience+extra, core.settings.PatienceLimit) {
-		return true
+		return ReasonPatience, true
 	}
 	silence := core.settings.SilenceLimit + extra
-	return core.now-core.heardAt >= silence && core.age() >= silence
+	return ReasonSilence, core.now-core.heardAt >= silence && core.age() >= silence
 }
 
 // finishRead takes the end of a call.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -31,6 +31,7 @@
 	EventWatcherChanged   Event = "watcher_changed"
 	EventStoreUp          Event = "store_up"
 	EventStoreDown        Event = "store_down"
+	EventStoreCall        Event = "store_call"
 	EventStoreWriteFailed Event = "store_write_failed"
 	EventMachinesFailed   Event = "machines_failed"
 	EventFaultInjected    Event = "fault_injected"
@@ -53,7 +54,7 @@
 	return []Event{
 		EventStarting, EventReady, EventStopping, EventNotReady, EventHandedOver, EventStopped,
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
-		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown,
+		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
 		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventOverloaded, EventOverloadEnded, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -64,6 +64,7 @@
 // noteCall counts a call to the store and logs when the store is lost and regained.
 func (engine *engine) noteCall(result *follower.ReadResult) {
 	engine.calls.count(result)
+	engine.logCall(result)
 	up := result.Failure == follower.FailureNone || result.Failure == follower.FailureCompacted
 	if result.Listing != nil {
 		for _, rejected := range result.Listing.Rejected {
@@ -89,6 +90,23 @@
 		Send()
 }
 
+// logCall logs a call to the store: each has a price, and its reason is why it
+// was paid. A node makes at most one at a time and a few a second.
+func (engine *engine) logCall(result *follower.ReadResult) {
+	key := keyOf(result)
+	age, _ := engine.follower.Age(engine.last)
+	engine.logger.Info().
+		Str(logging.FieldEvent, string(logging.EventStoreCall)).
+		Str("kind", string(key.kind)).
+		Str(logging.FieldReason, string(key.reason)).
+		Str(logging.FieldFailure, string(key.failure)).
+		Bool("news", key.news).
+		Int("requests", result.Requests).
+		Int64(logging.FieldAge, age.Milliseconds()).
+		Int64(logging.FieldDuration, (engine.last - engine.readAt).Milliseconds()).
+		Send()
+}
+
 func (engine *engine) logRejected(key string, err error) {
 	engine.calls.rejected++
 	engine.logger.Warn().Err(err).
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -1,6 +1,7 @@
 package tokennode
 
 import (
+	"maps"
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,20 +17,30 @@
 // callKey tells apart the calls to the store.
 type callKey struct {
 	kind    follower.ReadKind
+	reason  follower.Reason
 	failure follower.Failure
+	news    bool
 }
 
 // callCounts counts calls to the store.
 type callCounts struct {
-	calls    map[callKey]uint64
+	requests map[callKey]uint64
 	rejected uint64 // entries that could not be read
 	up       bool   // the last call succeeded
 }
 
-func newCallCounts() callCounts { return callCounts{calls: make(map[callKey]uint64), up: true} }
+func newCallCounts() callCounts { return callCounts{requests: make(map[callKey]uint64), up: true} }
 
 func (counts *callCounts) count(result *follower.ReadResult) {
-	counts.calls[callKey{result.Read.Kind, result.Failure}]++
+	counts.requests[keyOf(result)] += uint64(result.Requests)
+}
+
+// keyOf tells what a call is counted under.
+func keyOf(result *follower.ReadResult) callKey {
+	return callKey{
+		kind: result.Read.Kind, reason: result.Read.Reason, failure: result.Failure,
+		news: result.Changes != nil && len(result.Changes.Changes) > 0,
+	}
 }
 
 // The metrics. docs/operations-platform.md explains each.
@@ -39,7 +50,8 @@
 	metricDecisions = metrics.New(prometheus.CounterValue, "decisions_total",
 		"Packets decided on, by action.", "action")
 	metricCalls = metrics.New(prometheus.CounterValue, "store_calls_total",
-		"Calls to the platform's store, by kind (list, watch) and failure (empty: none).", "kind", "failure")
+		"Requests to the platform's store, by kind (list, watch), reason, failure (empty: none) and whether a watch brought changes.",
+		"kind", "reason", "failure", "news")
 	metricRejected = metrics.New(prometheus.CounterValue, "documents_rejected_total",
 		"Entries of the store that could not be read.")
 	metricRevision = metrics.New(prometheus.GaugeValue, "view_revision",
@@ -124,7 +136,7 @@
 
 func (output sampler) view(state *engineState) {
 	for key, calls := range state.calls {
-		output.Count(metricCalls, calls, string(key.kind), string(key.failure))
+		output.Count(metricCalls, calls, string(key.kind), string(key.reason), string(key.failure), strconv.FormatBool(key.news))
 	}
 	output.Count(metricRejected, state.rejected)
 	output.Add(metricRevision, float64(state.revision))
@@ -193,7 +205,7 @@
 	defer engine.mutex.Unlock()
 	state := engineState{
 		stats:    engine.core.Stats(),
-		calls:    make(map[callKey]uint64, len(engine.calls.calls)),
+		calls:    maps.Clone(engine.calls.requests),
 		rejected: engine.calls.rejected,
 		revision: engine.follower.Replica().Revision(),
 		version:  engine.follower.Replica().Version(),
@@ -205,9 +217,6 @@
 		decisionTime: engine.decisionTime,
 		callTime:     engine.callTime,
 	}
-	for key, value := range engine.calls.calls {
-		state.calls[key] = value
-	}
 	if age, known := engine.follower.Age(engine.now()); known {
 		state.age = age.Seconds()
 	}
