Read the store by one node for the fleet, and start from stale listings

Change: a node that nobody confirmed in time goes on reading until it hears of one before it; zones pass on what the reader tells (ForZone); listings at the start are stale, are as old as their oldest page, and confirm nothing; others are asked before the store; times stretch with the limit to 5.5 s. Ruled out: a lease in the store (writes, and a paused holder).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,6 +1,6 @@
 // Package follower keeps a balancer's view as new as the store's: it decides
-// who reads the store for whom, when, and what balancers tell each other. The
-// first node of each zone reads; one whose view has not been confirmed in time
+// who reads the store for whom, when, and what balancers tell each other. One
+// node reads for the fleet; one whose view has not been confirmed in time
 // reads itself. There is no leader that safety rests on: a second reader costs
 // calls, nothing else. It is a deterministic core without I/O, clock or global
 // randomness; see docs/design-platform.md, "Reading the store".
@@ -31,9 +31,12 @@
 	// ChangeInterval is the shortest time from an answer with changes to the
 	// next watch, so that changes in quick succession cost one call together.
 	ChangeInterval time.Duration
-	// Patience is the age of the view at which the node of rank 1 reads
-	// itself, PatienceStep what each further rank adds, up to PatienceLimit.
+	// Patience is the age of the view at which the first node in turn reads
+	// itself, PatienceStep what each further turn adds, up to PatienceLimit.
 	Patience, PatienceStep, PatienceLimit time.Duration
+	// LateStep is what each turn beyond PatienceLimit adds for a node that
+	// hears from others: they try already, and the store fails them.
+	LateStep time.Duration
 	// SilenceLimit is the age at which it does so if no node has told of the view since.
 	SilenceLimit time.Duration
 	// DigestInterval is the time between digests to the zone.
@@ -48,8 +51,8 @@
 }
 
 // DefaultSettings gives the defaults for a node. Together they put a change
-// into force within 2.5 s of its acknowledgement even when the reader of the
-// zone fails at that moment.
+// into force within 2.6 s of its acknowledgement even when the reader fails
+// at that moment. A step is longer than a read and its telling take (30 to 50 ms).
 func DefaultSettings(self lb.NodeID, zone lb.Zone, seed uint64) Settings {
 	return Settings{
 		Self:           self,
@@ -58,12 +61,13 @@
 		WatchWait:      1500 * time.Millisecond,
 		CallTimeout:    700 * time.Millisecond,
 		ChangeInterval: 200 * time.Millisecond,
-		Patience:       1900 * time.Millisecond,
-		PatienceStep:   100 * time.Millisecond,
+		Patience:       1700 * time.Millisecond,
+		PatienceStep:   60 * time.Millisecond,
 		PatienceLimit:  2200 * time.Millisecond,
+		LateStep:       400 * time.Millisecond,
 		SilenceLimit:   1200 * time.Millisecond,
 		DigestInterval: 400 * time.Millisecond,
-		TreeWidth:      8,
+		TreeWidth:      4,
 		SettleTime:     1500 * time.Millisecond,
 		BackoffBase:    100 * time.Millisecond,
 		BackoffLimit:   time.Second,
@@ -73,18 +77,24 @@
 // usualLimit is the time in which DefaultSettings put a change into force.
 const usualLimit = 3 * time.Second
 
+// longestLimit bounds how far Within stretches the times: a change is then in
+// force within 4.8 s (2.6 s of 3 s), and the fleet is to manage within 5 s.
+const longestLimit = 5500 * time.Millisecond
+
 // Within gives settings that put a change into force within a limit: all times
-// are shortened alike where it is below the usual one. Calls keep CallTimeout.
+// are shortened or stretched alike, so that a fleet whose users can wait longer
+// makes fewer calls. Calls keep CallTimeout, and a node that finds the store
+// failing tries again no later than before.
 func (settings Settings) Within(limit time.Duration) Settings {
-	if limit >= usualLimit {
-		return settings
-	}
+	limit = min(limit, longestLimit)
+	backoffLimit := settings.BackoffLimit
 	for _, duration := range []*time.Duration{
 		&settings.WatchWait, &settings.ChangeInterval, &settings.Patience, &settings.PatienceStep,
 		&settings.PatienceLimit, &settings.SilenceLimit, &settings.DigestInterval, &settings.BackoffLimit,
 	} {
 		*duration = *duration * limit / usualLimit
 	}
+	settings.BackoffLimit = min(settings.BackoffLimit, backoffLimit)
 	return settings
 }
 
@@ -131,6 +141,7 @@
 	ReasonStart       Reason = "start"        // it has no view yet
 	ReasonHistoryGone Reason = "history_gone" // a watch cannot go on from its revision
 	ReasonReader      Reason = "reader"       // it reads for the others
+	ReasonReaderGone  Reason = "reader_gone"  // who read for the others stops or has ended
 	ReasonUnconfirmed Reason = "unconfirmed"  // nobody has confirmed its view yet
 	ReasonPatience    Reason = "patience"     // its view has not been confirmed in time
 	ReasonSilence     Reason = "silence"      // no other node tells of the view
@@ -140,6 +151,8 @@
 type Read struct {
 	Kind   ReadKind
 	Reason Reason
+	// Stale is for ReadList: an answer that is seconds old will do.
+	Stale bool
 	// After and Wait are for ReadWatch.
 	After int64
 	Wait  time.Duration
@@ -204,8 +217,18 @@
 	peers []Peer // without self
 	// rank is this node's place among the staying nodes of its zone.
 	rank int
+	// zoneRank is the place of its zone, by the first nodes of all zones.
+	zoneRank int
 	// heads are the first nodes of the other zones.
 	heads []Peer
+	// acting: this node reads the store for the others.
+	acting bool
+	// reader is who else was last heard to do so; readerGone: it stops or has
+	// ended, noticed at readerGoneAt, and nobody has taken over yet.
+	reader       lb.NodeID
+	readerStays  bool // it is among peers
+	readerGone   bool
+	readerGoneAt time.Duration
 	// wholes are those that want the whole view.
 	wholes []netip.AddrPort
 	// answeredAt is when they were last sent it, for wholeInterval.
@@ -216,8 +239,6 @@
 	confirmedAt time.Duration // when the view was last known to be the newest
 	confirmed   bool
 	heardAt     time.Duration // when a peer last told of the view
-	readAt      time.Duration // of the last successful call of this node
-	hasRead     bool
 	reading     bool
 	relist      bool // the history is gone
 	nextRead    time.Duration
@@ -246,9 +267,12 @@
 	return now - core.confirmedAt, core.confirmed
 }
 
-// Rank is this node's place among those of its zone that may read; 0 reads.
+// Rank is this node's place among those of its zone, by which they lose patience.
 func (core *Core) Rank() int { return core.rank }
 
+// Reads tells whether this node reads the store for the others.
+func (core *Core) Reads() bool { return core.acting }
+
 // Step takes one event at a time that never goes back and fills effects.
 func (core *Core) Step(now time.Duration, event *Event, effects *Effects) {
 	*effects = Effects{Messages: effects.Messages[:0]}
@@ -277,8 +301,10 @@
 			core.noteChange(effects, "prune")
 		}
 	}
-	if core.replica.Revision() == 0 {
+	if core.lacksWord() {
 		core.askForView(effects)
+	}
+	if core.replica.Revision() == 0 {
 		return
 	}
 	core.answerWholes(effects)
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -35,6 +35,7 @@
 		core.rank = len(core.ranked) // this node leaves: others read first
 	}
 	core.setHeads()
+	core.checkReader()
 }
 
 // position is the place of a node of the own zone by rank; -1: it is not there.
@@ -52,6 +53,12 @@
 		}
 	}
 	delete(first, core.settings.Zone)
+	core.zoneRank = 0
+	for _, head := range first {
+		if len(core.ranked) == 0 || compareRank(head, core.ranked[0]) < 0 {
+			core.zoneRank++
+		}
+	}
 	core.heads = slices.SortedFunc(maps.Values(first), func(left, right Peer) int {
 		return left.Control.Compare(right.Control)
 	})
@@ -69,30 +76,55 @@
 	return rendezvous.Candidate{ID: peer.ID, Hash: peer.ID.Hash()}
 }
 
-// tells tells whether this node is one that others hear of the view from: the
-// first of its zone, or one that reads the store.
+// tells tells whether this node is one that others hear of the view from: who
+// reads for them, and where nobody is heard to, the first of each zone.
 func (core *Core) tells() bool {
-	return core.rank == 0 || core.hasRead && core.now-core.readAt < core.settings.Patience
+	if !core.confirmed {
+		return false
+	}
+	return core.acting || core.rank == 0 && core.now-core.heardAt >= missedDigests*core.settings.DigestInterval
+}
+
+// missedDigests is how many digest intervals without a word make the first of
+// a zone tell it what it knows: one may be lost.
+const missedDigests = 2
+
+// digest says how new the view is.
+func (core *Core) digest(route message.Route) message.ViewDigest {
+	return message.ViewDigest{
+		Revision:  core.replica.Revision(),
+		LastNews:  core.replica.LastNews(),
+		AgeMillis: core.age().Milliseconds(),
+		Reader:    core.currentReader(),
+		Route:     route,
+	}
 }
 
-// sendDigest tells the zone, and the first nodes of the others, how new the view is.
+// sendDigest tells the fleet how new the view is.
 func (core *Core) sendDigest(effects *Effects) {
 	core.nextDigest = core.now + core.settings.DigestInterval
-	core.spread(effects, func(origin lb.NodeID) message.Message {
-		return message.ViewDigest{
-			Revision:  core.replica.Revision(),
-			LastNews:  core.replica.LastNews(),
-			AgeMillis: core.age().Milliseconds(),
-			Origin:    origin,
-		}
-	})
+	core.spread(effects, func(route message.Route) message.Message { return core.digest(route) })
 }
 
-// spread tells the first nodes of the other zones, which do not pass it on, and
+// spread tells the first nodes of the other zones, which pass it on there, and
 // the own zone, through the tree of which this node is the root.
-func (core *Core) spread(effects *Effects, told func(origin lb.NodeID) message.Message) {
-	core.send(told(""), core.heads, effects)
-	core.send(told(core.settings.Self), core.children(core.settings.Self), effects)
+func (core *Core) spread(effects *Effects, told func(message.Route) message.Message) {
+	core.send(told(message.Route{ForZone: true}), core.heads, effects)
+	core.tellZone(effects, told)
+}
+
+func (core *Core) tellZone(effects *Effects, told func(message.Route) message.Message) {
+	core.send(told(message.Route{Origin: core.settings.Self}), core.children(core.settings.Self), effects)
+}
+
+// passOn tells those whom a route names, with this node in its place in the tree.
+func (core *Core) passOn(route message.Route, effects *Effects, told func(message.Route) message.Message) {
+	switch {
+	case route.ForZone:
+		core.tellZone(effects, told)
+	case route.Origin != "":
+		core.send(told(route), core.children(route.Origin), effects)
+	}
 }
 
 func (core *Core) send(told message.Message, peers []Peer, effects *Effects) {
@@ -132,23 +164,53 @@
 		return // this node has just started; others know it already
 	}
 	delta := core.delta(after)
-	core.spread(effects, func(origin lb.NodeID) message.Message {
-		delta.Origin = origin
+	core.spread(effects, func(route message.Route) message.Message {
+		delta.Route = route
 		return delta
 	})
 }
 
 func (core *Core) delta(after int64) message.ViewDelta {
-	return message.ViewDelta{AgeMillis: core.age().Milliseconds(), Delta: *core.replica.Delta(core.now, after)}
+	delta := message.ViewDelta{Reader: core.currentReader(), Delta: *core.replica.Delta(core.now, after)}
+	if !core.confirmed {
+		delta.Unconfirmed = true
+		return delta
+	}
+	delta.AgeMillis = core.age().Milliseconds()
+	return delta
+}
+
+// Parts of the time after which a node reads by itself, when it asks others first.
+const (
+	askSilenceParts  = 0.75
+	askPatienceParts = 0.95 // above the age that a view has when the reader's watch ends
+)
+
+// lacksWord tells whether this node is to ask others for the view: it has none
+// that anybody has confirmed, or will soon have to read by itself.
+func (core *Core) lacksWord() bool {
+	if !core.confirmed {
+		return true
+	}
+	if core.acting {
+		return false
+	}
+	silence := time.Duration(askSilenceParts * float64(core.settings.SilenceLimit))
+	patience := time.Duration(askPatienceParts * float64(core.settings.Patience))
+	return core.age() >= patience || core.age() >= silence && core.now-core.heardAt >= silence
 }
 
-// askForView asks a seed and a peer for the whole view, unless the store has
-// just been asked and will answer sooner.
+// askForView asks a seed and a peer for the view, or for what is missing in
+// one that nobody has confirmed, unless the store has just been asked and will
+// answer sooner.
 func (core *Core) askForView(effects *Effects) {
 	if core.now < core.nextWant || core.now-core.startAt < wantInterval {
 		return
 	}
 	core.nextWant = core.now + 2*wantInterval
+	if core.confirmed {
+		core.nextWant = core.now + core.settings.DigestInterval
+	}
 	var asked []netip.AddrPort
 	if count := len(core.settings.Seeds); count > 0 {
 		asked = append(asked, core.settings.Seeds[core.random.IntN(count)])
@@ -157,7 +219,8 @@
 		asked = append(asked, core.peers[core.random.IntN(count)].Control)
 	}
 	if len(asked) > 0 {
-		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: message.ViewWant{}})
+		wanted := message.ViewWant{After: core.replica.Revision()}
+		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: wanted})
 	}
 }
 
@@ -176,6 +239,7 @@
 func (core *Core) takeDigest(from *PeerMessage, digest *message.ViewDigest, effects *Effects) {
 	news := core.now-core.heardAt >= core.settings.DigestInterval/2
 	core.heardAt = core.now
+	core.noteReader(digest.Reader, digest.Route)
 	confirmedAt := core.now - time.Duration(digest.AgeMillis)*time.Millisecond
 	switch {
 	case digest.LastNews > core.replica.Revision():
@@ -186,8 +250,12 @@
 		core.replica.Advance(digest.Revision)
 		core.confirm(confirmedAt)
 	}
-	if news && digest.Origin != "" {
-		core.send(*digest, core.children(digest.Origin), effects)
+	if news {
+		core.passOn(digest.Route, effects, func(route message.Route) message.Message {
+			passed := *digest
+			passed.Route = route
+			return passed
+		})
 	}
 }
 
@@ -206,7 +274,13 @@
 }
 
 func (core *Core) answerWant(from *PeerMessage, want *message.ViewWant, effects *Effects) {
-	if !from.Address.IsValid() || core.replica.Revision() <= want.After {
+	if !from.Address.IsValid() || core.replica.Revision() == 0 || core.replica.Revision() < want.After {
+		return
+	}
+	if core.replica.Revision() == want.After {
+		if core.confirmed {
+			core.send(core.digest(message.Route{}), []Peer{{Control: from.Address}}, effects)
+		}
 		return
 	}
 	if want.After == 0 {
@@ -250,24 +324,30 @@
 
 func (core *Core) takeDelta(from *PeerMessage, told *message.ViewDelta, effects *Effects) {
 	core.heardAt = core.now
+	core.noteReader(told.Reader, told.Route)
 	if told.Delta.After > core.replica.Revision() {
 		core.want(from.Address, effects)
 		return
 	}
 	core.noteAge()
 	applied, changed := core.replica.ApplyDelta(core.now, &told.Delta)
-	if told.Origin != "" {
-		core.send(*told, core.children(told.Origin), effects)
-	}
+	core.passOn(told.Route, effects, func(route message.Route) message.Message {
+		passed := *told
+		passed.Route = route
+		return passed
+	})
 	if !applied {
 		return
 	}
-	core.confirm(core.now - time.Duration(told.AgeMillis)*time.Millisecond)
+	if !told.Unconfirmed {
+		core.confirm(core.now - time.Duration(told.AgeMillis)*time.Millisecond)
+	}
 	if !changed {
 		return
 	}
 	core.noteChange(effects, string(from.From))
-	if core.tells() {
-		core.sendDigest(effects)
+	if core.confirmed && told.Route == (message.Route{}) && core.rank == 0 {
+		// It was asked for: the zone may lack it, too.
+		core.tellZone(effects, func(route message.Route) message.Message { return core.digest(route) })
 	}
 }
--- /dev/null
+++ b/internal/follower/reader.go
@@ -0,0 +1,150 @@
+package follower
+
+import (
+	"slices"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// One node reads the store for the fleet: who has read because nobody else did
+// in time, until it hears of one that comes before it, fails, or leaves. Nodes
+// lose patience in turn, so that mostly one of them reads.
+
+// reasonToRead tells why this node is to read by itself, if it is.
+func (core *Core) reasonToRead() (reason Reason, due bool) {
+	turn := core.turn()
+	extra := time.Duration(turn) * core.settings.PatienceStep
+	switch {
+	case core.acting:
+		return ReasonReader, true
+	case !core.confirmed:
+		wait := min(core.settings.SettleTime+extra, core.settings.SettleTime+core.settings.PatienceLimit)
+		return ReasonUnconfirmed, core.now-core.startAt >= wait
+	case core.readerGone && core.now-core.readerGoneAt >= extra:
+		return ReasonReaderGone, true
+	case core.age() >= core.patience(turn):
+		return ReasonPatience, true
+	}
+	silence := core.settings.SilenceLimit + extra
+	return ReasonSilence, core.now-core.heardAt >= silence && core.age() >= silence
+}
+
+// turn is this node's place in the order in which nodes lose patience: the
+// first of each zone come before all others of their zones. A node that has just
+// started has not yet heard of the others and does not take itself as the first.
+func (core *Core) turn() int {
+	turn := core.rank + core.zoneRank
+	if core.now-core.startAt < core.settings.SettleTime {
+		turn = max(turn, 1)
+	}
+	return turn
+}
+
+// patience is the age of the view at which a node reads itself. Where others
+// are heard but cannot confirm the view, those before this one try already: the
+// further turns follow slowly, so that an outage does not cost a call a node.
+func (core *Core) patience(turn int) time.Duration {
+	patience := core.settings.Patience + time.Duration(turn)*core.settings.PatienceStep
+	if patience <= core.settings.PatienceLimit {
+		return patience
+	}
+	if !core.hears() {
+		return core.settings.PatienceLimit
+	}
+	last := int((core.settings.PatienceLimit - core.settings.Patience) / core.settings.PatienceStep)
+	return core.settings.PatienceLimit + time.Duration(turn-last)*core.settings.LateStep
+}
+
+// hears tells whether other nodes tell this one of the view.
+func (core *Core) hears() bool { return core.now-core.heardAt < core.settings.SilenceLimit }
+
+// currentReader is who reads for the others, as far as this node knows.
+func (core *Core) currentReader() lb.NodeID {
+	switch {
+	case core.acting:
+		return core.settings.Self
+	case core.readerGone:
+		return ""
+	}
+	return core.reader
+}
+
+// takeOver makes this node the reader after a successful read that nobody else
+// made in time. One that leaves does not begin with it.
+func (core *Core) takeOver(reason Reason) {
+	if core.acting || reason == ReasonHistoryGone || core.leaves() {
+		return
+	}
+	core.acting = true
+	core.readerGone = false
+}
+
+// patientFailures is how many calls in a row may fail until the reader leaves
+// reading to others: a single one may be lost.
+const patientFailures = 2
+
+// stepDown leaves reading to others when the store fails this node.
+func (core *Core) stepDown(effects *Effects) {
+	if core.acting && core.failures >= patientFailures {
+		core.acting = false
+		core.reader = ""
+		core.sendDigest(effects)
+	}
+}
+
+// noteReader takes what a telling says of who reads. One that answers a
+// question says what its sender knows, which may have just started.
+func (core *Core) noteReader(reader lb.NodeID, route message.Route) {
+	switch {
+	case reader == "":
+		if route != (message.Route{}) {
+			core.noteReaderGone()
+		}
+	case reader == core.settings.Self:
+	case core.acting && !core.yieldsTo(reader):
+	case !core.stays(reader):
+		core.reader = reader
+		core.readerStays = false
+	default:
+		core.acting = false
+		core.reader = reader
+		core.readerStays = true
+		core.readerGone = false
+	}
+}
+
+// yieldsTo tells whether this node, which reads, leaves it to another that does, too.
+func (core *Core) yieldsTo(reader lb.NodeID) bool {
+	if core.failures > 0 || core.leaves() {
+		return true
+	}
+	return compareRank(Peer{ID: reader}, Peer{ID: core.settings.Self}) < 0
+}
+
+// checkReader notices that the reader is not among those who stay any more. Of
+// one that was never among them this node has not heard yet.
+func (core *Core) checkReader() {
+	stays := core.stays(core.reader)
+	if core.readerStays && !stays {
+		core.noteReaderGone()
+	}
+	core.readerStays = stays
+}
+
+func (core *Core) noteReaderGone() {
+	if core.readerGone || core.acting {
+		return
+	}
+	core.readerGone = true
+	core.readerGoneAt = core.now
+}
+
+// stays tells whether a node is a living one that does not leave.
+func (core *Core) stays(id lb.NodeID) bool {
+	return slices.ContainsFunc(core.peers, func(peer Peer) bool { return peer.ID == id })
+}
+
+// leaves tells whether this node is in a planned stop.
+func (core *Core) leaves() bool { return len(core.ranked) > 0 && core.position(core.settings.Self) < 0 }
--- a/internal/message/view.go
+++ b/internal/message/view.go
@@ -12,8 +12,8 @@
 	TypeViewDelta  Type = "view_delta"
 )
 
-// ViewDigest says how new the sender's view is. It is sent by nodes that read
-// the store themselves.
+// ViewDigest says how new the sender's view is. It is sent by the node that
+// reads the store for the others, and passed on.
 type ViewDigest struct {
 	Revision int64 `json:"revision"`
 	// LastNews is the revision from which on a view lacks nothing that the
@@ -21,9 +21,19 @@
 	LastNews int64 `json:"changed"`
 	// AgeMillis is the time since the store confirmed the view as the newest.
 	AgeMillis int64 `json:"age_ms"`
+	// Reader is the node that reads the store for the others, as far as the
+	// sender knows; empty: it knows of none.
+	Reader lb.NodeID `json:"reader,omitempty"`
+	Route
+}
+
+// Route says to whom the receiver passes a message on.
+type Route struct {
 	// Origin is the node whose zone is told, through the other nodes of the
-	// zone; empty: the message is not passed on.
+	// zone; empty: the message is not passed on in a zone.
 	Origin lb.NodeID `json:"origin,omitempty"`
+	// ForZone: the receiver tells its own zone, as its origin.
+	ForZone bool `json:"for_zone,omitempty"`
 }
 
 // ViewWant asks for all that changed after a revision; 0: the whole view.
@@ -33,9 +43,12 @@
 
 // ViewDelta answers ViewWant, and is sent unasked when the view changes.
 type ViewDelta struct {
-	AgeMillis int64      `json:"age_ms"`
-	Origin    lb.NodeID  `json:"origin,omitempty"` // as in ViewDigest
-	Delta     view.Delta `json:"delta"`
+	AgeMillis int64 `json:"age_ms"`
+	// Unconfirmed: the sender does not know how old its view is; AgeMillis says nothing.
+	Unconfirmed bool      `json:"unconfirmed,omitempty"`
+	Reader      lb.NodeID `json:"reader,omitempty"` // as in ViewDigest
+	Route
+	Delta view.Delta `json:"delta"`
 }
 
 // Whole tells whether the delta is a whole view.
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -61,7 +61,9 @@
 	metricVersion = metrics.New(prometheus.GaugeValue, "configuration_version",
 		"Version of the configuration in force.")
 	metricRank = metrics.New(prometheus.GaugeValue, "reader_rank",
-		"Place of this node among those of its zone that may read the store; 0 reads.")
+		"Place of this node among those of its zone, by which they lose patience with an old view.")
+	metricReads = metrics.New(prometheus.GaugeValue, "reader",
+		"1 while this node reads the store for the others.")
 	metricMembers = metrics.New(prometheus.GaugeValue, "members_alive",
 		"Living balancers known, this one included.")
 	metricLeaving = metrics.New(prometheus.GaugeValue, "members_leaving",
@@ -95,7 +97,7 @@
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricRank, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
+	metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 }
 
@@ -143,6 +145,7 @@
 	output.Add(metricAge, state.age)
 	output.Count(metricVersion, state.version)
 	output.Add(metricRank, float64(state.rank))
+	output.Add(metricReads, state.reads)
 	output.Add(metricMembers, float64(state.members))
 	output.Add(metricLeaving, float64(state.leaving))
 	output.histogram(metricDecisionTime, state.decisionTime)
@@ -192,6 +195,7 @@
 	version  uint64
 	age      float64 // seconds
 	rank     int
+	reads    float64 // 1: this node reads for the others
 	members  int
 	leaving  int
 
@@ -217,6 +221,9 @@
 		decisionTime: engine.decisionTime,
 		callTime:     engine.callTime,
 	}
+	if engine.follower.Reads() {
+		state.reads = 1
+	}
 	if age, known := engine.follower.Age(engine.now()); known {
 		state.age = age.Seconds()
 	}
