--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -59,8 +59,9 @@
 type fleet struct {
 	t          *testing.T
 	store      *viewtest.Store
-	compacted  int64         // history up to here is gone
-	older      *view.Listing // what stale listings give; nil: the present state
+	compacted  int64          // history up to here is gone
+	snapshot   *view.Snapshot // that was left in the store
+	older      *view.Listing  // what stale listings give; nil: the present state
 	nodes      []*fleetNode
 	deliveries []delivery
 	cut        lb.Zone // its nodes reach no other zone, but the store
@@ -114,6 +115,10 @@
 			fleet.deliveries = append(fleet.deliveries, delivery{fleet.now + messageDelay, node, to, outgoing.Message})
 		}
 	}
+	if effects.Publication != nil {
+		node.calls++
+		fleet.publish(node, effects.Publication)
+	}
 	if effects.Read == nil {
 		return
 	}
@@ -181,6 +186,10 @@
 			return
 		}
 		result.Failure = FailureLost
+	case node.read.Kind == ReadSnapshot && fleet.snapshot == nil:
+		result.Failure = FailureMissing
+	case node.read.Kind == ReadSnapshot:
+		result.Snapshot = fleet.snapshot
 	case node.read.Stale && fleet.older != nil:
 		older := *fleet.older
 		result.Listing = &older
@@ -197,11 +206,23 @@
 	fleet.step(node, &Event{Read: &result})
 }
 
+// publish ends the writing of a snapshot at once.
+func (fleet *fleet) publish(node *fleetNode, publication *Publication) {
+	result := PublishResult{Publication: *publication}
+	if node.fault == faultNone {
+		fleet.snapshot = publication.Snapshot
+		result.Revision = fleet.store.Touch()
+	} else {
+		result.Failure = FailureUnavailable
+	}
+	fleet.step(node, &Event{Published: &result})
+}
+
 // behind counts the living nodes without the store's last change.
 func (fleet *fleet) behind() int {
 	count := 0
 	for _, node := range fleet.nodes {
-		if !node.dead && node.core.Replica().LastNews() < fleet.store.Revision() {
+		if !node.dead && node.core.Replica().LastNews() < fleet.store.LastChange() {
 			count++
 		}
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -114,6 +114,8 @@
 	Peers   []Peer // all that are alive, self included
 	Message *PeerMessage
 	Read    *ReadResult
+	// Published is how the writing of a snapshot has ended.
+	Published *PublishResult
 }
 
 // TickInterval is the time between two ticks.
@@ -131,8 +133,9 @@
 
 // The kinds of reading calls.
 const (
-	ReadList  ReadKind = "list"
-	ReadWatch ReadKind = "watch"
+	ReadList     ReadKind = "list"
+	ReadWatch    ReadKind = "watch"
+	ReadSnapshot ReadKind = "snapshot"
 )
 
 // Reason says why a node reads the store. Each call has a price, so that the
@@ -154,7 +157,7 @@
 type Read struct {
 	Kind   ReadKind
 	Reason Reason
-	// Stale is for ReadList: an answer that is seconds old will do.
+	// Stale is for ReadList and ReadSnapshot: an answer that is seconds old will do.
 	Stale bool
 	// After and Wait are for ReadWatch.
 	After int64
@@ -176,9 +179,11 @@
 	FailureUnavailable Failure = "unavailable" // the store says that it does not serve
 	FailureCompacted   Failure = "compacted"   // the history after Read.After is gone
 	FailureRejected    Failure = "rejected"    // the store refuses the call as such
+	FailureMissing     Failure = "missing"     // there is no snapshot that can be used
+	FailureConflict    Failure = "conflict"    // another node has written a newer snapshot
 )
 
-// ReadResult is how a call ended. Listing or Changes is set if Failure is FailureNone.
+// ReadResult is how a call ended. Listing, Snapshot or Changes is set if Failure is FailureNone.
 type ReadResult struct {
 	Read    Read
 	Failure Failure
@@ -186,6 +191,7 @@
 	// listing, and one for each that was made again.
 	Requests int
 	Listing  *view.Listing
+	Snapshot *view.Snapshot
 	Changes  *view.Changes
 }
 
@@ -197,6 +203,8 @@
 
 // Effects is filled by one Step. The caller reuses it; Step resets it first.
 type Effects struct {
+	// Publication is a snapshot to be written; there is one at a time.
+	Publication *Publication
 	// Read is a call to be started; there is one at a time.
 	Read     *Read
 	Messages []Outgoing
@@ -247,6 +255,10 @@
 	heardAt     time.Duration // when a peer last told of the view
 	reading     bool
 	relist      bool // the history is gone
+	noSnapshot  bool // the store has none that can be used
+	publishing  bool
+	published   int64 // the store's revision of the last snapshot written by this node
+	nextPublish time.Duration
 	nextRead    time.Duration
 	failures    int
 	nextDigest  time.Duration
@@ -294,10 +306,13 @@
 		core.receive(event.Message, effects)
 	case event.Read != nil:
 		core.finishRead(event.Read, effects)
+	case event.Published != nil:
+		core.finishPublication(event.Published)
 	default:
 		core.tick(effects)
 	}
 	core.startRead(effects)
+	effects.Publication = core.duePublication()
 }
 
 func (core *Core) tick(effects *Effects) {
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -47,9 +47,10 @@
 	}
 }
 
-// listing is a call for everything. At the start an answer that is seconds old
-// will do: a peer or a watch from its revision confirms it. One older than a
-// view that cannot go on would be of no use.
+// listing is a call for everything: at the start for a snapshot that the reader
+// has left, or else for all entries. An answer that is seconds old will do then:
+// a peer or a watch from its revision confirms it. One older than a view that
+// cannot go on would be of no use.
 func (core *Core) listing() *Read {
 	read := &Read{Kind: ReadList, Reason: ReasonStart, Timeout: core.settings.CallTimeout, Pause: core.settings.CallTimeout}
 	if core.relist {
@@ -57,6 +58,9 @@
 		return read
 	}
 	read.Stale = true
+	if !core.noSnapshot {
+		read.Kind = ReadSnapshot
+	}
 	return read
 }
 
@@ -111,6 +115,9 @@
 // apply takes what a call gave, and tells whether anything changed.
 func (core *Core) apply(result *ReadResult) bool {
 	core.noteAge()
+	if result.Snapshot != nil {
+		return core.replica.ApplySnapshot(core.now, result.Snapshot)
+	}
 	if result.Listing != nil {
 		core.relist = false
 		return core.replica.ApplyListing(core.now, result.Listing)
@@ -125,6 +132,11 @@
 		core.nextRead = core.now
 		return
 	}
+	if failure == FailureMissing {
+		core.noSnapshot = true
+		core.nextRead = core.now
+		return
+	}
 	core.failures++
 	core.nextRead = core.now + core.backoff(failure)
 	core.stepDown(effects)
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -200,3 +200,48 @@
 	is.Equal(len(fleet.readers()), 1)
 	is.Equal(fleet.behind(), 0)
 }
+
+// TestSnapshotIsLeftForThoseWhoStart: it is written when the view has changed,
+// rarely, and a node that starts takes it in place of a listing.
+func TestSnapshotIsLeftForThoseWhoStart(t *testing.T) {
+	is := is.New(t)
+	fleet := large(t)
+	is.True(fleet.snapshot != nil)
+	for version := range uint64(20) {
+		fleet.store.Configure(version+2, 81)
+		fleet.run(100 * time.Millisecond)
+	}
+	fleet.run(publishInterval)
+	is.Equal(fleet.snapshot.View.Version, uint64(21))
+	before := fleet.calls()
+	kept := fleet.snapshot
+	fleet.run(20 * time.Second)
+	is.Equal(fleet.snapshot, kept) // nothing has changed
+	is.True(fleet.calls()-before <= 16)
+	node := fleet.nodes[7]
+	fleet.restart(node, 9)
+	fleet.announce()
+	fleet.run(30 * time.Millisecond)
+	is.Equal(node.stale, 3) // a snapshot that was not there and a listing, then the snapshot
+	is.True(node.core.Replica().Configured())
+	fleet.run(300 * time.Millisecond)
+	_, confirmed := node.core.Age(fleet.now)
+	is.True(confirmed)
+}
+
+// TestSnapshotOfLostHistory: all nodes start from a snapshot after which the
+// store has forgotten what changed.
+func TestSnapshotOfLostHistory(t *testing.T) {
+	is := is.New(t)
+	fleet := large(t)
+	fleet.store.Configure(2, 81)
+	fleet.store.Remove("a")
+	fleet.compacted = fleet.store.Revision()
+	for index, node := range fleet.nodes {
+		fleet.restart(node, uint64(index))
+	}
+	fleet.run(200 * time.Millisecond)
+	fleet.announce()
+	fleet.run(3 * time.Second)
+	is.Equal(fleet.behind(), 0)
+}
--- a/internal/lab/platformsim/store.go
+++ b/internal/lab/platformsim/store.go
@@ -74,7 +74,9 @@
 	}
 	store := &Store{listener: listener, revision: 1, items: map[string]Item{}, changed: make(chan struct{})}
 	routes := http.NewServeMux()
+	routes.HandleFunc("GET /-/kv-key", store.serve(store.serveKey))
 	routes.HandleFunc("GET /-/kv-range", store.serve(store.serveRange))
+	routes.HandleFunc("POST /-/kv-txn", store.serve(store.serveTransaction))
 	routes.HandleFunc("GET /-/kv-watch", store.serve(store.serveWatch))
 	store.server = &http.Server{Handler: routes, ReadHeaderTimeout: time.Second}
 	go func() { _ = store.server.Serve(listener) }() // ends with Close
@@ -100,6 +102,11 @@
 func (store *Store) PutBytes(key string, value []byte) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	store.put(key, value)
+}
+
+// put writes an entry. The caller holds the mutex.
+func (store *Store) put(key string, value []byte) {
 	store.keepPast()
 	store.revision++
 	item := Item{Key: key, Value: value, Revision: store.revision, Made: store.revision}
@@ -212,6 +219,62 @@
 	writeJSON(response, map[string]any{"items": items, "more": more, "at": revision})
 }
 
+func (store *Store) serveKey(response http.ResponseWriter, request *http.Request) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	held := store.items
+	if request.URL.Query().Get("stale") == "1" {
+		_, held = store.stale()
+	}
+	item, found := held[request.URL.Query().Get("tls_key")]
+	if !found {
+		response.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(response, item)
+}
+
+// transaction is the part of a transaction that balancers use.
+type transaction struct {
+	Conditions []struct {
+		Key      string `json:"tls_key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected_rev"`
+	Put []struct {
+		Key   string `json:"tls_key"`
+		Value []byte `json:"value"`
+	} `json:"put"`
+}
+
+func (store *Store) serveTransaction(response http.ResponseWriter, request *http.Request) {
+	var asked transaction
+	if err := json.NewDecoder(request.Body).Decode(&asked); err != nil {
+		http.Error(response, err.Error(), http.StatusBadRequest)
+		return
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	held := []Item{}
+	fails := false
+	for _, condition := range asked.Conditions {
+		item, found := store.items[condition.Key]
+		if found {
+			held = append(held, item)
+		}
+		fails = fails || item.Revision != condition.Revision
+	}
+	if fails {
+		response.Header().Set("Content-Type", "application/json")
+		response.WriteHeader(http.StatusPreconditionFailed)
+		_ = json.NewEncoder(response).Encode(map[string]any{"items": held}) // a caller that has gone needs no answer
+		return
+	}
+	for _, write := range asked.Put {
+		store.put(write.Key, write.Value)
+	}
+	writeJSON(response, map[string]any{"revision": store.revision})
+}
+
 func (store *Store) serveWatch(response http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
 	after, afterErr := strconv.ParseInt(query.Get("after"), 10, 64)
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -29,6 +29,8 @@
 	transmit func([]netip.AddrPort, message.Message)
 	// reads has the call to the store that is to be carried out.
 	reads chan follower.Read
+	// publications has the snapshot that is to be written.
+	publications chan follower.Publication
 	// viewed is closed when the first table is compiled.
 	viewed chan struct{}
 
@@ -52,6 +54,7 @@
 	decisionTime    times
 	callTime        times
 	readAt          time.Duration // when the call under way was started
+	publishAt       time.Duration // when the writing of a snapshot was started
 }
 
 // newEngine makes the deterministic parts. The caller sets clock and transmit.
@@ -79,16 +82,17 @@
 		}
 	}
 	return &engine{
-		settings:  settings,
-		logger:    logger,
-		reads:     make(chan follower.Read, 1),
-		viewed:    make(chan struct{}),
-		core:      core.New(deciding),
-		member:    membership,
-		follower:  follower.New(following),
-		zone:      availability.New(availability.DefaultSettings(settings.Node)),
-		calls:     newCallCounts(),
-		decisions: newDecisionLog(logger),
+		settings:     settings,
+		logger:       logger,
+		reads:        make(chan follower.Read, 1),
+		publications: make(chan follower.Publication, 1),
+		viewed:       make(chan struct{}),
+		core:         core.New(deciding),
+		member:       membership,
+		follower:     follower.New(following),
+		zone:         availability.New(availability.DefaultSettings(settings.Node)),
+		calls:        newCallCounts(),
+		decisions:    newDecisionLog(logger),
 	}, nil
 }
 
@@ -178,6 +182,15 @@
 	})
 }
 
+// finishPublication takes the end of the writing of a snapshot.
+func (engine *engine) finishPublication(result *follower.PublishResult) {
+	engine.input(func() {
+		engine.now()
+		engine.notePublication(result)
+		engine.followerStep(&follower.Event{Published: result})
+	})
+}
+
 // leave announces the planned stop; end says that this node ends now.
 func (engine *engine) leave() {
 	engine.input(func() {
@@ -248,6 +261,10 @@
 		engine.readAt = engine.last
 		engine.reads <- *read // there is one at a time, so that it never blocks
 	}
+	if publication := engine.followerEffects.Publication; publication != nil {
+		engine.publishAt = engine.last
+		engine.publications <- *publication // likewise
+	}
 }
 
 // compile gives the core the table of the present view.
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/logging"
@@ -63,8 +64,9 @@
 
 // noteCall counts a call to the store and logs when the store is lost and regained.
 func (engine *engine) noteCall(result *follower.ReadResult) {
-	engine.calls.count(result)
-	engine.logCall(result)
+	key := keyOf(result)
+	engine.calls.requests[key] += uint64(result.Requests)
+	engine.logCall(key, result.Requests, engine.last-engine.readAt)
 	up := result.Failure == follower.FailureNone || result.Failure == follower.FailureCompacted
 	if result.Listing != nil {
 		for _, rejected := range result.Listing.Rejected {
@@ -90,10 +92,16 @@
 		Send()
 }
 
+// notePublication counts and logs the writing of a snapshot.
+func (engine *engine) notePublication(result *follower.PublishResult) {
+	key := callKey{kind: kindPublish, reason: reasonChanged, failure: result.Failure}
+	engine.calls.requests[key] += uint64(result.Requests)
+	engine.logCall(key, result.Requests, engine.last-engine.publishAt)
+}
+
 // logCall logs a call to the store: each has a price, and its reason is why it
 // was paid. A node makes at most one at a time and a few a second.
-func (engine *engine) logCall(result *follower.ReadResult) {
-	key := keyOf(result)
+func (engine *engine) logCall(key callKey, requests int, took time.Duration) {
 	age, _ := engine.follower.Age(engine.last)
 	engine.logger.Info().
 		Str(logging.FieldEvent, string(logging.EventStoreCall)).
@@ -101,9 +109,9 @@
 		Str(logging.FieldReason, string(key.reason)).
 		Str(logging.FieldFailure, string(key.failure)).
 		Bool("news", key.news).
-		Int("requests", result.Requests).
+		Int("requests", requests).
 		Int64(logging.FieldAge, age.Milliseconds()).
-		Int64(logging.FieldDuration, (engine.last - engine.readAt).Milliseconds()).
+		Int64(logging.FieldDuration, took.Milliseconds()).
 		Send()
 }
 
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -31,9 +31,11 @@
 
 func newCallCounts() callCounts { return callCounts{requests: make(map[callKey]uint64), up: true} }
 
-func (counts *callCounts) count(result *follower.ReadResult) {
-	counts.requests[keyOf(result)] += uint64(result.Requests)
-}
+// kindPublish is the kind under which the writing of a snapshot is counted, reasonChanged its reason.
+const (
+	kindPublish   follower.ReadKind = "publish"
+	reasonChanged follower.Reason   = "changed"
+)
 
 // keyOf tells what a call is counted under.
 func keyOf(result *follower.ReadResult) callKey {
@@ -50,7 +52,7 @@
 	metricDecisions = metrics.New(prometheus.CounterValue, "decisions_total",
 		"Packets decided on, by action.", "action")
 	metricCalls = metrics.New(prometheus.CounterValue, "store_calls_total",
-		"Requests to the platform's store, by kind (list, watch), reason, failure (empty: none) and whether a watch brought changes.",
+		"Requests to the platform's store, by kind (list, watch, snapshot, publish), reason, failure (empty: none) and whether a watch brought changes.",
 		"kind", "reason", "failure", "news")
 	metricRejected = metrics.New(prometheus.CounterValue, "documents_rejected_total",
 		"Entries of the store that could not be read.")
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -27,8 +27,8 @@
 type Adapter struct {
 	// NewCodec gives the codec of one reader of the data address.
 	NewCodec func() dataplane.Codec
-	// Store reads the platform's store.
-	Store follower.Source
+	// Store reads the platform's store, and leaves snapshots of the view there.
+	Store follower.Store
 }
 
 // Options are what a node is made of.
@@ -168,6 +168,7 @@
 	defer node.close()
 	defer cancel()
 	node.background.Go(func() { node.readStore(running) })
+	node.background.Go(func() { node.writeSnapshots(running) })
 	node.engine.tick()
 	node.background.Go(func() { node.movePackets(running) })
 	node.serveAdmin()
@@ -219,6 +220,21 @@
 	}
 }
 
+// writeSnapshots writes the snapshots that the follower gives until ctx ends.
+func (node *Node) writeSnapshots(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case publication := <-node.engine.publications:
+			result := node.options.Adapter.Store.Publish(ctx, publication)
+			if ctx.Err() == nil {
+				node.engine.finishPublication(&result)
+			}
+		}
+	}
+}
+
 // tickUntil ticks the engine until ctx ends.
 func (node *Node) tickUntil(ctx context.Context) {
 	ticker := time.NewTicker(follower.TickInterval)
--- a/internal/view/viewtest/store.go
+++ b/internal/view/viewtest/store.go
@@ -57,6 +57,20 @@
 	store.history = append(store.history, view.Change{Revision: store.revision, Gone: name})
 }
 
+// Touch writes an entry that concerns no view, and gives its revision.
+func (store *Store) Touch() int64 {
+	store.revision++
+	return store.revision
+}
+
+// LastChange is the revision of the last change of a view.
+func (store *Store) LastChange() int64 {
+	if len(store.history) == 0 {
+		return 0
+	}
+	return store.history[len(store.history)-1].Revision
+}
+
 // Revision is that of the last change.
 func (store *Store) Revision() int64 { return store.revision }
 
