--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -87,12 +87,13 @@
 // failing tries again no later than before.
 func (settings Settings) Within(limit time.Duration) Settings {
 	limit = min(limit, longestLimit)
+	ratio := limit.Seconds() / usualLimit.Seconds()
 	backoffLimit := settings.BackoffLimit
 	for _, duration := range []*time.Duration{
 		&settings.WatchWait, &settings.ChangeInterval, &settings.Patience, &settings.PatienceStep,
 		&settings.PatienceLimit, &settings.SilenceLimit, &settings.DigestInterval, &settings.BackoffLimit,
 	} {
-		*duration = *duration * limit / usualLimit
+		*duration = time.Duration(float64(*duration) * ratio)
 	}
 	settings.BackoffLimit = min(settings.BackoffLimit, backoffLimit)
 	return settings
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -245,3 +245,15 @@
 	fleet.run(3 * time.Second)
 	is.Equal(fleet.behind(), 0)
 }
+
+// TestTimesFollowTheLimit: shortened and stretched alike, up to a bound, and
+// calls that fail are not made again any later.
+func TestTimesFollowTheLimit(t *testing.T) {
+	is := is.New(t)
+	usual := DefaultSettings("n", "zone", 1)
+	short, long := usual.Within(usualLimit/2), usual.Within(time.Minute)
+	is.Equal(short.Patience, usual.Patience/2)
+	is.Equal(long, usual.Within(longestLimit))
+	is.Equal(long.Patience.Round(time.Millisecond), 3117*time.Millisecond) // 1.7 s of 3 s, for 5.5 s
+	is.Equal(long.BackoffLimit, usual.BackoffLimit)
+}
