Model what may pass for the newest view; date a listing by its first page

It showed that a listing confirmed the view as of its end, though its later pages may lack what changed after the first: test fails first.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -255,6 +255,7 @@
 	confirmed   bool
 	heardAt     time.Duration // when a peer last told of the view
 	reading     bool
+	readAt      time.Duration // when the call under way, or the last one, was started
 	relist      bool // the history is gone
 	noSnapshot  bool // the store has none that can be used
 	publishing  bool
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -21,6 +21,7 @@
 		return
 	}
 	core.reading = true
+	core.readAt = core.now
 	effects.Read = read
 }
 
@@ -97,7 +98,7 @@
 		core.askForView(effects)
 		return
 	}
-	core.confirm(core.now)
+	core.confirm(core.confirmedBy(result))
 	core.takeOver(result.Read.Reason)
 	if changed || before == core.replica.Revision() {
 		core.nextRead = core.now + core.settings.ChangeInterval
@@ -125,6 +126,15 @@
 	return core.replica.ApplyChanges(core.now, result.Changes)
 }
 
+// confirmedBy is when the view was the newest by a call: a watch tells what there
+// is when it ends, a listing what there was at its first page.
+func (core *Core) confirmedBy(result *ReadResult) time.Duration {
+	if result.Listing != nil {
+		return core.readAt
+	}
+	return core.now
+}
+
 // noteFailure waits before the next call, the longer the more have failed.
 func (core *Core) noteFailure(failure Failure, effects *Effects) {
 	if failure == FailureCompacted {
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/view/viewtest"
 )
 
 // Parts of a fleet that the store turns away.
@@ -257,3 +258,18 @@
 	is.Equal(long.Patience.Round(time.Millisecond), 3117*time.Millisecond) // 1.7 s of 3 s, for 5.5 s
 	is.Equal(long.BackoffLimit, usual.BackoffLimit)
 }
+
+// TestListingConfirmsAsOfItsStart: what changes after its first page may be missing.
+func TestListingConfirmsAsOfItsStart(t *testing.T) {
+	is := is.New(t)
+	store := viewtest.NewStore()
+	store.Configure(1, 80)
+	core := New(DefaultSettings("n", "zone", 1))
+	var effects Effects
+	core.Step(0, &Event{}, &effects)
+	read := Read{Kind: ReadList, Reason: ReasonHistoryGone}
+	core.Step(time.Second, &Event{Read: &ReadResult{Read: read, Listing: store.List()}}, &effects)
+	age, confirmed := core.Age(time.Second)
+	is.True(confirmed)
+	is.Equal(age, time.Second)
+}
