Let the seeds confirm first views, and answer joins in batches

Change: seeds read 0.3 s after their start, others spread over seconds later; a seed encodes its list once a tick, for eight, and names those to the others.

--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -79,17 +79,23 @@
 				phase:   time.Duration(len(fleet.nodes)) * 3 * simulationStep,
 				address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(zone), 0, byte(index)}), 7946),
 			}
-			settings := DefaultSettings(node.id, node.zone, seed).Within(limit)
-			if len(fleet.nodes) > 0 {
-				settings.Seeds = []netip.AddrPort{fleet.nodes[0].address}
-			}
-			node.core = New(settings)
 			fleet.nodes = append(fleet.nodes, node)
+			node.core = New(fleet.settingsOf(node, seed).Within(limit))
 		}
 	}
 	return fleet
 }
 
+// settingsOf gives the settings of a node; the first one is the seed of the others.
+func (fleet *fleet) settingsOf(node *fleetNode, seed uint64) Settings {
+	settings := DefaultSettings(node.id, node.zone, seed)
+	settings.IsSeed = node == fleet.nodes[0]
+	if !settings.IsSeed {
+		settings.Seeds = []netip.AddrPort{fleet.nodes[0].address}
+	}
+	return settings
+}
+
 // announce tells every node who is alive, as the membership does.
 func (fleet *fleet) announce() {
 	var peers []Peer
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -22,6 +22,8 @@
 	Zone lb.Zone
 	// Seeds are control addresses asked for a view while there is none.
 	Seeds []netip.AddrPort
+	// IsSeed: others ask this node.
+	IsSeed bool
 	// Seed of the random jitter.
 	Seed uint64
 	// WatchWait is how long a watch waits in the store for a change.
@@ -251,32 +253,37 @@
 	// leaves: this node is in a planned stop.
 	leaves bool
 
-	confirmedAt time.Duration // when the view was last known to be the newest
-	confirmed   bool
-	heardAt     time.Duration // when a peer last told of the view
-	reading     bool
-	readAt      time.Duration // when the call under way, or the last one, was started
-	relist      bool // the history is gone
-	noSnapshot  bool // the store has none that can be used
-	publishing  bool
-	published   int64 // the store's revision of the last snapshot written by this node
-	nextPublish time.Duration
-	nextRead    time.Duration
-	failures    int
-	nextDigest  time.Duration
-	nextWant    time.Duration
-	nextPrune   time.Duration
+	// confirmAfter is how long after its start this node waits for others to
+	// confirm its first view.
+	confirmAfter time.Duration
+	confirmedAt  time.Duration // when the view was last known to be the newest
+	confirmed    bool
+	heardAt      time.Duration // when a peer last told of the view
+	reading      bool
+	readAt       time.Duration // when the call under way, or the last one, was started
+	relist       bool          // the history is gone
+	noSnapshot   bool          // the store has none that can be used
+	publishing   bool
+	published    int64 // the store's revision of the last snapshot written by this node
+	nextPublish  time.Duration
+	nextRead     time.Duration
+	failures     int
+	nextDigest   time.Duration
+	nextWant     time.Duration
+	nextPrune    time.Duration
 }
 
 // New gives a follower that knows nothing.
 func New(settings Settings) *Core {
-	return &Core{
+	core := &Core{
 		settings: settings,
 		random:   rand.New(rand.NewPCG(settings.Seed, uint64(settings.Self.Hash()))),
 		replica:  view.NewReplica(),
 
 		answeredAt: make(map[netip.AddrPort]time.Duration),
 	}
+	core.confirmAfter = core.confirmTime()
+	return core
 }
 
 // Replica is the view. The caller does not change it.
--- a/internal/follower/publish.go
+++ b/internal/follower/publish.go
@@ -57,10 +57,13 @@
 // done, and is done again.
 func (core *Core) finishPublication(result *PublishResult) {
 	core.publishing = false
+	revision := result.Publication.Snapshot.View.Revision
+	if result.Failure == FailureConflict {
+		core.published = revision // another node has left one as new as that
+	}
 	if result.Failure != FailureNone {
 		return
 	}
-	revision := result.Publication.Snapshot.View.Revision
 	core.published = revision
 	if result.Revision == revision+1 && revision == core.replica.Revision() {
 		core.replica.Advance(result.Revision) // nothing but the write has happened since
--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -20,8 +20,7 @@
 	case core.acting:
 		return ReasonReader, true
 	case !core.confirmed:
-		wait := min(core.settings.SettleTime+extra, core.settings.SettleTime+core.settings.PatienceLimit)
-		return ReasonUnconfirmed, core.now-core.startAt >= wait
+		return ReasonUnconfirmed, core.now-core.startAt >= core.confirmAfter
 	case core.readerGone && core.now-core.readerGoneAt >= time.Duration(turn)*core.settings.LateStep:
 		return ReasonReaderGone, true
 	case core.age() >= core.patience(turn):
@@ -31,6 +30,20 @@
 	return ReasonSilence, core.now-core.heardAt >= silence && core.age() >= silence
 }
 
+// seedConfirmTime is how long after its start a seed waits for others to confirm
+// its first view: what one that starts alone needs to ask the other seeds.
+const seedConfirmTime = 300 * time.Millisecond
+
+// confirmTime gives how long a node waits for others to confirm its first view.
+// Where all start at once and know nobody yet, the seeds read, and the others ask
+// them; should no seed live, the others read spread over some time.
+func (core *Core) confirmTime() time.Duration {
+	if core.settings.IsSeed || len(core.settings.Seeds) == 0 {
+		return seedConfirmTime
+	}
+	return core.settings.SettleTime + time.Duration(core.random.Int64N(int64(core.settings.PatienceLimit)))
+}
+
 // turn is this node's place in the order in which nodes lose patience: the
 // first of each zone come before all others of their zones. A node that has just
 // started has not yet heard of the others and does not take itself as the first.
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -32,9 +31,7 @@
 
 // restart gives a node a new life.
 func (fleet *fleet) restart(node *fleetNode, seed uint64) {
-	settings := DefaultSettings(node.id, node.zone, seed)
-	settings.Seeds = []netip.AddrPort{fleet.nodes[0].address}
-	node.core = New(settings)
+	node.core = New(fleet.settingsOf(node, seed))
 	node.read = nil
 	node.dead = false
 }
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -44,13 +44,15 @@
 	stopped     bool
 	digest      uint64
 
-	entries  map[lb.NodeID]*entry
-	zones    []*zone // sorted by name; own zone included
-	ownZone  *zone
-	machines []Machine // the platform's list without self
-	listed   map[lb.NodeID]int
-	suspects []*entry
-	rumours  []*rumour // next to send first
+	entries   map[lb.NodeID]*entry
+	zones     []*zone // sorted by name; own zone included
+	ownZone   *zone
+	machines  []Machine // the platform's list without self
+	listed    map[lb.NodeID]int
+	suspects  []*entry
+	askers    []netip.AddrPort // who waits for the whole membership
+	nextWhole time.Duration    // when it may be encoded again
+	rumours   []*rumour        // next to send first
 
 	probes    []probe
 	forwarded []forwardedProbe
@@ -67,6 +69,7 @@
 	replaced bool
 
 	started      bool
+	startedAt    time.Duration
 	lastStep     time.Duration
 	lastTick     time.Duration
 	nextProbe    time.Duration
@@ -138,7 +141,7 @@
 
 // Step takes one event at a time that never goes back and fills effects.
 func (core *Core) Step(now time.Duration, event *Event, effects *Effects) {
-	*effects = Effects{Messages: effects.Messages[:0]}
+	*effects = Effects{Messages: effects.Messages[:0], Batches: effects.Batches[:0]}
 	core.now = max(now, core.now)
 	core.start()
 	core.notePause()
@@ -169,7 +172,8 @@
 	core.nextProbe = core.now + core.jitter(core.settings.ProbeInterval)
 	core.nextRumour = core.now + core.jitter(core.settings.RumourInterval)
 	core.nextAttempt = core.now
-	core.nextSync = core.now + core.jitter(core.settings.SyncInterval)
+	core.startedAt = core.now
+	core.nextSync = core.now + core.jitter(youngSync)
 	core.nextReap = core.now + core.jitter(reapInterval)
 }
 
@@ -202,6 +206,7 @@
 	core.refillRumours(elapsed)
 	core.advanceProbes(effects)
 	core.advanceSuspects()
+	core.answerAskers(effects)
 	if core.now >= core.nextProbe {
 		core.nextProbe = core.now + core.settings.ProbeInterval
 		core.startProbes(effects)
@@ -213,6 +218,7 @@
 	if core.now >= core.nextAttempt {
 		core.nextAttempt = core.now + core.settings.AttemptInterval
 		core.attemptMachines(effects)
+		core.askForAll(effects)
 	}
 	if core.now >= core.nextReap {
 		core.nextReap = core.now + reapInterval
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -106,27 +106,45 @@
 		at.rejoined++
 	}
 	for _, outgoing := range at.effects.Messages {
-		line, err := message.Encode(fleet.line[:0], at.machine.ID, outgoing.Message)
-		if err != nil {
-			fleet.t.Fatal(err)
-		}
-		fleet.line = line
-		if fleet.packs {
-			line = transport.Pack(outgoing.Message.MessageType(), line)
-		}
-		at.bytes += transport.Cost(len(line))
-		if outgoing.Message.MessageType() != message.TypeMembers {
-			at.largest = max(at.largest, len(line))
-		}
-		to := fleet.byID[outgoing.To]
-		if to == nil {
-			continue
+		fleet.send(at, fleet.byID[outgoing.To], outgoing.Message)
+	}
+	for _, batch := range at.effects.Batches {
+		for _, address := range batch.To {
+			fleet.send(at, fleet.at(address), batch.Message)
 		}
-		fleet.delays = fleet.network.Delays(at.machine.Zone, to.machine.Zone, fleet.delays)
-		for _, delay := range fleet.delays {
-			fleet.queue.After(delay, delivery{to: to, from: at, message: outgoing.Message})
+	}
+}
+
+// at gives the node with a control address, or nil.
+func (fleet *fleet) at(address netip.AddrPort) *node {
+	for _, candidate := range fleet.byID {
+		if candidate.machine.Control == address {
+			return candidate
 		}
 	}
+	return nil
+}
+
+func (fleet *fleet) send(at, to *node, sent message.Message) {
+	line, err := message.Encode(fleet.line[:0], at.machine.ID, sent)
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	fleet.line = line
+	if fleet.packs {
+		line = transport.Pack(sent.MessageType(), line)
+	}
+	at.bytes += transport.Cost(len(line))
+	if sent.MessageType() != message.TypeMembers {
+		at.largest = max(at.largest, len(line))
+	}
+	if to == nil {
+		return
+	}
+	fleet.delays = fleet.network.Delays(at.machine.Zone, to.machine.Zone, fleet.delays)
+	for _, delay := range fleet.delays {
+		fleet.queue.After(delay, delivery{to: to, from: at, message: sent})
+	}
 }
 
 func (fleet *fleet) deliver(next delivery) {
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -12,6 +12,16 @@
 // viewPatience is how long views may differ before a peer's is asked for.
 const viewPatience = 5 * time.Second
 
+// Where many nodes start at once, each is given the membership as it is then,
+// and rumours alone would take five seconds and more to tell of some hundreds.
+const (
+	// youth is how long after its start a node asks sooner.
+	youth = 8 * time.Second
+	// youngPatience replaces viewPatience, and youngSync SyncInterval.
+	youngPatience = 500 * time.Millisecond
+	youngSync     = time.Second
+)
+
 // stopFanout is the number of nodes told that this one ends.
 const stopFanout = 6
 
@@ -86,13 +96,15 @@
 	for _, entry := range core.entries {
 		updates = append(updates, entry.update())
 	}
-	slices.SortFunc(updates, func(left, right message.MemberUpdate) int { return cmp.Compare(left.Node, right.Node) })
+	slices.SortFunc(updates, compareUpdates)
 	if len(updates) > message.MaxMembers {
 		updates = updates[:message.MaxMembers]
 	}
 	return updates
 }
 
+func compareUpdates(left, right message.MemberUpdate) int { return cmp.Compare(left.Node, right.Node) }
+
 // merge takes a peer's whole membership, without passing it on: others have it
 // or ask for it as well. On joining, machines that this node
 // only presumed alive and the peer does not know are dropped.
@@ -129,11 +141,15 @@
 		since = core.now
 		core.differs[event.From] = since
 	}
-	if core.now-since < viewPatience || core.now < core.nextSync {
+	patience, interval := viewPatience, core.settings.SyncInterval
+	if core.now-core.startedAt < youth {
+		patience, interval = youngPatience, youngSync
+	}
+	if core.now-since < patience || core.now < core.nextSync {
 		return
 	}
 	if sender, ok := core.sender(event); ok {
-		core.nextSync = core.now + core.settings.SyncInterval
+		core.nextSync = core.now + interval
 		delete(core.differs, event.From)
 		core.attemptOne(&sender, true, effects)
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -158,6 +158,7 @@
 // Effects is filled by one Step. The caller reuses it; Step resets it first.
 type Effects struct {
 	Messages []Outgoing
+	Batches  []Batch
 	// Changed: Members gives another list than before. Set on ticks only.
 	Changed bool
 	// Rejoined: this node, or a whole zone, had been out of the others' view.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -201,7 +201,7 @@
 		core.forward(event, &received, effects)
 	case message.Members:
 		core.heardFrom(event.From, 0)
-		core.merge(received.Updates)
+		core.takeMembers(&received, effects)
 	}
 }
 
@@ -221,7 +221,7 @@
 	}
 	agreedJoin := ping.Sequence == 0 && ping.View == core.viewHash
 	if ping.Full && !agreedJoin {
-		core.send(effects, &sender, message.Members{Updates: core.allUpdates()})
+		core.noteAsker(sender, effects)
 	}
 	if ping.Sequence == 0 {
 		return
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -125,6 +125,9 @@
 // Members is the sender's whole membership, for a node that joins or has
 // missed updates.
 type Members struct {
+	// Partial: only some members, from whom the receiver is to ask for all. The
+	// sender has too many to answer at once.
+	Partial bool           `json:"p,omitempty"`
 	Updates []MemberUpdate `json:"u"`
 }
 
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -18,6 +18,11 @@
 	for _, outgoing := range engine.memberEffects.Messages {
 		engine.post(outgoing.Address, outgoing.Message)
 	}
+	for _, batch := range engine.memberEffects.Batches {
+		for _, address := range batch.To {
+			engine.post(address, batch.Message)
+		}
+	}
 	if engine.memberEffects.Rejoined {
 		engine.rejoined = true
 		engine.distrust()
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -77,9 +77,11 @@
 	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation).
 		Within(min(settings.Timings.ChangeLimit, settings.Timings.LeaveLimit))
 	for _, seed := range settings.Seeds {
-		if seed != settings.ControlAddress {
-			following.Seeds = append(following.Seeds, seed)
+		if seed == settings.ControlAddress {
+			following.IsSeed = true
+			continue
 		}
+		following.Seeds = append(following.Seeds, seed)
 	}
 	return &engine{
 		settings:     settings,
@@ -218,6 +220,9 @@
 			To: []netip.AddrPort{outgoing.Address}, Message: outgoing.Message,
 		})
 	}
+	for _, batch := range engine.memberEffects.Batches {
+		engine.outbox = append(engine.outbox, follower.Outgoing{To: batch.To, Message: batch.Message})
+	}
 	if engine.memberEffects.Changed {
 		engine.followerStep(&follower.Event{Peers: engine.peers()})
 	}
