--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,14 @@
-# Targets: build, test (all of CI), lint, model, demo, faults, soak, bench.
+# Targets: setup (once), build, test (all of CI), lint, model, demo, faults, soak, bench.
 GO ?= go
 export CGO_ENABLED ?= 1
 TOOLS := $(CURDIR)/bin
 
-.PHONY: build test unit lint model demo faults soak bench tools clean
+.PHONY: setup build test unit lint model demo faults soak bench tools clean
+
+# setup installs what the tests need besides Go: the model checker and a C compiler.
+setup:
+	@if command -v spin >/dev/null 2>&1 && command -v gcc >/dev/null 2>&1; then echo "spin and gcc are installed"; \
+	else apt-get update -q && apt-get install -y -q spin gcc; fi
 
 build:
 	$(GO) build -o bin/ ./cmd/...
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -12,7 +12,7 @@
 
 for tool in spin gcc xargs; do
 	if ! command -v "$tool" >/dev/null 2>&1; then
-		echo "spec/check.sh: $tool is not installed; the models cannot be checked" >&2
+		echo "spec/check.sh: $tool is not installed; the models cannot be checked. 'make setup' installs it (Debian; elsewhere install spin and gcc)" >&2
 		exit 2
 	fi
 done
