Say how old the word on the reader is, and do not take over from one who is heard

Change: who was not told reads once and tells, without going on; words on the reader carry their age; peers are asked before seeds; silence counts from 5 s after the start.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -243,6 +243,8 @@
 	readerStays  bool // it is among peers
 	readerGone   bool
 	readerGoneAt time.Duration
+	// readerHeardAt is when the reader last said that it reads, directly or through others.
+	readerHeardAt time.Duration
 	// wholes are those that want the whole view.
 	wholes []netip.AddrPort
 	// answeredAt is when they were last sent it, for wholeInterval.
@@ -270,6 +272,7 @@
 	failures     int
 	nextDigest   time.Duration
 	nextWant     time.Duration
+	asked        int // how often others were asked before the first view was confirmed
 	nextPrune    time.Duration
 }
 
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -105,7 +105,7 @@
 		Revision:  core.replica.Revision(),
 		LastNews:  core.replica.LastNews(),
 		AgeMillis: core.age().Milliseconds(),
-		Reader:    core.currentReader(),
+		Reading:   core.readingNow(),
 		Route:     route,
 	}
 }
@@ -181,7 +181,7 @@
 }
 
 func (core *Core) delta(after int64) message.ViewDelta {
-	delta := message.ViewDelta{Reader: core.currentReader(), Delta: *core.replica.Delta(core.now, after)}
+	delta := message.ViewDelta{Reading: core.readingNow(), Delta: *core.replica.Delta(core.now, after)}
 	if !core.confirmed {
 		delta.Unconfirmed = true
 		return delta
@@ -217,21 +217,42 @@
 	if core.now < core.nextWant || core.now-core.startAt < wantInterval {
 		return
 	}
-	core.nextWant = core.now + 2*wantInterval
+	core.nextWant = core.now + core.askInterval()
+	if asked := core.whomToAsk(); len(asked) > 0 {
+		wanted := message.ViewWant{After: core.replica.Revision()}
+		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: wanted})
+	}
+}
+
+// maxAskDoublings bounds how far the time between two questions grows while
+// nobody confirms the first view: all nodes may have started at once.
+const maxAskDoublings = 2
+
+func (core *Core) askInterval() time.Duration {
 	if core.confirmed {
-		core.nextWant = core.now + core.settings.DigestInterval
+		return core.settings.DigestInterval
 	}
+	interval := 2 * wantInterval << min(core.asked, maxAskDoublings)
+	core.asked++
+	return interval
+}
+
+// enoughPeers is how many peers a node must know to leave the seeds in peace.
+const enoughPeers = 8
+
+// whomToAsk gives a peer by chance, and another one or, where few are known, a seed.
+func (core *Core) whomToAsk() []netip.AddrPort {
 	var asked []netip.AddrPort
-	if count := len(core.settings.Seeds); count > 0 {
-		asked = append(asked, core.settings.Seeds[core.random.IntN(count)])
-	}
-	if count := len(core.peers); count > 0 {
+	count := len(core.peers)
+	if seeds := len(core.settings.Seeds); seeds > 0 && count < enoughPeers {
+		asked = append(asked, core.settings.Seeds[core.random.IntN(seeds)])
+	} else if count > 0 {
 		asked = append(asked, core.peers[core.random.IntN(count)].Control)
 	}
-	if len(asked) > 0 {
-		wanted := message.ViewWant{After: core.replica.Revision()}
-		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: wanted})
+	if count > 0 {
+		asked = append(asked, core.peers[core.random.IntN(count)].Control)
 	}
+	return asked
 }
 
 // receive takes a message of a peer.
@@ -250,7 +271,7 @@
 	news := core.now-core.heardAt >= core.settings.DigestInterval/2
 	core.heardAt = core.now
 	reader := core.reader
-	core.noteReader(digest.Reader, digest.Route)
+	core.noteReader(digest.Reading, digest.Route)
 	news = news || core.reader != reader
 	confirmedAt := core.now - time.Duration(digest.AgeMillis)*time.Millisecond
 	switch {
@@ -336,7 +357,7 @@
 
 func (core *Core) takeDelta(from *PeerMessage, told *message.ViewDelta, effects *Effects) {
 	core.heardAt = core.now
-	core.noteReader(told.Reader, told.Route)
+	core.noteReader(told.Reading, told.Route)
 	if told.Delta.After > core.replica.Revision() {
 		core.want(from.Address, effects)
 		return
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -108,9 +108,7 @@
 		core.push(before, effects)
 		return
 	}
-	if core.acting {
-		core.sendDigest(effects) // at once, before others lose patience
-	}
+	core.sendDigest(effects) // at once, before others lose patience
 }
 
 // apply takes what a call gave, and tells whether anything changed.
--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -27,7 +27,8 @@
 		return ReasonPatience, true
 	}
 	silence := core.settings.SilenceLimit + extra
-	return ReasonSilence, core.now-core.heardAt >= silence && core.age() >= silence
+	heard := max(core.heardAt, core.startAt+youth)
+	return ReasonSilence, core.now-heard >= silence && core.age() >= silence
 }
 
 // seedConfirmTime is how long after its start a seed waits for others to confirm
@@ -44,6 +45,10 @@
 	return core.settings.SettleTime + time.Duration(core.random.Int64N(int64(core.settings.PatienceLimit)))
 }
 
+// youth is how long after its start a node may not be told yet by others, since
+// their memberships lack it; it asks them.
+const youth = 5 * time.Second
+
 // turn is this node's place in the order in which nodes lose patience: the
 // first of each zone come before all others of their zones. A node that has just
 // started has not yet heard of the others and does not take itself as the first.
@@ -73,23 +78,29 @@
 // hears tells whether other nodes tell this one of the view.
 func (core *Core) hears() bool { return core.now-core.heardAt < core.settings.SilenceLimit }
 
-// currentReader is who reads for the others, as far as this node knows.
-func (core *Core) currentReader() lb.NodeID {
+// readingNow says who reads for the others, as far as this node knows.
+func (core *Core) readingNow() message.Reading {
 	switch {
 	case core.acting:
-		return core.settings.Self
-	case core.readerGone:
-		return ""
+		return message.Reading{Reader: core.settings.Self}
+	case core.readerGone || core.reader == "":
+		return message.Reading{}
 	}
-	return core.reader
+	return message.Reading{Reader: core.reader, ReaderAgeMillis: (core.now - core.readerHeardAt).Milliseconds()}
 }
 
 // takeOver makes this node the reader after a successful read that nobody else
 // made in time. One that leaves does not begin with it.
+// Where somebody has just named a reader, this node was not told, which is no
+// reason to read for others.
 func (core *Core) takeOver(reason Reason) {
 	if core.acting || reason == ReasonHistoryGone || core.leaves {
 		return
 	}
+	named := core.reader != "" && !core.readerGone && core.readerHeardAt > 0
+	if named && core.now-core.readerHeardAt < core.settings.Patience {
+		return
+	}
 	core.acting = true
 	core.readerGone = false
 }
@@ -109,7 +120,11 @@
 
 // noteReader takes what a telling says of who reads. One that answers a
 // question says what its sender knows, which may have just started.
-func (core *Core) noteReader(reader lb.NodeID, route message.Route) {
+func (core *Core) noteReader(told message.Reading, route message.Route) {
+	reader := told.Reader
+	if reader != "" {
+		core.readerHeardAt = max(core.readerHeardAt, core.now-time.Duration(told.ReaderAgeMillis)*time.Millisecond)
+	}
 	switch {
 	case reader == "":
 		if route != (message.Route{}) {
--- a/internal/message/view.go
+++ b/internal/message/view.go
@@ -21,12 +21,18 @@
 	LastNews int64 `json:"changed"`
 	// AgeMillis is the time since the store confirmed the view as the newest.
 	AgeMillis int64 `json:"age_ms"`
-	// Reader is the node that reads the store for the others, as far as the
-	// sender knows; empty: it knows of none.
-	Reader lb.NodeID `json:"reader,omitempty"`
+	Reading
 	Route
 }
 
+// Reading says who reads the store for the others, as far as the sender knows.
+type Reading struct {
+	// Reader is empty if the sender knows of none.
+	Reader lb.NodeID `json:"reader,omitempty"`
+	// ReaderAgeMillis is the time since the reader itself said so.
+	ReaderAgeMillis int64 `json:"reader_age_ms,omitempty"`
+}
+
 // Route says to whom the receiver passes a message on.
 type Route struct {
 	// Origin is the node whose zone is told, through the other nodes of the
@@ -45,8 +51,8 @@
 type ViewDelta struct {
 	AgeMillis int64 `json:"age_ms"`
 	// Unconfirmed: the sender does not know how old its view is; AgeMillis says nothing.
-	Unconfirmed bool      `json:"unconfirmed,omitempty"`
-	Reader      lb.NodeID `json:"reader,omitempty"` // as in ViewDigest
+	Unconfirmed bool `json:"unconfirmed,omitempty"`
+	Reading
 	Route
 	Delta view.Delta `json:"delta"`
 }
@@ -67,6 +73,9 @@
 	if message.LastNews < 0 || message.LastNews > message.Revision {
 		return fieldError(TypeViewDigest, "changed", message.LastNews, "not between 0 and revision")
 	}
+	if message.ReaderAgeMillis < 0 {
+		return fieldError(TypeViewDigest, "reader_age_ms", message.ReaderAgeMillis, "negative")
+	}
 	return checkAge(TypeViewDigest, message.AgeMillis)
 }
 
@@ -81,6 +90,9 @@
 	if err := message.Delta.Validate(); err != nil {
 		return fieldError(TypeViewDelta, "delta", message.Delta.Revision, err.Error())
 	}
+	if message.ReaderAgeMillis < 0 {
+		return fieldError(TypeViewDelta, "reader_age_ms", message.ReaderAgeMillis, "negative")
+	}
 	return checkAge(TypeViewDelta, message.AgeMillis)
 }
 
