--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -39,7 +39,7 @@
 // Where all start at once and know nobody yet, the seeds read, and the others ask
 // them; should no seed live, the others read spread over some time.
 func (core *Core) confirmTime() time.Duration {
-	if core.settings.IsSeed || len(core.settings.Seeds) == 0 {
+	if core.asksNobody() {
 		return seedConfirmTime
 	}
 	return core.settings.SettleTime + time.Duration(core.random.Int64N(int64(core.settings.PatienceLimit)))
@@ -49,6 +49,9 @@
 // their memberships lack it; it asks them.
 const youth = 5 * time.Second
 
+// asksNobody tells whether this node is one of those whom others ask, or knows of none.
+func (core *Core) asksNobody() bool { return core.settings.IsSeed || len(core.settings.Seeds) == 0 }
+
 // turn is this node's place in the order in which nodes lose patience: the
 // first of each zone come before all others of their zones. A node that has just
 // started has not yet heard of the others and does not take itself as the first.
@@ -92,11 +95,15 @@
 // takeOver makes this node the reader after a successful read that nobody else
 // made in time. One that leaves does not begin with it.
 // Where somebody has just named a reader, this node was not told, which is no
-// reason to read for others.
+// reason to read for others; nor is that nobody has confirmed its first view, if
+// there are seeds, which read then.
 func (core *Core) takeOver(reason Reason) {
 	if core.acting || reason == ReasonHistoryGone || core.leaves {
 		return
 	}
+	if reason == ReasonUnconfirmed && !core.asksNobody() {
+		return
+	}
 	named := core.reader != "" && !core.readerGone && core.readerHeardAt > 0
 	if named && core.now-core.readerHeardAt < core.settings.Patience {
 		return
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -270,3 +270,29 @@
 	is.True(confirmed)
 	is.Equal(age, time.Second)
 }
+
+// TestStartBeforeTheMembershipIsKnown: for three seconds no node knows another
+// one but the seed, which reads for all of them.
+func TestStartBeforeTheMembershipIsKnown(t *testing.T) {
+	is := is.New(t)
+	fleet := large(t)
+	fleet.older = fleet.store.List()
+	fleet.snapshot = nil
+	before := fleet.calls()
+	for index, node := range fleet.nodes {
+		fleet.restart(node, uint64(index))
+	}
+	fleet.run(time.Second)
+	confirmed := 0
+	for _, node := range fleet.nodes {
+		if _, known := node.core.Age(fleet.now); known {
+			confirmed++
+		}
+	}
+	is.Equal(confirmed, len(fleet.nodes))
+	fleet.run(2 * time.Second)
+	fleet.announce()
+	fleet.run(2 * time.Second)
+	is.Equal(len(fleet.readers()), 1)
+	is.True(fleet.calls()-before <= 10)
+}
