Ask others in time before patience ends

Cause, by virtual time: questions 0.4 s apart missed the 85 ms before patience ended; 60 nodes read at once 2 s after a start. Change: from nine tenths of the patience on others are asked each 0.1 s; a node in its first five seconds has the fifth turn at the earliest.

--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -193,7 +193,7 @@
 // Parts of the time after which a node reads by itself, when it asks others first.
 const (
 	askSilenceParts  = 0.75
-	askPatienceParts = 0.95 // above the age that a view has when the reader's watch ends
+	askPatienceParts = 0.9 // above the age that a view has when the reader's watch ends
 )
 
 // lacksWord tells whether this node is to ask others for the view: it has none
@@ -206,8 +206,12 @@
 		return false
 	}
 	silence := time.Duration(askSilenceParts * float64(core.settings.SilenceLimit))
-	patience := time.Duration(askPatienceParts * float64(core.settings.Patience))
-	return core.age() >= patience || core.age() >= silence && core.now-core.heardAt >= silence
+	return core.age() >= core.askAge() || core.age() >= silence && core.now-core.heardAt >= silence
+}
+
+// askAge is the age of the view from which on this node asks others, since its patience ends soon.
+func (core *Core) askAge() time.Duration {
+	return time.Duration(askPatienceParts * float64(core.settings.Patience))
 }
 
 // askForView asks a seed and a peer for the view, or for what is missing in
@@ -229,6 +233,9 @@
 const maxAskDoublings = 2
 
 func (core *Core) askInterval() time.Duration {
+	if core.confirmed && core.age() >= core.askAge() && core.age() < core.settings.PatienceLimit {
+		return wantInterval // there is little time, and no outage yet
+	}
 	if core.confirmed {
 		return core.settings.DigestInterval
 	}
--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -49,6 +49,9 @@
 // their memberships lack it; it asks them.
 const youth = 5 * time.Second
 
+// youngTurn is the first turn of such a node: four others have theirs before it.
+const youngTurn = 4
+
 // asksNobody tells whether this node is one of those whom others ask, or knows of none.
 func (core *Core) asksNobody() bool { return core.settings.IsSeed || len(core.settings.Seeds) == 0 }
 
@@ -57,8 +60,8 @@
 // started has not yet heard of the others and does not take itself as the first.
 func (core *Core) turn() int {
 	turn := core.rank + core.zoneRank
-	if core.now-core.startAt < core.settings.SettleTime {
-		turn = max(turn, 1)
+	if core.now-core.startAt < youth {
+		turn = max(turn, youngTurn)
 	}
 	return turn
 }
