--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -323,7 +323,7 @@
 		}
 		return
 	}
-	if want.After == 0 {
+	if want.After == 0 || !core.replica.Follows(want.After) {
 		core.noteWhole(from.Address)
 		return
 	}
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -1,12 +1,14 @@
 package follower
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/view/viewtest"
 )
 
@@ -296,3 +298,30 @@
 	is.Equal(len(fleet.readers()), 1)
 	is.True(fleet.calls()-before <= 10)
 }
+
+// TestWholeViewsForOldOnesAreBounded: nodes whose views are older than what this
+// one can tell apart are given the whole, a few at a time.
+func TestWholeViewsForOldOnesAreBounded(t *testing.T) {
+	is := is.New(t)
+	store := viewtest.NewStore()
+	store.Configure(1, 80)
+	store.Put("a", lb.BackendActive)
+	core := New(DefaultSettings("n", "zone", 1))
+	var effects Effects
+	core.Step(0, &Event{}, &effects)
+	core.Step(0, &Event{Read: &ReadResult{Read: Read{Kind: ReadList}, Listing: store.List()}}, &effects)
+	for asker := range 20 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(asker)}), 7946)
+		want := &PeerMessage{From: "asker", Address: address, Message: message.ViewWant{After: 1}}
+		core.Step(time.Second, &Event{Message: want}, &effects)
+		is.Equal(len(effects.Messages), 0)
+	}
+	core.Step(time.Second, &Event{}, &effects)
+	answered := 0
+	for _, outgoing := range effects.Messages {
+		if _, found := outgoing.Message.(message.ViewDelta); found {
+			answered += len(outgoing.To)
+		}
+	}
+	is.Equal(answered, wholeAnswers)
+}
--- a/internal/view/tell.go
+++ b/internal/view/tell.go
@@ -8,10 +8,13 @@
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
+// Follows tells whether what changed after a revision can be told apart from the whole view.
+func (r *Replica) Follows(after int64) bool { return after >= r.pruned && after <= r.revision }
+
 // Delta gives what changed after a revision, or the whole view if that cannot
 // be told apart any more.
 func (r *Replica) Delta(now time.Duration, after int64) *Delta {
-	if after < r.pruned || after > r.revision {
+	if !r.Follows(after) {
 		after = 0
 	}
 	delta := &Delta{
