--- /dev/null
+++ b/internal/follower/ask.go
@@ -0,0 +1,144 @@
+package follower
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/message"
+)
+
+// wantInterval is the shortest time between two requests for what is missing.
+const wantInterval = 100 * time.Millisecond
+
+// Parts of the time after which a node reads by itself, when it asks others first.
+const (
+	askSilenceParts  = 0.75
+	askPatienceParts = 0.9 // above the age that a view has when the reader's watch ends
+)
+
+// lacksWord tells whether this node is to ask others for the view: it has none
+// that anybody has confirmed, or will soon have to read by itself.
+func (core *Core) lacksWord() bool {
+	if !core.confirmed {
+		return true
+	}
+	if core.acting {
+		return false
+	}
+	silence := time.Duration(askSilenceParts * float64(core.settings.SilenceLimit))
+	return core.age() >= core.askAge() || core.age() >= silence && core.now-core.heardAt >= silence
+}
+
+// askAge is the age of the view from which on this node asks others, since its patience ends soon.
+func (core *Core) askAge() time.Duration {
+	return time.Duration(askPatienceParts * float64(core.settings.Patience))
+}
+
+// askForView asks a seed and a peer for the view, or for what is missing in
+// one that nobody has confirmed, unless the store has just been asked and will
+// answer sooner.
+func (core *Core) askForView(effects *Effects) {
+	if core.now < core.nextWant || core.now-core.startAt < wantInterval {
+		return
+	}
+	core.nextWant = core.now + core.askInterval()
+	if asked := core.whomToAsk(); len(asked) > 0 {
+		wanted := message.ViewWant{After: core.replica.Revision()}
+		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: wanted})
+	}
+}
+
+// maxAskDoublings bounds how far the time between two questions grows while
+// nobody confirms the first view: all nodes may have started at once.
+const maxAskDoublings = 2
+
+func (core *Core) askInterval() time.Duration {
+	if core.confirmed && core.age() >= core.askAge() && core.age() < core.settings.PatienceLimit {
+		return wantInterval // there is little time, and no outage yet
+	}
+	if core.confirmed {
+		return core.settings.DigestInterval
+	}
+	interval := 2 * wantInterval << min(core.asked, maxAskDoublings)
+	core.asked++
+	return interval
+}
+
+// enoughPeers is how many peers a node must know to leave the seeds in peace.
+const enoughPeers = 8
+
+// whomToAsk gives a peer by chance, and another one or, where few are known, a seed.
+func (core *Core) whomToAsk() []netip.AddrPort {
+	var asked []netip.AddrPort
+	count := len(core.peers)
+	if seeds := len(core.settings.Seeds); seeds > 0 && count < enoughPeers {
+		asked = append(asked, core.settings.Seeds[core.random.IntN(seeds)])
+	} else if count > 0 {
+		asked = append(asked, core.peers[core.random.IntN(count)].Control)
+	}
+	if count > 0 {
+		asked = append(asked, core.peers[core.random.IntN(count)].Control)
+	}
+	return asked
+}
+
+// want asks a peer for what this node lacks.
+func (core *Core) want(address netip.AddrPort, effects *Effects) {
+	if !address.IsValid() || core.now < core.nextWant {
+		return
+	}
+	core.nextWant = core.now + wantInterval
+	wanted := message.ViewWant{After: core.replica.Revision()}
+	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{address}, Message: wanted})
+}
+
+func (core *Core) answerWant(from *PeerMessage, want *message.ViewWant, effects *Effects) {
+	if !from.Address.IsValid() || core.replica.Revision() == 0 || core.replica.Revision() < want.After {
+		return
+	}
+	if core.replica.Revision() == want.After {
+		if core.confirmed {
+			core.send(core.digest(message.Route{}), []Peer{{Control: from.Address}}, effects)
+		}
+		return
+	}
+	if want.After == 0 || !core.replica.Follows(want.After) {
+		core.noteWhole(from.Address)
+		return
+	}
+	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{from.Address}, Message: core.delta(want.After)})
+}
+
+// noteWhole remembers who wants the whole view. They are answered together at
+// the next tick, wholeAnswers of them; the others ask again, elsewhere too. So a
+// start of the whole fleet costs its seeds no more than a few views a second.
+// Who has been answered a short time ago has the answer on the way.
+func (core *Core) noteWhole(address netip.AddrPort) {
+	answeredAt, answered := core.answeredAt[address]
+	if answered && core.now-answeredAt < wholeInterval {
+		return
+	}
+	if len(core.wholes) < wholeAnswers && !slices.Contains(core.wholes, address) {
+		core.wholes = append(core.wholes, address)
+	}
+}
+
+// wholeInterval is the shortest time between two whole views for one node.
+const wholeInterval = time.Second
+
+// wholeAnswers is how many whole views are sent at a tick at the most.
+const wholeAnswers = 8
+
+func (core *Core) answerWholes(effects *Effects) {
+	if len(core.wholes) == 0 {
+		return
+	}
+	effects.Messages = append(effects.Messages, Outgoing{To: core.wholes, Message: core.delta(0)})
+	maps.DeleteFunc(core.answeredAt, func(_ netip.AddrPort, at time.Duration) bool { return core.now-at >= wholeInterval })
+	for _, address := range core.wholes {
+		core.answeredAt[address] = core.now
+	}
+	core.wholes = nil
+}
--- /dev/null
+++ b/internal/follower/settings.go
@@ -0,0 +1,93 @@
+package follower
+
+import (
+	"net/netip"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Settings of a follower. See DefaultSettings.
+type Settings struct {
+	Self lb.NodeID
+	Zone lb.Zone
+	// Seeds are control addresses asked for a view while there is none.
+	Seeds []netip.AddrPort
+	// IsSeed: others ask this node.
+	IsSeed bool
+	// Seed of the random jitter.
+	Seed uint64
+	// WatchWait is how long a watch waits in the store for a change.
+	WatchWait time.Duration
+	// CallTimeout bounds the silence of the store in a call, besides WatchWait.
+	CallTimeout time.Duration
+	// ChangeInterval is the shortest time from an answer with changes to the
+	// next watch, so that changes in quick succession cost one call together.
+	ChangeInterval time.Duration
+	// Patience is the age of the view at which the first node in turn reads
+	// itself, PatienceStep what each further turn adds, up to PatienceLimit.
+	Patience, PatienceStep, PatienceLimit time.Duration
+	// LateStep is what each turn adds where nothing is urgent: the view is
+	// fresh, or others try already and the store fails them.
+	LateStep time.Duration
+	// SilenceLimit is the age at which it does so if no node has told of the view since.
+	SilenceLimit time.Duration
+	// DigestInterval is the time between digests to the zone.
+	DigestInterval time.Duration
+	// TreeWidth is how many nodes one node tells of what it has heard.
+	TreeWidth int
+	// SettleTime is how long after its start a node at least waits for others to
+	// confirm its first view, if there are seeds to ask.
+	SettleTime time.Duration
+	// BackoffBase and BackoffLimit bound the time to the next call after a failed one.
+	BackoffBase, BackoffLimit time.Duration
+}
+
+// DefaultSettings gives the defaults for a node. Together they put a change
+// into force within 2.6 s of its acknowledgement even when the reader fails
+// at that moment. A step is longer than a read and its telling take (30 to 50 ms).
+func DefaultSettings(self lb.NodeID, zone lb.Zone, seed uint64) Settings {
+	return Settings{
+		Self:           self,
+		Zone:           zone,
+		Seed:           seed,
+		WatchWait:      1500 * time.Millisecond,
+		CallTimeout:    700 * time.Millisecond,
+		ChangeInterval: 200 * time.Millisecond,
+		Patience:       1700 * time.Millisecond,
+		PatienceStep:   60 * time.Millisecond,
+		PatienceLimit:  2200 * time.Millisecond,
+		LateStep:       400 * time.Millisecond,
+		SilenceLimit:   1200 * time.Millisecond,
+		DigestInterval: 400 * time.Millisecond,
+		TreeWidth:      4,
+		SettleTime:     1500 * time.Millisecond,
+		BackoffBase:    100 * time.Millisecond,
+		BackoffLimit:   time.Second,
+	}
+}
+
+// usualLimit is the time in which DefaultSettings put a change into force.
+const usualLimit = 3 * time.Second
+
+// longestLimit bounds how far Within stretches the times: a change is then in
+// force within 4.8 s (2.6 s of 3 s), and the fleet is to manage within 5 s.
+const longestLimit = 5500 * time.Millisecond
+
+// Within gives settings that put a change into force within a limit: all times
+// are shortened or stretched alike, so that a fleet whose users can wait longer
+// makes fewer calls. Calls keep CallTimeout, and a node that finds the store
+// failing tries again no later than before.
+func (settings Settings) Within(limit time.Duration) Settings {
+	limit = min(limit, longestLimit)
+	ratio := limit.Seconds() / usualLimit.Seconds()
+	backoffLimit := settings.BackoffLimit
+	for _, duration := range []*time.Duration{
+		&settings.WatchWait, &settings.ChangeInterval, &settings.Patience, &settings.PatienceStep,
+		&settings.PatienceLimit, &settings.SilenceLimit, &settings.DigestInterval, &settings.BackoffLimit,
+	} {
+		*duration = time.Duration(float64(*duration) * ratio)
+	}
+	settings.BackoffLimit = min(settings.BackoffLimit, backoffLimit)
+	return settings
+}
