--- a/internal/follower/api.go
+++ b/internal/follower/api.go
@@ -94,6 +94,16 @@
 	FailureConflict    Failure = "conflict"    // another node has written a newer snapshot
 )
 
+// Answered tells whether the store answered for what it is asked, as it does when
+// it has no snapshot, has forgotten its history, or keeps a newer snapshot.
+func (failure Failure) Answered() bool {
+	switch failure {
+	case FailureNone, FailureCompacted, FailureMissing, FailureConflict:
+		return true
+	}
+	return false
+}
+
 // ReadResult is how a call ended. Listing, Snapshot or Changes is set if Failure is FailureNone.
 type ReadResult struct {
 	Read    Read
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -325,3 +325,14 @@
 	}
 	is.Equal(answered, wholeAnswers)
 }
+
+// TestMissingSnapshotIsNoOutage: the store answers, which the log must not call lost.
+func TestMissingSnapshotIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	for _, failure := range []Failure{FailureNone, FailureCompacted, FailureMissing, FailureConflict} {
+		is.True(failure.Answered())
+	}
+	for _, failure := range []Failure{FailureLost, FailureThrottled, FailureUnavailable, FailureRejected} {
+		is.True(!failure.Answered())
+	}
+}
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -24,6 +25,7 @@
 	RuleForged  Rule = "forged"  // packets arrive as they were sent
 	RuleDrain   Rule = "drain"   // a draining host gets nothing new after Bounds.Change
 	RuleChange  Rule = "change"  // a change is in force after Bounds.Change and never reverts
+	RuleOpen    Rule = "open"    // an opening is answered, unless a fault has just been there
 	RuleRecover Rule = "recover" // all is served again after Bounds.Recovery
 	RuleExit    Rule = "exit"    // no balancer ends by itself
 )
@@ -66,8 +68,21 @@
 	disturbed  map[netip.AddrPort]time.Time
 	disturbing map[netip.AddrPort]int // faults under way
 	gone       map[string]bool        // hosts that crash, fall silent or end
+	lastGone   time.Time
+	unopened   map[Cause]int
 }
 
+// Cause is what may have kept an opening from being answered.
+type Cause string
+
+// The causes, the nearest first.
+const (
+	CauseNode  Cause = "its node was disturbed"
+	CauseOther Cause = "another node was disturbed"
+	CauseHost  Cause = "a host had just gone"
+	CauseNone  Cause = "no known cause"
+)
+
 // NewChecker gives a checker that has seen nothing.
 func NewChecker(bounds Bounds) *Checker {
 	return &Checker{
@@ -78,6 +93,7 @@
 		disturbed:  make(map[netip.AddrPort]time.Time),
 		disturbing: make(map[netip.AddrPort]int),
 		gone:       make(map[string]bool),
+		unopened:   make(map[Cause]int),
 	}
 }
 
@@ -155,6 +171,47 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.gone[host] = true
+	c.lastGone = time.Now()
+}
+
+// NotOpened takes an opening that nobody answered, and the node that its last
+// copy went to. Copies go to any node, and hosts that have just gone may have
+// been chosen; where neither explains it, a promise is broken.
+func (c *Checker) NotOpened(now time.Time, node, front netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	cause := c.causeOf(now, node)
+	c.unopened[cause]++
+	if cause == CauseNone {
+		c.report(now, RuleOpen, "an opening to %s, last sent to %s, was never answered", front, node)
+	}
+}
+
+func (c *Checker) causeOf(now time.Time, node netip.AddrPort) Cause {
+	if !c.inTouch(now, node) {
+		return CauseNode
+	}
+	for other := range c.disturbed {
+		if !c.inTouch(now, other) {
+			return CauseOther
+		}
+	}
+	for other := range c.disturbing {
+		if !c.inTouch(now, other) {
+			return CauseOther
+		}
+	}
+	if now.Sub(c.lastGone) < c.bounds.Contact {
+		return CauseHost
+	}
+	return CauseNone
+}
+
+// Unopened counts the openings that nobody answered, by cause.
+func (c *Checker) Unopened() map[Cause]int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return maps.Clone(c.unopened)
 }
 
 // Sends notes a request that is about to be sent.
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -130,3 +130,30 @@
 		})
 	}
 }
+
+// TestUnansweredOpeningsHaveACause, or break a promise.
+func TestUnansweredOpeningsHaveACause(t *testing.T) {
+	other := netip.MustParseAddrPort("127.0.1.2:9000")
+	cases := map[soak.Cause]func(*soak.Checker){
+		soak.CauseNode:  func(c *soak.Checker) { c.Disturb(node, other) },
+		soak.CauseOther: func(c *soak.Checker) { c.Disturb(other)() },
+		soak.CauseHost:  func(c *soak.Checker) { c.Gone("i-1") },
+		soak.CauseNone:  func(*soak.Checker) {},
+	}
+	for cause, prepare := range cases {
+		t.Run(string(cause), func(t *testing.T) {
+			is := is.New(t)
+			c := newChecker()
+			prepare(c)
+			c.NotOpened(time.Now(), node, front)
+			is.Equal(c.Unopened(), map[soak.Cause]int{cause: 1})
+			is.Equal(len(c.Violations()) > 0, cause == soak.CauseNone)
+		})
+	}
+}
+
+func TestRunThatCheckedNothingSaysSo(t *testing.T) {
+	is := is.New(t)
+	is.Equal((&soak.Report{}).Unchecked(), []soak.Rule{soak.RuleChange, soak.RuleDrain})
+	is.Equal((&soak.Report{Checked: soak.Checked{Routes: 1, Drains: 1}}).Unchecked(), []soak.Rule(nil))
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -41,9 +41,23 @@
 	// Checked is how many openings were held against the routes, and the
 	// draining hosts, that had to be in force.
 	Checked    Checked
+	Unopened   map[Cause]int // openings that nobody answered
 	Violations []Violation
 }
 
+// Unchecked names the promises bound to a time that were never checked: such a
+// run shows nothing of them.
+func (report *Report) Unchecked() []Rule {
+	var rules []Rule
+	if report.Checked.Routes == 0 {
+		rules = append(rules, RuleChange)
+	}
+	if report.Checked.Drains == 0 {
+		rules = append(rules, RuleDrain)
+	}
+	return rules
+}
+
 // run is one soak under way.
 type run struct {
 	*Site
@@ -80,6 +94,7 @@
 	report.Skipped = int(r.skipped.Load())
 	report.StoreCalls = site.Store.Calls()
 	report.Checked = site.Checker.Checked()
+	report.Unopened = site.Checker.Unopened()
 	report.Violations = site.Checker.Violations()
 	return report, err
 }
@@ -181,7 +196,8 @@
 			_ = sleep(ctx, requestPause)
 			continue
 		case err != nil:
-			r.counts.NotOpened.Add(1) // nobody has promised that it opens at once
+			r.counts.NotOpened.Add(1)
+			r.Checker.NotOpened(time.Now(), flow.Node, front)
 			continue
 		}
 		r.counts.Opened.Add(1)
@@ -236,6 +252,10 @@
 		{"requests answered", counts.Answered.Load()},
 		{"openings refused", counts.Refused.Load()},
 		{"never opened", counts.NotOpened.Load()},
+		{"of them, " + string(CauseNode), report.Unopened[CauseNode]},
+		{"of them, " + string(CauseOther), report.Unopened[CauseOther]},
+		{"of them, " + string(CauseHost), report.Unopened[CauseHost]},
+		{"of them, " + string(CauseNone), report.Unopened[CauseNone]},
 		{"packets at a host that does not hold their flow", report.Unknown},
 		{"calls to the store", report.StoreCalls},
 		{"openings checked against the routes in force", report.Checked.Routes},
