--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -64,7 +64,8 @@
 	older      *view.Listing  // what stale listings give; nil: the present state
 	nodes      []*fleetNode
 	deliveries []delivery
-	cut        lb.Zone // its nodes reach no other zone, but the store
+	deaf       *fleetNode // hears only what it has asked for
+	cut        lb.Zone    // its nodes reach no other zone, but the store
 	now        time.Duration
 }
 
@@ -165,7 +166,7 @@
 		}
 		for _, node := range fleet.nodes {
 			apart := node.zone != item.from.zone && (node.zone == fleet.cut || item.from.zone == fleet.cut)
-			if node.address == item.to && !apart {
+			if node.address == item.to && !apart && !(node == fleet.deaf && routed(item.sent)) {
 				fleet.step(node, &Event{Message: &PeerMessage{From: item.from.id, Address: item.from.address, Message: item.sent}})
 			}
 		}
@@ -173,6 +174,17 @@
 	fleet.deliveries = append(later, fleet.deliveries...)
 }
 
+// routed tells whether a message comes unasked, down a tree.
+func routed(sent message.Message) bool {
+	switch told := sent.(type) {
+	case message.ViewDigest:
+		return told.Route != (message.Route{})
+	case message.ViewDelta:
+		return told.Route != (message.Route{})
+	}
+	return false
+}
+
 // answer ends a node's call if its time has come.
 func (fleet *fleet) answer(node *fleetNode) {
 	if node.read == nil || node.dead {
--- a/internal/follower/reader_test.go
+++ b/internal/follower/reader_test.go
@@ -336,3 +336,59 @@
 		is.True(!failure.Answered())
 	}
 }
+
+// TestNodeThatIsNotToldAsks: a node whom the trees leave out learns all from the
+// peers that it asks, and makes no call.
+func TestNodeThatIsNotToldAsks(t *testing.T) {
+	is := is.New(t)
+	fleet := large(t)
+	fleet.deaf = fleet.nodes[70]
+	is.True(!fleet.deaf.core.Reads())
+	before := fleet.deaf.calls
+	for version := range uint64(15) {
+		fleet.store.Configure(version+2, 81)
+		fleet.run(2 * time.Second)
+	}
+	is.Equal(fleet.deaf.calls, before)
+	is.Equal(fleet.behind(), 0)
+}
+
+// TestReaderThatIsTurnedAwaySaysSo, so that another one takes over before the views are old.
+func TestReaderThatIsTurnedAwaySaysSo(t *testing.T) {
+	is := is.New(t)
+	fleet := large(t)
+	reader := fleet.readers()[0]
+	reader.fault = faultRefused
+	fleet.run(2500 * time.Millisecond) // its watch ends, and two calls fail
+	readers := fleet.readers()
+	is.Equal(len(readers), 1)
+	is.True(readers[0] != reader)
+	is.True(fleet.oldest() < fleet.nodes[0].core.settings.Patience)
+}
+
+// TestUnconfirmedViewConfirmsNothing: a peer that has just started itself gives
+// its view, but cannot say how old it is.
+func TestUnconfirmedViewConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	store := viewtest.NewStore()
+	store.Configure(1, 80)
+	address := netip.MustParseAddrPort("10.0.0.1:7946")
+	peer := New(DefaultSettings("peer", "zone", 1))
+	var effects Effects
+	peer.Step(0, &Event{}, &effects)
+	peer.Step(0, &Event{Read: &ReadResult{Read: Read{Kind: ReadList, Stale: true}, Listing: store.List()}}, &effects)
+	peer.Step(0, &Event{Message: &PeerMessage{From: "n", Address: address, Message: message.ViewWant{}}}, &effects)
+	peer.Step(time.Second, &Event{}, &effects)
+	var told message.Message
+	for _, outgoing := range effects.Messages {
+		if _, found := outgoing.Message.(message.ViewDelta); found {
+			told = outgoing.Message
+		}
+	}
+	is.True(told != nil)
+	core := New(DefaultSettings("n", "zone", 2))
+	core.Step(time.Second, &Event{Message: &PeerMessage{From: "peer", Message: told}}, &effects)
+	is.True(core.Replica().Configured())
+	_, confirmed := core.Age(time.Second)
+	is.Equal(confirmed, false)
+}
