--- a/internal/follower/ask.go
+++ b/internal/follower/ask.go
@@ -28,12 +28,8 @@
 		return false
 	}
 	silence := time.Duration(askSilenceParts * float64(core.settings.SilenceLimit))
-	return core.age() >= core.askAge() || core.age() >= silence && core.now-core.heardAt >= silence
-}
-
-// askAge is the age of the view from which on this node asks others, since its patience ends soon.
-func (core *Core) askAge() time.Duration {
-	return time.Duration(askPatienceParts * float64(core.settings.Patience))
+	patience := time.Duration(askPatienceParts * float64(core.settings.Patience))
+	return core.age() >= patience || core.age() >= silence && core.now-core.heardAt >= silence
 }
 
 // askForView asks a seed and a peer for the view, or for what is missing in
@@ -55,9 +51,6 @@
 const maxAskDoublings = 2
 
 func (core *Core) askInterval() time.Duration {
-	if core.confirmed && core.age() >= core.askAge() && core.age() < core.settings.PatienceLimit {
-		return wantInterval // there is little time, and no outage yet
-	}
 	if core.confirmed {
 		return core.settings.DigestInterval
 	}
