--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -39,7 +39,7 @@
 // Where all start at once and know nobody yet, the seeds read, and the others ask
 // them; should no seed live, the others read spread over some time.
 func (core *Core) confirmTime() time.Duration {
-	if core.asksNobody() {
+	if core.readsFirst() {
 		return seedConfirmTime
 	}
 	return core.settings.SettleTime + time.Duration(core.random.Int64N(int64(core.settings.PatienceLimit)))
@@ -52,8 +52,8 @@
 // youngTurn is the first turn of such a node: four others have theirs before it.
 const youngTurn = 4
 
-// asksNobody tells whether this node is one of those whom others ask, or knows of none.
-func (core *Core) asksNobody() bool { return core.settings.IsSeed || len(core.settings.Seeds) == 0 }
+// readsFirst tells whether this node is one of those who read the store first when a fleet starts: a seed, or one that knows of none.
+func (core *Core) readsFirst() bool { return core.settings.IsSeed || len(core.settings.Seeds) == 0 }
 
 // turn is this node's place in the order in which nodes lose patience: the
 // first of each zone come before all others of their zones. A node that has just
@@ -104,7 +104,7 @@
 	if core.acting || reason == ReasonHistoryGone || core.leaves {
 		return
 	}
-	if reason == ReasonUnconfirmed && !core.asksNobody() {
+	if reason == ReasonUnconfirmed && !core.readsFirst() {
 		return
 	}
 	named := core.reader != "" && !core.readerGone && core.readerHeardAt > 0
