Send partial member lists before whole ones, and no list twice at once

Change: short lists go with pings; who was answered is not answered again for 0.5 s. Benchmarks of what grows with the fleet.

--- a/internal/member/asker.go
+++ b/internal/member/asker.go
@@ -2,18 +2,24 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"robinpulley.example/robinpulley/internal/message"
 )
 
-// Bounds of the answers to nodes that ask for the whole membership. Encoding one for
-// 300 nodes takes a small machine 30 to 50 ms, and all seeds are asked by all
-// nodes when a fleet starts.
+// Bounds of the answers to nodes that ask for the whole membership. When a fleet
+// starts, all nodes ask all seeds twice a second. A list of 300 takes 2.7 KB
+// (BenchmarkWholeMembership), and a node may send 128 KB of lists a second
+// (transport.Budget): what is more waits in its queue.
 const (
 	// wholeAnswers is how many are given the whole at a tick, from one encoding.
 	wholeAnswers = 8
+	// wholeInterval is the shortest time between two answers to one node, which
+	// has the first on the way.
+	wholeInterval = 500 * time.Millisecond
 	// partialMembers is how many members the others are told, so that they ask those.
 	partialMembers = 12
 )
@@ -27,8 +33,12 @@
 // noteAsker answers a node that asks for the whole membership, or remembers it
 // until the next tick if another one has just been answered.
 func (core *Core) noteAsker(asker Machine, effects *Effects) {
+	if answeredAt, answered := core.answeredAt[asker.Control]; answered && core.now-answeredAt < wholeInterval {
+		return
+	}
 	if core.now >= core.nextWhole && len(core.askers) == 0 {
 		core.nextWhole = core.now + TickInterval
+		core.answeredAt[asker.Control] = core.now
 		core.send(effects, &asker, message.Members{Updates: core.allUpdates()})
 		return
 	}
@@ -44,6 +54,10 @@
 		return
 	}
 	core.nextWhole = core.now + TickInterval
+	maps.DeleteFunc(core.answeredAt, func(_ netip.AddrPort, at time.Duration) bool { return core.now-at >= wholeInterval })
+	for _, asker := range core.askers {
+		core.answeredAt[asker] = core.now
+	}
 	count := min(len(core.askers), wholeAnswers)
 	whole, rest := core.askers[:count], core.askers[count:]
 	effects.Batches = append(effects.Batches, Batch{To: whole, Message: message.Members{Updates: core.allUpdates()}})
--- a/internal/member/asker_test.go
+++ b/internal/member/asker_test.go
@@ -1,13 +1,18 @@
 package member_test
 
 import (
+	"fmt"
+	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/transport"
 )
 
 // Size of a fleet that starts all at once, and its seeds.
@@ -94,3 +99,40 @@
 	is.Equal(whole, 9)
 	is.Equal(partial, 51)
 }
+
+// BenchmarkWholeMembership is what it costs to encode and compress the whole
+// membership for those who join; MaxMembers bounds it.
+func BenchmarkWholeMembership(b *testing.B) {
+	for _, count := range []int{300, 1000, message.MaxMembers} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			machines := make([]member.Machine, count)
+			for index := range machines {
+				address := netip.AddrFrom4([4]byte{10, 0, byte(index >> 8), byte(index)})
+				machines[index] = member.Machine{
+					ID: lb.NodeID(fmt.Sprintf("node-%05d", index)), Zone: lb.Zone(fmt.Sprintf("zone-%d", index%12)),
+					Control: netip.AddrPortFrom(address, 4700), Data: netip.AddrPortFrom(address, 6081),
+				}
+			}
+			core, err := member.New(member.DefaultSettings(machines[0], 1, 1))
+			if err != nil {
+				b.Fatal(err)
+			}
+			ping := message.Ping{Incarnation: 1, Full: true}
+			var effects member.Effects
+			core.Step(0, &member.Event{Machines: machines}, &effects)
+			size, now := 0, time.Duration(0)
+			for b.Loop() {
+				now += time.Second
+				core.Step(now, &member.Event{Peer: &member.PeerEvent{
+					From: machines[1].ID, Address: machines[1].Control, Message: ping,
+				}}, &effects)
+				line, err := message.Encode(nil, machines[0].ID, effects.Messages[0].Message)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(transport.Pack(message.TypeMembers, line))
+			}
+			b.ReportMetric(float64(size), "packed-bytes")
+		})
+	}
+}
--- a/internal/member/core.go
+++ b/internal/member/core.go
@@ -44,15 +44,16 @@
 	stopped     bool
 	digest      uint64
 
-	entries   map[lb.NodeID]*entry
-	zones     []*zone // sorted by name; own zone included
-	ownZone   *zone
-	machines  []Machine // the platform's list without self
-	listed    map[lb.NodeID]int
-	suspects  []*entry
-	askers    []netip.AddrPort // who waits for the whole membership
-	nextWhole time.Duration    // when it may be encoded again
-	rumours   []*rumour        // next to send first
+	entries    map[lb.NodeID]*entry
+	zones      []*zone // sorted by name; own zone included
+	ownZone    *zone
+	machines   []Machine // the platform's list without self
+	listed     map[lb.NodeID]int
+	suspects   []*entry
+	askers     []netip.AddrPort                 // who waits for the whole membership
+	answeredAt map[netip.AddrPort]time.Duration // when those who asked were last answered
+	nextWhole  time.Duration                    // when it may be encoded again
+	rumours    []*rumour                        // next to send first
 
 	probes    []probe
 	forwarded []forwardedProbe
@@ -97,6 +98,7 @@
 		incarnation: settings.Incarnation,
 		entries:     make(map[lb.NodeID]*entry),
 		listed:      make(map[lb.NodeID]int),
+		answeredAt:  make(map[netip.AddrPort]time.Duration),
 		differs:     make(map[lb.NodeID]time.Duration),
 	}
 	core.ownZone = core.zoneOf(settings.Self.Zone)
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -118,6 +118,9 @@
 	case message.InForce:
 		return ClassReport
 	case message.Members:
+		if m.Partial {
+			return ClassMember // few, and the receiver knows nobody
+		}
 		return ClassBulk
 	case message.ViewDelta:
 		if m.Whole() {
