Ask one seed at a time after the first question, spread over time

Change: the first question goes to all seeds, later ones to one of them, 0.15 to 0.45 s apart by chance.

--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -283,22 +283,25 @@
 
 // Times between attempts to reach the seeds.
 const (
-	seedInterval       = 500 * time.Millisecond
+	// seedInterval is the mean while no other member is known. Where hundreds
+	// start at once, a seed's socket holds some fifty questions (seen on the
+	// users' bench): those that are lost come again spread over the interval.
+	seedInterval       = 300 * time.Millisecond
 	joinedSeedInterval = 10 * time.Second // when other members are known
 )
 
-// joinSeeds asks seeds for their membership until ctx ends: all of them, often,
-// while this node knows no other member, and later one now and then, so that
-// two parts of a fleet that lost each other come together again.
+// joinSeeds asks seeds for their membership until ctx ends: all of them at
+// first, one often while this node knows no other member, and later one now and
+// then, so that two parts of a fleet that lost each other come together again.
 func (node *Node) joinSeeds(ctx context.Context) {
-	for {
+	for first := true; ; first = false {
 		request, alone := node.engine.joinRequest()
-		for _, seed := range seedsToAsk(node.settings.Load(), alone) {
+		for _, seed := range seedsToAsk(node.settings.Load(), first) {
 			node.transport.Send(seed, request)
 		}
 		interval := joinedSeedInterval
 		if alone {
-			interval = seedInterval
+			interval = seedInterval/2 + rand.N(seedInterval)
 		}
 		select {
 		case <-ctx.Done():
