Tests: a node's control port must be free for UDP, too

The harness had asked for a free TCP port only, and control addresses take UDP at the same port, which another test program had at 127.0.0.1. Now both are tried, at an address of its own.

--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -108,6 +108,25 @@
 	return socket.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 }
 
+// freeControl gives a control address, whose port must be free for TCP and UDP.
+// It is at a loopback address of its own, since other test programs take UDP ports of
+// 127.0.0.1 at any time.
+func freeControl(t *testing.T) netip.AddrPort {
+	is := is.New(t)
+	for {
+		listener, err := net.Listen("tcp", "127.0.4.1:0")
+		is.NoErr(err)
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+		_ = listener.Close() // it was open to find the port only
+		if err != nil {
+			continue // somebody has the UDP port
+		}
+		_ = socket.Close() // likewise
+		return address
+	}
+}
+
 func freeTCP(t *testing.T) netip.AddrPort {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -122,7 +141,7 @@
 		Zone:           lb.Zone(fmt.Sprintf("zone-%d", index%2)),
 		Affinity:       core.AffinityToken,
 		DataAddress:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(index + 1)}), site.port),
-		ControlAddress: freeTCP(site.t),
+		ControlAddress: freeControl(site.t),
 		AdminAddress:   freeTCP(site.t),
 		StoreEndpoints: []string{site.store.URL()},
 		LogLevel:       "info",
