Evacuated zones: an entry of its own in the view, obeyed on both paths

Ruled out: too slow a spread. The watch over the whole store brought the entries all along; they were decoded as nobody's. Tests fail without the listing's, the delta's or the whole view's part.

--- a/cmd/robinctl/cli.go
+++ b/cmd/robinctl/cli.go
@@ -33,6 +33,7 @@
 	Selector selectorCommand `cmd:"" help:"Change the selector of a service."`
 	Drain    drainCommand    `cmd:"" help:"Take new flows away from a back end; its flows stay."`
 	Undrain  undrainCommand  `cmd:"" help:"Let a drained back end take new flows again."`
+	Zone     zoneCommands    `cmd:"" help:"Take a zone out of use, and take it back."`
 	Status   statusCommand   `cmd:"" help:"Show what is in force and what is under way."`
 	Wait     waitCommand     `cmd:"" help:"Wait until a change is in force in every zone."`
 	Apply    applyCommand    `cmd:"" help:"Create or change the objects of a YAML file."`
--- a/cmd/robinctl/print.go
+++ b/cmd/robinctl/print.go
@@ -79,6 +79,9 @@
 			fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d ms\t%s\n", zone.Zone, zone.ConfigRevision, zone.Nodes, zone.Behind,
 				zone.AgeMillis, freshness(zone.Fresh))
 		}
+		if len(status.Evacuated) > 0 {
+			fmt.Fprintf(table, "\nevacuated zones: %s\n", joinZones(status.Evacuated))
+		}
 		fmt.Fprintln(table, "\nSERVICE\tVERSION\tPHASE\tCONFIG\tIN MOTION\tHISTORY\tSELECTED\tBACK ENDS")
 		for index := range status.Services {
 			service := &status.Services[index]
--- a/internal/catalog/derive.go
+++ b/internal/catalog/derive.go
@@ -11,7 +11,7 @@
 // DesiredBackend is a back end that the operators want a service to have.
 type DesiredBackend struct {
 	Backend Backend
-	// State is active, or draining where the operators drain the back end.
+	// State is active, or draining where the operators drain the back end or evacuate its zone.
 	State lb.BackendState
 }
 
@@ -41,7 +41,7 @@
 	desired.Backends = make([]DesiredBackend, 0, len(entry.backends))
 	for _, backend := range slices.Sorted(maps.Keys(entry.backends)) {
 		document := index.backends[backend].backend
-		desired.Backends = append(desired.Backends, DesiredBackend{Backend: document, State: desiredState(&document)})
+		desired.Backends = append(desired.Backends, DesiredBackend{Backend: document, State: index.desiredState(&document)})
 	}
 	return desired
 }
@@ -64,8 +64,8 @@
 	return all, index.Problems()
 }
 
-func desiredState(backend *Backend) lb.BackendState {
-	if backend.Drain {
+func (index *Index) desiredState(backend *Backend) lb.BackendState {
+	if backend.Drain || index.Evacuated(backend.Zone) {
 		return lb.BackendDraining
 	}
 	return lb.BackendActive
--- a/internal/catalog/document.go
+++ b/internal/catalog/document.go
@@ -31,6 +31,12 @@
 	Fields  []string `json:"fields,omitempty"`
 }
 
+// IsConfiguration tells whether the key is of an operators' document: a service,
+// a back end or an evacuated zone.
+func IsConfiguration(key string) bool {
+	return strings.HasPrefix(key, ServicePrefix) || strings.HasPrefix(key, BackendPrefix) || strings.HasPrefix(key, ZonePrefix)
+}
+
 // ServiceKey is the store key of a service's document.
 func ServiceKey(name lb.ServiceName) string { return ServicePrefix + string(name) }
 
--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -58,6 +58,7 @@
 	byLabel    map[label]map[lb.BackendName]struct{}
 	byAnchor   map[label]map[lb.ServiceName]struct{}
 	unanchored map[lb.ServiceName]struct{}
+	evacuated  map[lb.Zone]struct{}
 	problems   map[string]Problem
 	// conflicted holds valid services that want a front end of another one.
 	conflicted map[lb.ServiceName]Service
@@ -72,14 +73,15 @@
 		byLabel:    map[label]map[lb.BackendName]struct{}{},
 		byAnchor:   map[label]map[lb.ServiceName]struct{}{},
 		unanchored: map[lb.ServiceName]struct{}{},
+		evacuated:  map[lb.Zone]struct{}{},
 		problems:   map[string]Problem{},
 		conflicted: map[lb.ServiceName]Service{},
 	}
 }
 
 // PutDocument takes in the document under key, as read from the store, and
-// gives the services whose Desired may differ now, sorted. Keys that are
-// neither services nor back ends are ignored.
+// gives the services whose Desired may differ now, sorted. Keys for which
+// IsConfiguration is false are ignored.
 func (index *Index) PutDocument(key string, value []byte) ([]lb.ServiceName, error) {
 	switch {
 	case strings.HasPrefix(key, ServicePrefix):
@@ -94,6 +96,12 @@
 			return index.reject(key, err)
 		}
 		return index.PutBackend(backend)
+	case strings.HasPrefix(key, ZonePrefix):
+		zone, err := DecodeZone(key, value)
+		if err != nil {
+			return index.reject(key, err)
+		}
+		return index.PutZone(zone)
 	}
 	return nil, nil
 }
@@ -106,17 +114,21 @@
 	if name, found := strings.CutPrefix(key, BackendPrefix); found {
 		return index.DeleteBackend(lb.BackendName(name))
 	}
+	if name, found := strings.CutPrefix(key, ZonePrefix); found {
+		return index.DeleteZone(lb.Zone(name))
+	}
 	return nil
 }
 
-// reject records the problem. A back end that was never valid may be placed
+// reject records the problem. An invalid document of a zone evacuates nothing
+// anew. A back end that was never valid may be placed
 // anywhere, so every service is concerned by it.
 func (index *Index) reject(key string, cause error) ([]lb.ServiceName, error) {
 	delete(index.conflicted, lb.ServiceName(strings.TrimPrefix(key, ServicePrefix)))
 	kept := index.has(key)
 	_, known := index.problems[key]
 	index.problems[key] = Problem{Key: key, Cause: cause, Kept: kept}
-	if kept || known {
+	if kept || known || strings.HasPrefix(key, ZonePrefix) {
 		return nil, cause
 	}
 	if name, found := strings.CutPrefix(key, ServicePrefix); found {
@@ -129,6 +141,9 @@
 	if name, found := strings.CutPrefix(key, ServicePrefix); found {
 		return index.services[lb.ServiceName(name)] != nil
 	}
+	if name, found := strings.CutPrefix(key, ZonePrefix); found {
+		return index.Evacuated(lb.Zone(name))
+	}
 	return index.backends[lb.BackendName(strings.TrimPrefix(key, BackendPrefix))] != nil
 }
 
--- a/internal/catalog/index_test.go
+++ b/internal/catalog/index_test.go
@@ -35,14 +35,23 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	selectors := []string{"app=a", "app=b,tier!=x", "app in (a,b)", "!app", "tier", "tier notin (x)", "app=c", "app=a,app in (a,b,c)"}
 	values := []string{"a", "b", "c", "x"}
+	zones := []lb.Zone{"a", "b"}
 	index := NewIndex()
 	services, backends := map[int]Service{}, map[int]Backend{}
+	evacuated := map[lb.Zone]bool{}
 	previous := map[lb.ServiceName]Desired{}
 	for range 3000 {
 		number := random.IntN(12)
 		var affected []lb.ServiceName
 		var err error
-		switch random.IntN(6) {
+		switch random.IntN(7) {
+		case 6:
+			zone := zones[random.IntN(len(zones))]
+			if evacuated[zone] = !evacuated[zone]; evacuated[zone] {
+				affected, err = index.PutZone(EvacuatedZone{Name: zone})
+			} else {
+				affected = index.DeleteZone(zone)
+			}
 		case 0:
 			delete(services, number)
 			affected = index.DeleteService(testService(number, "").Name)
@@ -61,6 +70,7 @@
 			}
 			backend := testBackend(number, labels)
 			backend.Drain = random.IntN(4) == 0
+			backend.Zone = zones[random.IntN(len(zones))]
 			backends[number] = backend
 			affected, err = index.PutBackend(backend)
 		}
@@ -68,7 +78,7 @@
 		for number := range 12 {
 			name := testService(number, "").Name
 			desired := index.Desired(name)
-			is.Equal(desired, evaluate(name, services, backends))
+			is.Equal(desired, evaluate(name, services, backends, evacuated))
 			if !slices.Contains(affected, name) {
 				is.Equal(desired, orAbsent(previous, name)) // changed without being reported
 			}
@@ -84,7 +94,7 @@
 	return Desired{Name: name}
 }
 
-func evaluate(name lb.ServiceName, services map[int]Service, backends map[int]Backend) Desired {
+func evaluate(name lb.ServiceName, services map[int]Service, backends map[int]Backend, evacuated map[lb.Zone]bool) Desired {
 	for _, service := range services {
 		if service.Name != name {
 			continue
@@ -94,7 +104,7 @@
 		for backend := range maps.Values(backends) {
 			if selector.Matches(backend.Labels) {
 				state := lb.BackendActive
-				if backend.Drain {
+				if backend.Drain || evacuated[backend.Zone] {
 					state = lb.BackendDraining
 				}
 				desired.Backends = append(desired.Backends, DesiredBackend{Backend: backend, State: state})
@@ -143,6 +153,24 @@
 	is.Equal(len(index.Problems()), 2) // s1 and b1 are still invalid in the store
 }
 
+// TestInvalidZoneDocument evacuates nothing, and restores nothing that is evacuated.
+func TestInvalidZoneDocument(t *testing.T) {
+	is := is.New(t)
+	index := NewIndex()
+	_, err := index.PutDocument(ZoneKey("a"), []byte(`{"name":"b"}`))
+	is.True(err != nil)
+	is.Equal(len(index.EvacuatedZones()), 0)
+	_, err = index.PutDocument(ZoneKey("a"), []byte(`{"name":"a","write_id":"ana/1"}`))
+	is.NoErr(err)
+	_, err = index.PutDocument(ZoneKey("a"), []byte(`no JSON`))
+	is.True(err != nil)
+	is.Equal(index.EvacuatedZones(), []lb.Zone{"a"})
+	is.True(index.Problems()[0].Kept)
+	index.DeleteDocument(ZoneKey("a"))
+	is.Equal(len(index.EvacuatedZones()), 0)
+	is.Equal(len(index.Problems()), 0)
+}
+
 func TestFrontendConflictIsReportedAndHeals(t *testing.T) {
 	is := is.New(t)
 	index := NewIndex()
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -207,16 +207,17 @@
 
 func (checker *checker) timings(raw timingsDocument) Timings {
 	timings := Timings{
-		OpeningHold:  checker.duration("timings.opening_hold", raw.OpeningHold),
-		IdleTimeout:  checker.duration("timings.idle_timeout", raw.IdleTimeout),
-		PinLifetime:  checker.duration("timings.pin_lifetime", raw.PinLifetime),
-		PrepareLimit: checker.duration("timings.prepare_limit", raw.PrepareLimit),
-		ChangeLimit:  checker.duration("timings.change_limit", raw.ChangeLimit),
-		LeaveLimit:   checker.duration("timings.leave_limit", raw.LeaveLimit),
-		PauseLimit:   checker.duration("timings.pause_limit", raw.PauseLimit),
-		RetryAfter:   checker.duration("timings.retry_after", raw.RetryAfter),
-		DrainGrace:   checker.duration("timings.drain_grace", raw.DrainGrace),
-		DrainLimit:   checker.duration("timings.drain_limit", raw.DrainLimit),
+		OpeningHold:     checker.duration("timings.opening_hold", raw.OpeningHold),
+		IdleTimeout:     checker.duration("timings.idle_timeout", raw.IdleTimeout),
+		PinLifetime:     checker.duration("timings.pin_lifetime", raw.PinLifetime),
+		PrepareLimit:    checker.duration("timings.prepare_limit", raw.PrepareLimit),
+		ChangeLimit:     checker.duration("timings.change_limit", raw.ChangeLimit),
+		LeaveLimit:      checker.duration("timings.leave_limit", raw.LeaveLimit),
+		EvacuationLimit: checker.duration("timings.evacuation_limit", raw.EvacuationLimit),
+		PauseLimit:      checker.duration("timings.pause_limit", raw.PauseLimit),
+		RetryAfter:      checker.duration("timings.retry_after", raw.RetryAfter),
+		DrainGrace:      checker.duration("timings.drain_grace", raw.DrainGrace),
+		DrainLimit:      checker.duration("timings.drain_limit", raw.DrainLimit),
 	}
 	checker.atMost("timings.pin_lifetime", raw.PinLifetime, timings.PinLifetime, "timings.idle_timeout", timings.IdleTimeout)
 	checker.atMost("timings.opening_hold", raw.OpeningHold, timings.OpeningHold, "timings.idle_timeout", timings.IdleTimeout)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -34,16 +34,17 @@
 }
 
 type timingsDocument struct {
-	OpeningHold  string `yaml:"opening_hold"`
-	IdleTimeout  string `yaml:"idle_timeout"`
-	PinLifetime  string `yaml:"pin_lifetime"`
-	PrepareLimit string `yaml:"prepare_limit"`
-	ChangeLimit  string `yaml:"change_limit"`
-	LeaveLimit   string `yaml:"leave_limit"`
-	PauseLimit   string `yaml:"pause_limit"`
-	RetryAfter   string `yaml:"retry_after"`
-	DrainGrace   string `yaml:"drain_grace"`
-	DrainLimit   string `yaml:"drain_limit"`
+	OpeningHold     string `yaml:"opening_hold"`
+	IdleTimeout     string `yaml:"idle_timeout"`
+	PinLifetime     string `yaml:"pin_lifetime"`
+	PrepareLimit    string `yaml:"prepare_limit"`
+	ChangeLimit     string `yaml:"change_limit"`
+	LeaveLimit      string `yaml:"leave_limit"`
+	EvacuationLimit string `yaml:"evacuation_limit"`
+	PauseLimit      string `yaml:"pause_limit"`
+	RetryAfter      string `yaml:"retry_after"`
+	DrainGrace      string `yaml:"drain_grace"`
+	DrainLimit      string `yaml:"drain_limit"`
 }
 
 type healthDocument struct {
@@ -64,6 +65,7 @@
 	DefaultPrepareLimit          = 1500 * time.Millisecond
 	DefaultChangeLimit           = 3 * time.Second
 	DefaultLeaveLimit            = 3 * time.Second
+	DefaultEvacuationLimit       = 3 * time.Second
 	DefaultPauseLimit            = time.Second
 	DefaultRetryAfter            = 500 * time.Millisecond
 	DefaultDrainGrace            = 3 * time.Second
@@ -84,16 +86,17 @@
 			PinBytesPerSecond:     DefaultPinBytesPerSecond,
 		},
 		Timings: timingsDocument{
-			OpeningHold:  DefaultOpeningHold.String(),
-			IdleTimeout:  DefaultIdleTimeout.String(),
-			PinLifetime:  DefaultPinLifetime.String(),
-			PrepareLimit: DefaultPrepareLimit.String(),
-			ChangeLimit:  DefaultChangeLimit.String(),
-			LeaveLimit:   DefaultLeaveLimit.String(),
-			PauseLimit:   DefaultPauseLimit.String(),
-			RetryAfter:   DefaultRetryAfter.String(),
-			DrainGrace:   DefaultDrainGrace.String(),
-			DrainLimit:   DefaultDrainLimit.String(),
+			OpeningHold:     DefaultOpeningHold.String(),
+			IdleTimeout:     DefaultIdleTimeout.String(),
+			PinLifetime:     DefaultPinLifetime.String(),
+			PrepareLimit:    DefaultPrepareLimit.String(),
+			ChangeLimit:     DefaultChangeLimit.String(),
+			LeaveLimit:      DefaultLeaveLimit.String(),
+			EvacuationLimit: DefaultEvacuationLimit.String(),
+			PauseLimit:      DefaultPauseLimit.String(),
+			RetryAfter:      DefaultRetryAfter.String(),
+			DrainGrace:      DefaultDrainGrace.String(),
+			DrainLimit:      DefaultDrainLimit.String(),
 		},
 		Health: healthDocument{
 			Enabled:  true,
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -81,6 +81,8 @@
 	ChangeLimit time.Duration
 	// LeaveLimit is the time after which a back end that leaves gets no new flow (AffinityToken).
 	LeaveLimit time.Duration
+	// EvacuationLimit is the time after which no back end of an evacuated zone gets a new flow (AffinityToken).
+	EvacuationLimit time.Duration
 	// PauseLimit is the gap between steps after which the node distrusts its view.
 	PauseLimit time.Duration
 	// RetryAfter is the base of the time to come back given with refusals.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -35,6 +35,29 @@
 	}
 }
 
+// TestEvacuatedZoneTakesNoNewFlows: its back ends leave as if each were drained, and come back.
+func TestEvacuatedZoneTakesNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	w := wallet(t, 3, 4, nil)
+	const zone = lb.Zone("zone-1")
+	moved := newBackend(4, "wallet")
+	moved.Zone = zone
+	w.store.put(catalog.BackendKey(moved.Name), moved)
+	w.run(5 * time.Second)
+	w.store.put(catalog.ZoneKey(zone), catalog.EvacuatedZone{Name: zone})
+	changed := w.now
+	for len(activeNames(w.store.placement("wallet-core"))) != 3 {
+		w.run(100 * time.Millisecond)
+		is.True(w.now-changed < 3*time.Second)
+	}
+	w.store.remove(catalog.ZoneKey(zone))
+	changed = w.now
+	for len(activeNames(w.store.placement("wallet-core"))) != 4 {
+		w.run(100 * time.Millisecond)
+		is.True(w.now-changed < 3*time.Second)
+	}
+}
+
 // TestPrepareLimitEndsTheWait: zones that do not answer cannot hold a change back.
 func TestPrepareLimitEndsTheWait(t *testing.T) {
 	is := is.New(t)
--- a/internal/controller/documents.go
+++ b/internal/controller/documents.go
@@ -55,7 +55,7 @@
 // takeConfiguration takes in one operators' document and adds the services
 // that it concerns to affected, with the revisions that concern each.
 func (c *Controller) takeConfiguration(document *Document, affected map[lb.ServiceName]span) {
-	if !isConfiguration(document.Key) {
+	if !catalog.IsConfiguration(document.Key) {
 		return
 	}
 	var names []lb.ServiceName
@@ -75,11 +75,6 @@
 	}
 }
 
-// isConfiguration tells whether the key is of an operators' document.
-func isConfiguration(key string) bool {
-	return strings.HasPrefix(key, catalog.ServicePrefix) || strings.HasPrefix(key, catalog.BackendPrefix)
-}
-
 // dropMissing forgets what a complete list does not have.
 func (c *Controller) dropMissing(documents *Documents, affected map[lb.ServiceName]span) {
 	listed := make(map[string]struct{}, len(documents.Changes))
--- a/internal/controller/racing_test.go
+++ b/internal/controller/racing_test.go
@@ -101,7 +101,7 @@
 // noteWanted keeps what operators want as of the document's revision.
 func (r *race) noteWanted(document Document) {
 	next := maps.Clone(r.wanted[len(r.wanted)-1])
-	if isConfiguration(document.Key) {
+	if catalog.IsConfiguration(document.Key) {
 		r.lastChange = document.ModRevision
 	}
 	if name, found := strings.CutPrefix(document.Key, catalog.BackendPrefix); found {
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -72,6 +72,7 @@
 const (
 	ReasonUnknownService Reason = "unknown-service" // no service has this front end
 	ReasonNoBackend      Reason = "no-backend"      // the service has no active back end
+	ReasonEvacuated      Reason = "evacuated"       // all zones with active back ends of the service are evacuated
 	ReasonBackendFailed  Reason = "backend-failed"  // the flow's back end is gone
 	ReasonAdmission      Reason = "admission"       // new flows exceed the limit
 	ReasonTupleReuse     Reason = "tuple-reuse"     // 5-tuple used again too soon after a move
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -29,13 +29,13 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 14
+const reasonCount = 15
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
 	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused, ReasonDraining,
-	ReasonNoView, ReasonUnknownToken, ReasonOverload,
+	ReasonNoView, ReasonUnknownToken, ReasonOverload, ReasonEvacuated,
 }
 
 // count adds a decision to the counters.
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -76,7 +76,7 @@
 	decision.Service = service.Name
 	host, placed := a.choose(service, flow)
 	if host == nil {
-		a.refuse(packet, decision, flow, ReasonNoBackend)
+		a.refuse(packet, decision, flow, withoutBackend(service))
 		return
 	}
 	frontend := packet.Key.Frontend()
@@ -90,6 +90,17 @@
 	a.observer.Opened(a.core.now, flow, observe.Identity(host.Identity))
 }
 
+// withoutBackend says why no back end of a service takes an opening. One whose
+// zones are all evacuated is refused like one that has no back ends: the
+// operators' word goes before a caller's, who may come back, and to hold the
+// opening would only use up the time in which another attempt may succeed.
+func withoutBackend(service *steering.Service) Reason {
+	if service.Evacuated() {
+		return ReasonEvacuated
+	}
+	return ReasonNoBackend
+}
+
 // choose gives the back end of an opening; placed tells that an earlier copy
 // went there. Where the first choice is crowded, a second one is taken if it is
 // less so.
--- a/internal/core/token_test.go
+++ b/internal/core/token_test.go
@@ -118,6 +118,31 @@
 	}
 }
 
+// TestOpeningsOfEvacuatedServicesAreRefusedAtOnce: no back end gets them, and the
+// first copy is known not to have run. Open flows go on.
+func TestOpeningsOfEvacuatedServicesAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	stored := tokenBackend("i-1", "web", 1, lb.BackendActive)
+	stored.Backend.Zone = "za"
+	core.list(0, tokenListing(9, stored))
+	opened := core.send(0, tokenOpening(1, 443))
+	is.Equal(opened.Action, ActionForward)
+
+	listing := tokenListing(10, stored)
+	listing.Evacuations = []view.StoredEvacuation{{Revision: 10, Zone: "za"}}
+	core.list(time.Second, listing)
+	refused := core.send(time.Second, tokenOpening(2, 443))
+	is.Equal(refused.Action, ActionRefuse)
+	is.Equal(refused.Reason, ReasonEvacuated)
+	is.Equal(refused.Refusal.Verdict, lb.NotRun)
+	copied := core.send(time.Second, tokenOpening(1, 443)) // a copy would open a flow there, too
+	is.Equal(copied.Action, ActionRefuse)
+	later := core.send(time.Second, Packet{Key: tokenFlow(1, 443), Kind: PacketMiddle, Token: opened.Token})
+	is.Equal(later.Action, ActionForward)
+	is.Equal(later.Identity, uint64(1))
+}
+
 // TestTokenKeepsFlowsWhileViewsChange: any node that knows the flow's back end
 // sends its packets there, whatever else its view says, and no packet goes to
 // a service that its front end did not name when the flow was opened.
--- a/internal/node/storewatch.go
+++ b/internal/node/storewatch.go
@@ -77,8 +77,7 @@
 
 // isPublisherKey tells whether the publisher reads documents of the key.
 func isPublisherKey(key string) bool {
-	return strings.HasPrefix(key, catalog.ServicePrefix) ||
-		strings.HasPrefix(key, catalog.BackendPrefix) ||
+	return catalog.IsConfiguration(key) ||
 		strings.HasPrefix(key, catalog.PlacementPrefix) ||
 		key == controller.EpochKey
 }
--- a/internal/operator/objects.go
+++ b/internal/operator/objects.go
@@ -16,6 +16,7 @@
 const (
 	KindService = "service"
 	KindBackend = "backend"
+	KindZone    = "zone"
 )
 
 var serviceKind = &kind[catalog.Service]{
@@ -33,9 +34,21 @@
 	decode:     catalog.DecodeBackend,
 	encode:     catalog.EncodeBackend,
 	setWriteID: func(backend *catalog.Backend, id string) { backend.WriteID = id },
-	related: func(context.Context, *Operator, string, *catalog.Backend, *catalog.Backend) (related, error) {
-		return related{}, nil
-	},
+	related:    nothingRelated[catalog.Backend],
+}
+
+var zoneKind = &kind[catalog.EvacuatedZone]{
+	noun:       KindZone,
+	key:        func(name string) string { return catalog.ZoneKey(lb.Zone(name)) },
+	decode:     catalog.DecodeZone,
+	encode:     catalog.EncodeZone,
+	setWriteID: func(zone *catalog.EvacuatedZone, id string) { zone.WriteID = id },
+	related:    nothingRelated[catalog.EvacuatedZone],
+}
+
+// nothingRelated is kind.related of documents that change by themselves.
+func nothingRelated[Document any](context.Context, *Operator, string, *Document, *Document) (related, error) {
+	return related{}, nil
 }
 
 // claimFrontends gives the writes by which the service's front ends become
@@ -166,6 +179,16 @@
 	return found.document, err
 }
 
+// Evacuate takes new flows away from all back ends of a zone.
+func (operator *Operator) Evacuate(ctx context.Context, zone lb.Zone) (Change, error) {
+	return replace(ctx, operator, zoneKind, string(zone), catalog.EvacuatedZone{Name: zone})
+}
+
+// Restore ends the evacuation of a zone.
+func (operator *Operator) Restore(ctx context.Context, zone lb.Zone) (Change, error) {
+	return remove(ctx, operator, zoneKind, string(zone))
+}
+
 // Drain sets or ends the draining of a back end.
 func (operator *Operator) Drain(ctx context.Context, name lb.BackendName, drain bool) (Change, error) {
 	return operator.EditBackend(ctx, name, func(backend *catalog.Backend) error {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -44,7 +44,7 @@
 
 // Change is the result of a command that changes one object.
 type Change struct {
-	Kind   string `json:"kind"` // "service" or "backend"
+	Kind   string `json:"kind"` // "service", "backend" or "zone"
 	Name   string `json:"name"`
 	Action string `json:"action"` // "created", "changed", "deleted" or "unchanged"
 	// Revision of the store at which the object became as it is.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -62,10 +62,12 @@
 
 // Status is what is in force and what is under way.
 type Status struct {
-	LastChange int64           `json:"last_change"` // store revision
-	Zones      []ZoneReport    `json:"zones"`
-	Services   []ServiceReport `json:"services"`
-	Problems   []ProblemReport `json:"problems"`
+	LastChange int64        `json:"last_change"` // store revision
+	Zones      []ZoneReport `json:"zones"`
+	// Evacuated are the zones whose back ends take no new flows.
+	Evacuated []lb.Zone       `json:"evacuated_zones"`
+	Services  []ServiceReport `json:"services"`
+	Problems  []ProblemReport `json:"problems"`
 }
 
 // configuration is all documents as listed.
@@ -83,7 +85,7 @@
 		return nil, err
 	}
 	result.lastChange = last.ModRevision
-	for _, prefix := range []string{catalog.BackendPrefix, catalog.ServicePrefix} {
+	for _, prefix := range []string{catalog.ZonePrefix, catalog.BackendPrefix, catalog.ServicePrefix} {
 		listing, err := operator.client.List(ctx, prefix)
 		if err != nil {
 			return nil, err
@@ -103,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	status := &Status{LastChange: configuration.lastChange, Zones: []ZoneReport{}, Problems: []ProblemReport{}}
+	status := &Status{LastChange: configuration.lastChange, Zones: []ZoneReport{}, Evacuated: configuration.index.EvacuatedZones(), Problems: []ProblemReport{}}
 	for _, problem := range configuration.index.Problems() {
 		status.addProblem(problem.Key, problem.Cause)
 	}
--- a/internal/operator/wait.go
+++ b/internal/operator/wait.go
@@ -56,7 +56,7 @@
 }
 
 // LastChangeOf gives the store revision of the last change of the service's
-// document or of a back end that it selects.
+// document, of a back end that it selects, or of the evacuation of its zone.
 func (operator *Operator) LastChangeOf(ctx context.Context, name lb.ServiceName) (int64, error) {
 	if _, err := operator.Service(ctx, name); err != nil {
 		return 0, err
@@ -67,7 +67,8 @@
 	}
 	revision := configuration.revisions[catalog.ServiceKey(name)]
 	for _, backend := range configuration.index.Desired(name).Backends {
-		revision = max(revision, configuration.revisions[catalog.BackendKey(backend.Backend.Name)])
+		revision = max(revision, configuration.revisions[catalog.BackendKey(backend.Backend.Name)],
+			configuration.revisions[catalog.ZoneKey(backend.Backend.Zone)])
 	}
 	return revision, nil
 }
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -41,6 +41,8 @@
 	// they drain. They take new flows only when no other back end is left, or
 	// by keepLapsed.
 	Lapsed []*Host
+	// evacuated counts those that would take new flows, were their zone not evacuated.
+	evacuated int
 	// away counts those that went while nothing was heard of the store.
 	away int
 	// capacities are the running sums of what the ready hosts work on at once.
@@ -62,6 +64,8 @@
 	services  map[lb.ServiceName]*Service
 	hosts     []*Host
 	byHash    map[uint32]*Host
+	// evacuated are the zones whose back ends get no new flows.
+	evacuated map[lb.Zone]bool
 	// expires is when Compile would give another table for the same view; 0: never.
 	expires time.Duration
 }
@@ -79,6 +83,10 @@
 		frontends: make(map[lb.FrontendKey]*split),
 		services:  make(map[lb.ServiceName]*Service),
 		byHash:    make(map[uint32]*Host),
+		evacuated: make(map[lb.Zone]bool),
+	}
+	for _, zone := range replica.Evacuated() {
+		table.evacuated[zone] = true
 	}
 	table.addHosts(replica.Backends(), zone, now)
 	for _, route := range replica.Routes() {
@@ -136,6 +144,8 @@
 	service := t.service(host.Service)
 	switch {
 	case host.State != lb.BackendActive:
+	case t.evacuated[host.Zone]:
+		service.evacuated++
 	case known.Gone:
 		t.addLapsed(service, host, known, now)
 	default:
@@ -226,6 +236,12 @@
 	return found.objective, true
 }
 
+// Evacuated tells whether the service has no back end that takes new flows
+// because the zones of those that would are evacuated.
+func (s *Service) Evacuated() bool {
+	return len(s.Ready) == 0 && len(s.Lapsed) == 0 && s.evacuated > 0
+}
+
 // HasService tells whether a route or a back end names the service.
 func (t *Table) HasService(name lb.ServiceName) bool { return t.services[name] != nil }
 
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -139,6 +139,43 @@
 	}
 }
 
+// TestEvacuatedZoneKeepsFlowsAndGetsNoNewOnes: also where its hosts are the last
+// resort, and where the zone is known before its hosts.
+func TestEvacuatedZoneKeepsFlowsAndGetsNoNewOnes(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	world.host("i-1", "web", zoneA, lb.BackendActive)
+	world.host("i-2", "web", zoneB, lb.BackendActive)
+	world.route(443, view.Target{Service: "web", Weight: 1})
+	world.listing.Evacuations = []view.StoredEvacuation{{Revision: 9, Zone: zoneA}}
+	replica := world.replica()
+	table := Compile(replica, zoneA, 0)
+	for number := range 200 {
+		flow := flowTo(443, number)
+		frontend := flow.Frontend()
+		is.Equal(table.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+		evacuated := table.Hosts()[0]
+		is.Equal(table.Resolve(&frontend, evacuated.Token(&frontend)).Name, lb.BackendName("i-1"))
+	}
+
+	replica.ApplyChanges(time.Second, &view.Changes{Revision: 12, Changes: []view.Change{
+		{Revision: 11, Gone: "i-1"}, {Revision: 12, Gone: "i-2"},
+	}})
+	flow := flowTo(443, 1)
+	lapsed := Compile(replica, zoneA, time.Second)
+	is.Equal(lapsed.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+	is.Equal(lapsed.Service(&flow).Evacuated(), false)
+
+	replica.ApplyChanges(time.Second, &view.Changes{Revision: 13, Changes: []view.Change{{Revision: 13, Evacuated: zoneB}}})
+	nobody := Compile(replica, zoneA, time.Second)
+	is.Equal(nobody.Service(&flow).Pick(flow.ID(), nil), nil)
+	is.True(nobody.Service(&flow).Evacuated())
+
+	replica.ApplyChanges(time.Second, &view.Changes{Revision: 14, Changes: []view.Change{{Revision: 14, Restored: zoneB}}})
+	restored := Compile(replica, zoneA, time.Second)
+	is.Equal(restored.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+}
+
 func TestGoneHostKeepsFlowsAndIsTheLastResort(t *testing.T) {
 	is := is.New(t)
 	world := newWorld()
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -75,7 +75,7 @@
 	deciding.RetryAfter = settings.Timings.RetryAfter
 	deciding.Overload.Off = settings.Admission == config.AdmissionOff
 	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation).
-		Within(min(settings.Timings.ChangeLimit, settings.Timings.LeaveLimit))
+		Within(min(settings.Timings.ChangeLimit, settings.Timings.LeaveLimit, settings.Timings.EvacuationLimit))
 	for _, seed := range settings.Seeds {
 		if seed == settings.ControlAddress {
 			following.IsSeed = true
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
@@ -15,7 +16,8 @@
 		Str(logging.FieldEvent, string(logging.EventViewChanged)).
 		Str(logging.FieldSource, source).
 		Int64(logging.FieldRevision, replica.Revision()).
-		Uint64(logging.FieldVersion, replica.Version())
+		Uint64(logging.FieldVersion, replica.Version()).
+		Strs(logging.FieldEvacuated, zoneNames(replica.Evacuated()))
 	if engine.table != nil {
 		frontends, ready := engine.table.Counts()
 		event = event.Int("frontends", frontends).Int("ready_backends", ready)
@@ -23,6 +25,14 @@
 	event.Send()
 }
 
+func zoneNames(zones []lb.Zone) []string {
+	names := make([]string, len(zones))
+	for index, zone := range zones {
+		names[index] = string(zone)
+	}
+	return names
+}
+
 // logChanges logs what the core has begun to believe.
 func (engine *engine) logChanges() {
 	engine.logBackends()
--- a/internal/tokennode/flood_test.go
+++ b/internal/tokennode/flood_test.go
@@ -32,6 +32,7 @@
 	settings.Timings.RetryAfter = time.Second
 	settings.Timings.ChangeLimit = 3 * time.Second
 	settings.Timings.LeaveLimit = 3 * time.Second
+	settings.Timings.EvacuationLimit = 3 * time.Second
 	settings.ControlAddress = netip.MustParseAddrPort("127.0.0.1:1")
 	settings.DataAddress = netip.MustParseAddrPort("127.0.0.1:2")
 	e, err := newEngine(settings, logger, 1)
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -9,6 +9,7 @@
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/packet"
@@ -62,6 +63,8 @@
 		"Time since the view was last known to be the newest.")
 	metricVersion = metrics.New(prometheus.GaugeValue, "configuration_version",
 		"Version of the configuration in force.")
+	metricEvacuated = metrics.New(prometheus.GaugeValue, "zone_evacuated",
+		"1 for each zone whose back ends get no new flows by the operators' word.", "zone")
 	metricRank = metrics.New(prometheus.GaugeValue, "reader_rank",
 		"Place of this node among those of its zone, by which they lose patience with an old view.")
 	metricReads = metrics.New(prometheus.GaugeValue, "reader",
@@ -99,7 +102,7 @@
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
+	metricEvacuated, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 }
 
@@ -146,6 +149,9 @@
 	output.Add(metricRevision, float64(state.revision))
 	output.Add(metricAge, state.age)
 	output.Count(metricVersion, state.version)
+	for _, zone := range state.evacuated {
+		output.Add(metricEvacuated, 1, string(zone))
+	}
 	output.Add(metricRank, float64(state.rank))
 	output.Add(metricReads, state.reads)
 	output.Add(metricMembers, float64(state.members))
@@ -190,16 +196,17 @@
 
 // engineState is what the engine tells for metrics.
 type engineState struct {
-	stats    core.Stats
-	calls    map[callKey]uint64
-	rejected uint64
-	revision int64
-	version  uint64
-	age      float64 // seconds
-	rank     int
-	reads    float64 // 1: this node reads for the others
-	members  int
-	leaving  int
+	stats     core.Stats
+	calls     map[callKey]uint64
+	rejected  uint64
+	revision  int64
+	version   uint64
+	evacuated []lb.Zone
+	age       float64 // seconds
+	rank      int
+	reads     float64 // 1: this node reads for the others
+	members   int
+	leaving   int
 
 	pressures    []overload.Status
 	decisionTime times
@@ -210,14 +217,15 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	state := engineState{
-		stats:    engine.core.Stats(),
-		calls:    maps.Clone(engine.calls.requests),
-		rejected: engine.calls.rejected,
-		revision: engine.follower.Replica().Revision(),
-		version:  engine.follower.Replica().Version(),
-		rank:     engine.follower.Rank(),
-		members:  engine.others + 1,
-		leaving:  engine.leaving,
+		stats:     engine.core.Stats(),
+		calls:     maps.Clone(engine.calls.requests),
+		rejected:  engine.calls.rejected,
+		revision:  engine.follower.Replica().Revision(),
+		version:   engine.follower.Replica().Version(),
+		evacuated: engine.follower.Replica().Evacuated(),
+		rank:      engine.follower.Rank(),
+		members:   engine.others + 1,
+		leaving:   engine.leaving,
 
 		pressures:    engine.core.Pressures(),
 		decisionTime: engine.decisionTime,
--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -147,7 +147,7 @@
 		LogLevel:       "info",
 		Limits:         config.Limits{ControlBytesPerSecond: 14000},
 		Timings: config.Timings{
-			ChangeLimit: 3 * time.Second, LeaveLimit: 3 * time.Second, PauseLimit: time.Minute, RetryAfter: 500 * time.Millisecond,
+			ChangeLimit: 3 * time.Second, LeaveLimit: 3 * time.Second, EvacuationLimit: 3 * time.Second, PauseLimit: time.Minute, RetryAfter: 500 * time.Millisecond,
 			DrainGrace: 300 * time.Millisecond, DrainLimit: 20 * time.Second,
 		},
 	}}
--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -28,10 +28,11 @@
 	After    int64 `json:"after"`
 	Revision int64 `json:"revision"`
 	// Version and ConfigurationRevision are those of the configuration; zero: there is none.
-	Version               uint64         `json:"version"`
-	ConfigurationRevision int64          `json:"configuration_revision"`
-	Routes                []RouteEntry   `json:"routes,omitempty"`
-	Backends              []BackendEntry `json:"backends,omitempty"`
+	Version               uint64            `json:"version"`
+	ConfigurationRevision int64             `json:"configuration_revision"`
+	Routes                []RouteEntry      `json:"routes,omitempty"`
+	Backends              []BackendEntry    `json:"backends,omitempty"`
+	Evacuations           []EvacuationEntry `json:"evacuations,omitempty"`
 }
 
 // Limits of what a delta may hold.
@@ -46,8 +47,8 @@
 	if d.After < 0 || d.Revision < d.After {
 		return errors.Newf("after %d and revision %d are out of order", d.After, d.Revision)
 	}
-	if len(d.Routes) > maxRoutes || len(d.Backends) > maxBackends {
-		return errors.Newf("%d routes or %d back ends are too many", len(d.Routes), len(d.Backends))
+	if len(d.Routes) > maxRoutes || len(d.Backends) > maxBackends || len(d.Evacuations) > maxEvacuations {
+		return errors.Newf("%d routes, %d back ends or %d evacuated zones are too many", len(d.Routes), len(d.Backends), len(d.Evacuations))
 	}
 	for index := range d.Routes {
 		if err := d.Routes[index].Route.Validate(); err != nil {
@@ -59,6 +60,11 @@
 			return errors.Wrapf(err, "backends[%d]", index)
 		}
 	}
+	for index := range d.Evacuations {
+		if err := d.Evacuations[index].Validate(); err != nil {
+			return errors.Wrapf(err, "evacuations[%d]", index)
+		}
+	}
 	return nil
 }
 
--- a/internal/view/prune.go
+++ b/internal/view/prune.go
@@ -9,10 +9,11 @@
 // maxGoneRoutes bounds the removed routes that are remembered.
 const maxGoneRoutes = 1 << 12
 
-// Prune forgets what has been gone for long, and removed routes if they are
-// many, and tells whether a back end was forgotten.
+// Prune forgets what has been gone for long, and removed routes and restored
+// zones if they are many, and tells whether a back end was forgotten.
 func (r *Replica) Prune(now time.Duration) bool {
 	r.pruneRoutes()
+	r.pruneEvacuations()
 	found := false
 	for name, entry := range r.backends {
 		if entry.Gone && now-entry.goneAt > GoneRetention {
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -15,7 +15,7 @@
 // Replica is one balancer's copy. It is not safe for concurrent use.
 type Replica struct {
 	revision int64
-	// changed is the revision of the last change of a route or back end.
+	// changed is the revision of the last change of a route, back end or zone.
 	changed int64
 	// pruned is the revision up to which removals may be forgotten, or were
 	// never known: deltas after a lower one cannot be given.
@@ -24,6 +24,7 @@
 	configurationRevision int64
 	routes                map[lb.Frontend]*RouteEntry
 	backends              map[lb.BackendName]*backendEntry
+	evacuations           map[lb.Zone]*EvacuationEntry
 	// away: what is applied next comes after a time without word of the store.
 	away bool
 }
@@ -38,8 +39,9 @@
 // NewReplica gives a replica that knows nothing.
 func NewReplica() *Replica {
 	return &Replica{
-		routes:   make(map[lb.Frontend]*RouteEntry),
-		backends: make(map[lb.BackendName]*backendEntry),
+		routes:      make(map[lb.Frontend]*RouteEntry),
+		backends:    make(map[lb.BackendName]*backendEntry),
+		evacuations: make(map[lb.Zone]*EvacuationEntry),
 	}
 }
 
@@ -93,6 +95,7 @@
 			r.removeBackend(now, listing.Revision, name)
 		}
 	}
+	r.listEvacuations(listing)
 	r.Advance(listing.Revision)
 	r.forgetHistory()
 	return r.changed != before
@@ -115,6 +118,10 @@
 			r.setConfiguration(change.Revision, change.Configuration)
 		case change.Backend != nil:
 			r.setBackend(change.Revision, change.Backend)
+		case change.Evacuated != "":
+			r.setEvacuation(EvacuationEntry{Revision: change.Revision, Zone: change.Evacuated})
+		case change.Restored != "":
+			r.restore(change.Revision, change.Restored)
 		default:
 			r.removeBackend(now, change.Revision, change.Gone)
 		}
--- a/internal/view/replica_test.go
+++ b/internal/view/replica_test.go
@@ -25,6 +25,9 @@
 			text += fmt.Sprintf(" %s=%s", known.Backend.Name, known.Backend.State)
 		}
 	}
+	for _, zone := range replica.Evacuated() {
+		text += fmt.Sprintf(" evacuated %s", zone)
+	}
 	return text
 }
 
@@ -131,7 +134,7 @@
 			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second
 			replica := replicas[rapid.IntRange(0, 2).Draw(t, "replica")]
 			revision := replica.Revision()
-			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0:
 				version++
 				ports := rapid.SliceOfNDistinct(rapid.Uint16Range(80, 84), 1, 3, rapid.ID[uint16]).Draw(t, "ports")
@@ -158,6 +161,10 @@
 				if peer.LastNews() <= revision && revision > 0 {
 					replica.Advance(peer.Revision()) // as after a digest
 				}
+			case 9:
+				store.Evacuate(drawZone(t))
+			case 10:
+				store.Restore(drawZone(t))
 			}
 			if replica.Revision() < revision {
 				t.Fatalf("revision went from %d to %d", revision, replica.Revision())
@@ -175,6 +182,10 @@
 	return rapid.SampledFrom([]lb.BackendName{"a", "b", "c"}).Draw(t, "name")
 }
 
+func drawZone(t *rapid.T) lb.Zone {
+	return rapid.SampledFrom([]lb.Zone{"zone-a", "zone-b"}).Draw(t, "zone")
+}
+
 func TestRemovedRoutesAreForgottenWhenMany(t *testing.T) {
 	is := is.New(t)
 	store := viewtest.NewStore()
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -17,8 +17,10 @@
 	View Delta `json:"view"`
 }
 
-// snapshotFormat is the first byte of a packed snapshot: JSON, compressed (RFC 1951).
-const snapshotFormat = 0x01
+// snapshotFormat is the first byte of a packed snapshot: JSON, compressed (RFC
+// 1951), with evacuated zones. One without them (0x01) would restore all zones
+// at the nodes that start from it, and is not read.
+const snapshotFormat = 0x02
 
 // maxSnapshotBytes bounds what an unpacked snapshot may hold.
 const maxSnapshotBytes = 64 << 20
--- a/internal/view/snapshot_test.go
+++ b/internal/view/snapshot_test.go
@@ -37,6 +37,17 @@
 	is.Equal(started.ApplySnapshot(0, snapshot), false)
 }
 
+// packedWithoutZones is a snapshot as it was before views had evacuated zones.
+func packedWithoutZones(t *testing.T) []byte {
+	t.Helper()
+	packed, err := view.NewReplica().Snapshot(0).Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	packed[0] = 1
+	return packed
+}
+
 func TestSnapshotThatCannotBeUsed(t *testing.T) {
 	whole := view.NewReplica().Snapshot(0)
 	whole.View.After, whole.View.Revision = 3, 4
@@ -45,7 +56,7 @@
 		t.Fatal(err)
 	}
 	for name, packed := range map[string][]byte{
-		"empty": {}, "other format": {9, 1, 2}, "broken off": {1, 0xff}, "not whole": partial,
+		"empty": {}, "other format": {9, 1, 2}, "without zones": packedWithoutZones(t), "broken off": {2, 0xff}, "not whole": partial,
 	} {
 		if _, err := view.UnpackSnapshot(packed); err == nil {
 			t.Errorf("%s: no error", name)
--- a/internal/view/tell.go
+++ b/internal/view/tell.go
@@ -22,6 +22,7 @@
 		Revision:              r.revision,
 		Version:               r.version,
 		ConfigurationRevision: r.configurationRevision,
+		Evacuations:           r.evacuationsAfter(after),
 	}
 	for _, entry := range r.routes {
 		if entry.Revision > after && (after > 0 || !entry.Gone) {
@@ -60,6 +61,7 @@
 	before := r.changed
 	r.applyRoutes(delta)
 	r.applyBackends(now, delta)
+	r.applyEvacuations(delta)
 	r.Advance(delta.Revision)
 	if delta.After == 0 {
 		r.forgetHistory()
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -71,6 +71,7 @@
 	Revision      int64
 	Configuration *StoredConfiguration // nil: there is none
 	Backends      []StoredBackend
+	Evacuations   []StoredEvacuation
 	Rejected      []Rejection
 }
 
@@ -81,12 +82,15 @@
 	Rejected []Rejection
 }
 
-// Change is one change. Exactly one of Configuration, Backend and Gone is set.
+// Change is one change. Exactly one of Configuration, Backend, Gone, Evacuated
+// and Restored is set.
 type Change struct {
 	Revision      int64
 	Configuration *Configuration
 	Backend       *Backend
 	Gone          lb.BackendName
+	Evacuated     lb.Zone // its back ends get no new flows from now on
+	Restored      lb.Zone // they do again
 }
 
 // Rejection is an entry of the store that could not be read. What was known
--- a/internal/view/viewtest/store.go
+++ b/internal/view/viewtest/store.go
@@ -15,12 +15,17 @@
 	revision      int64
 	configuration *view.StoredConfiguration
 	backends      map[lb.BackendName]view.StoredBackend
+	evacuations   map[lb.Zone]int64 // revisions of the entries
 	history       []view.Change
 }
 
 // NewStore gives a store at revision 1 that holds nothing.
 func NewStore() *Store {
-	return &Store{revision: 1, backends: make(map[lb.BackendName]view.StoredBackend)}
+	return &Store{
+		revision:    1,
+		backends:    make(map[lb.BackendName]view.StoredBackend),
+		evacuations: make(map[lb.Zone]int64),
+	}
 }
 
 // Configure writes a configuration whose front ends, at these ports, go to service web.
@@ -57,6 +62,23 @@
 	store.history = append(store.history, view.Change{Revision: store.revision, Gone: name})
 }
 
+// Evacuate takes a zone out of use.
+func (store *Store) Evacuate(zone lb.Zone) {
+	store.revision++
+	store.evacuations[zone] = store.revision
+	store.history = append(store.history, view.Change{Revision: store.revision, Evacuated: zone})
+}
+
+// Restore takes a zone back, if it is out of use.
+func (store *Store) Restore(zone lb.Zone) {
+	if _, found := store.evacuations[zone]; !found {
+		return
+	}
+	store.revision++
+	delete(store.evacuations, zone)
+	store.history = append(store.history, view.Change{Revision: store.revision, Restored: zone})
+}
+
 // Touch writes an entry that concerns no view, and gives its revision.
 func (store *Store) Touch() int64 {
 	store.revision++
@@ -80,6 +102,9 @@
 	for _, name := range slices.Sorted(maps.Keys(store.backends)) {
 		listing.Backends = append(listing.Backends, store.backends[name])
 	}
+	for _, zone := range slices.Sorted(maps.Keys(store.evacuations)) {
+		listing.Evacuations = append(listing.Evacuations, view.StoredEvacuation{Revision: store.evacuations[zone], Zone: zone})
+	}
 	return listing
 }
 
