--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -41,6 +41,7 @@
 	core    *Core
 	dead    bool
 	fault   storeFault
+	stuck   bool // the connection of the call under way has fallen silent; the next call opens another
 	read    *Read
 	readAt  time.Duration // when read was started
 	calls   int           // stale ones, which cost a tenth, apart
@@ -195,6 +196,12 @@
 	switch {
 	case waited < storeDelay:
 		return
+	case node.stuck:
+		if waited < node.read.Timeout {
+			return
+		}
+		node.stuck = false
+		result.Failure = FailureLost
 	case node.fault == faultRefused:
 		result.Failure = FailureUnavailable
 	case node.fault == faultThrottled:
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -76,18 +76,21 @@
 
 // Within gives settings that put a change into force within a limit: all times
 // are shortened or stretched alike, so that a fleet whose users can wait longer
-// makes fewer calls. Calls keep CallTimeout, and a node that finds the store
-// failing tries again no later than before.
+// makes fewer calls. CallTimeout is shortened, too, since a call that is lost must
+// end and be made again within the limit, but not stretched, and a node that finds
+// the store failing tries again no later than before.
 func (settings Settings) Within(limit time.Duration) Settings {
 	limit = min(limit, longestLimit)
 	ratio := limit.Seconds() / usualLimit.Seconds()
-	backoffLimit := settings.BackoffLimit
+	backoffLimit, callTimeout := settings.BackoffLimit, settings.CallTimeout
 	for _, duration := range []*time.Duration{
 		&settings.WatchWait, &settings.ChangeInterval, &settings.Patience, &settings.PatienceStep,
 		&settings.PatienceLimit, &settings.SilenceLimit, &settings.DigestInterval, &settings.BackoffLimit,
+		&settings.CallTimeout,
 	} {
 		*duration = time.Duration(float64(*duration) * ratio)
 	}
 	settings.BackoffLimit = min(settings.BackoffLimit, backoffLimit)
+	settings.CallTimeout = min(settings.CallTimeout, callTimeout)
 	return settings
 }
