Soak: evacuated zones, and connections that fall silent for good

The stand-in's operator evacuates a zone and takes it back; the checker holds openings of nodes in touch against it. A proxy mode silences what is open and lets new connections work.

--- a/internal/lab/proxy/proxy.go
+++ b/internal/lab/proxy/proxy.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,9 @@
 	Reset   Mode = "reset"   // connections are reset, new ones too
 	Silence Mode = "silence" // nothing is passed on, in either direction
 	OneWay  Mode = "one_way" // what the server says is not passed on
+	// SilenceOpen: connections that are open when the mode is set pass nothing on any
+	// more, for good and without a reset; those that come later work.
+	SilenceOpen Mode = "silence_open"
 )
 
 // DelayTime is how late pieces are in the mode Delay.
@@ -33,10 +37,13 @@
 
 	mutex       sync.Mutex
 	mode        Mode
-	connections map[*net.TCPConn]bool
+	connections map[*net.TCPConn]*pair
 	running     sync.WaitGroup
 }
 
+// pair is a client's connection and the one to the server for it.
+type pair struct{ silent atomic.Bool }
+
 // New starts a proxy of the server at a loopback address. The function ends it.
 func New(server string) (*Proxy, func(), error) {
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -45,7 +52,7 @@
 	}
 	p := &Proxy{
 		Address: listener.Addr().String(), server: server, listener: listener,
-		mode: Pass, connections: make(map[*net.TCPConn]bool),
+		mode: Pass, connections: make(map[*net.TCPConn]*pair),
 	}
 	p.running.Go(p.accept)
 	return p, p.end, nil
@@ -62,9 +69,12 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.mode = mode
-	if mode == Reset {
-		for c := range p.connections {
+	for c, both := range p.connections {
+		switch mode {
+		case Reset:
 			reset(c)
+		case SilenceOpen:
+			both.silent.Store(true)
 		}
 	}
 }
@@ -88,7 +98,8 @@
 // serve passes one connection on in both directions until either ends.
 func (p *Proxy) serve(client *net.TCPConn) {
 	defer client.Close()
-	if !p.add(client) {
+	both := &pair{}
+	if !p.add(client, both) {
 		return
 	}
 	defer p.remove(client)
@@ -99,29 +110,29 @@
 	}
 	server := dialled.(*net.TCPConn)
 	defer server.Close()
-	if !p.add(server) {
+	if !p.add(server, both) {
 		return
 	}
 	defer p.remove(server)
 	var back sync.WaitGroup
 	back.Go(func() {
-		p.copy(client, server, OneWay)
+		p.copy(client, server, both, OneWay)
 		client.Close()
 	})
-	p.copy(server, client, Pass)
+	p.copy(server, client, both, Pass)
 	server.Close()
 	back.Wait()
 }
 
 // add remembers a connection; false: it was reset at once.
-func (p *Proxy) add(c *net.TCPConn) bool {
+func (p *Proxy) add(c *net.TCPConn, both *pair) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.mode == Reset {
 		reset(c)
 		return false
 	}
-	p.connections[c] = true
+	p.connections[c] = both
 	return true
 }
 
@@ -136,7 +147,7 @@
 
 // copy passes one direction on, which is cut in the mode cut besides Silence.
 // What comes while it is cut is lost, as is the rest of that connection.
-func (p *Proxy) copy(to, from *net.TCPConn, cut Mode) {
+func (p *Proxy) copy(to, from *net.TCPConn, both *pair, cut Mode) {
 	buffer := make([]byte, pieceBytes)
 	lost := false
 	for {
@@ -150,7 +161,7 @@
 		if mode == Delay {
 			time.Sleep(DelayTime)
 		}
-		lost = lost || mode == Silence || mode == cut && cut != Pass
+		lost = lost || both.silent.Load() || mode == Silence || mode == cut && cut != Pass
 		if lost {
 			continue
 		}
--- a/internal/lab/proxy/proxy_test.go
+++ b/internal/lab/proxy/proxy_test.go
@@ -46,6 +46,37 @@
 	return c, bufio.NewReader(c)
 }
 
+// TestOpenConnectionsFallSilent: they stay silent in any later mode, and new ones work.
+func TestOpenConnectionsFallSilent(t *testing.T) {
+	is := is.New(t)
+	server, lines := echoServer(t)
+	p, end, err := proxy.New(server)
+	is.NoErr(err)
+	defer end()
+	old, oldAnswers := dial(t, p.Address)
+	_, err = old.Write([]byte("first\n"))
+	is.NoErr(err)
+	_, err = oldAnswers.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(<-lines, "first")
+
+	p.SetMode(proxy.SilenceOpen)
+	fresh, answers := dial(t, p.Address)
+	p.SetMode(proxy.Pass)
+	_, err = old.Write([]byte("unheard\n"))
+	is.NoErr(err)
+	_, err = fresh.Write([]byte("heard\n"))
+	is.NoErr(err)
+	answer, err := answers.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(answer, "heard\n")
+	is.Equal(<-lines, "heard")
+	is.NoErr(old.SetReadDeadline(time.Now().Add(100 * time.Millisecond)))
+	_, err = oldAnswers.ReadString('\n')
+	is.True(err != nil)
+	is.Equal(len(lines), 0)
+}
+
 func TestProxyModes(t *testing.T) {
 	is := is.New(t)
 	server, lines := echoServer(t)
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -24,6 +24,7 @@
 	RuleMixed   Rule = "mixed"   // an answer belongs to its request
 	RuleForged  Rule = "forged"  // packets arrive as they were sent
 	RuleDrain   Rule = "drain"   // a draining host gets nothing new after Bounds.Change
+	RuleZone    Rule = "zone"    // hosts of an evacuated zone get nothing new after Bounds.Change
 	RuleChange  Rule = "change"  // a change is in force after Bounds.Change and never reverts
 	RuleOpen    Rule = "open"    // an opening is answered, unless a fault has just been there
 	RuleRecover Rule = "recover" // all is served again after Bounds.Recovery
@@ -65,6 +66,7 @@
 	sent       map[uint64]netip.AddrPort // requests, and their front ends
 	ran        map[uint64]string         // requests, and the hosts that ran them
 	drained    map[string]time.Time      // hosts, and when the store took that they drain
+	evacuated  map[string]time.Time      // zones, and when the store took that they are evacuated
 	disturbed  map[netip.AddrPort]time.Time
 	disturbing map[netip.AddrPort]int // faults under way
 	gone       map[string]bool        // hosts that crash, fall silent or end
@@ -90,6 +92,7 @@
 		sent:       make(map[uint64]netip.AddrPort),
 		ran:        make(map[uint64]string),
 		drained:    make(map[string]time.Time),
+		evacuated:  make(map[string]time.Time),
 		disturbed:  make(map[netip.AddrPort]time.Time),
 		disturbing: make(map[netip.AddrPort]int),
 		gone:       make(map[string]bool),
@@ -108,6 +111,8 @@
 type Checked struct {
 	Routes int // openings whose node was in touch, while a route had to be in force
 	Drains int // openings whose node was in touch, while a host had drained for long
+	// Evacuations are openings whose node was in touch, while a zone had been evacuated for long.
+	Evacuations int
 }
 
 // Checked gives how often promises were checked that hold for nodes in touch only.
@@ -166,6 +171,20 @@
 	}
 }
 
+// Evacuated notes that the store has taken that a zone is evacuated.
+func (c *Checker) Evacuated(now time.Time, zone string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.evacuated[zone] = now
+}
+
+// Restored notes that a zone is about to be restored.
+func (c *Checker) Restored(zone string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.evacuated, zone)
+}
+
 // Gone notes that a host does not serve its flows from now on.
 func (c *Checker) Gone(host string) {
 	c.mutex.Lock()
@@ -229,6 +248,7 @@
 	switch event.Kind {
 	case platformsim.HostOpening:
 		c.checkDrain(now, &event)
+		c.checkZone(now, &event)
 	case platformsim.HostRan:
 		c.checkRun(now, &event)
 	}
@@ -251,6 +271,22 @@
 	}
 }
 
+func (c *Checker) checkZone(now time.Time, event *platformsim.HostEvent) {
+	if !c.inTouch(now, event.Node) {
+		return
+	}
+	for zone, since := range c.evacuated {
+		if now.Sub(since) <= c.bounds.Change {
+			continue
+		}
+		c.checked.Evacuations++
+		if zone == event.Host.Zone {
+			c.report(now, RuleZone, "%s in %s, evacuated for %s, got an opening of %s from %s",
+				event.Host.ID, zone, now.Sub(since).Round(time.Millisecond), event.Caller, event.Node)
+		}
+	}
+}
+
 func (c *Checker) checkRun(now time.Time, event *platformsim.HostEvent) {
 	front, asked := c.sent[event.Request]
 	if !asked || front != event.Front {
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -29,7 +29,9 @@
 	return c
 }
 
-func host(id, service string) *platformsim.Host { return &platformsim.Host{ID: id, Service: service} }
+func host(id, service string) *platformsim.Host {
+	return &platformsim.Host{ID: id, Service: service, Zone: "zone-0"}
+}
 
 func ran(at *platformsim.Host, request uint64) platformsim.HostEvent {
 	return platformsim.HostEvent{Host: at, Kind: platformsim.HostRan, Node: node, Front: front, Caller: caller, Request: request}
@@ -68,6 +70,28 @@
 			c.Draining(anHourAgo, "i-1")
 			c.HostSaw(opening)
 		}, []soak.Rule{soak.RuleDrain}},
+		{"an opening in a zone that has been evacuated for long", func(c *soak.Checker) {
+			c.Evacuated(anHourAgo, "zone-0")
+			c.HostSaw(opening)
+		}, []soak.Rule{soak.RuleZone}},
+		{"an opening in another zone", func(c *soak.Checker) {
+			c.Evacuated(anHourAgo, "zone-1")
+			c.HostSaw(opening)
+		}, nil},
+		{"an opening in a zone that was evacuated a moment ago", func(c *soak.Checker) {
+			c.Evacuated(time.Now(), "zone-0")
+			c.HostSaw(opening)
+		}, nil},
+		{"an opening in a zone that was restored", func(c *soak.Checker) {
+			c.Evacuated(anHourAgo, "zone-0")
+			c.Restored("zone-0")
+			c.HostSaw(opening)
+		}, nil},
+		{"an opening in an evacuated zone, by a node that is disturbed", func(c *soak.Checker) {
+			c.Evacuated(anHourAgo, "zone-0")
+			c.Disturb(node)
+			c.HostSaw(opening)
+		}, nil},
 		{"the same from a node that is disturbed", func(c *soak.Checker) {
 			c.Draining(anHourAgo, "i-1")
 			c.Disturb(node)
--- a/internal/lab/soak/faults/faults.go
+++ b/internal/lab/soak/faults/faults.go
@@ -12,8 +12,8 @@
 
 // All gives every kind.
 func All() []soak.Fault {
-	kinds := []soak.Fault{kill, killAll{}, stop, pause{}, reload{}, loss{}, compact{}, drain{}, crash{}, silence{}, change{}, storm{}}
-	for _, mode := range []proxy.Mode{proxy.Delay, proxy.Reset, proxy.Silence, proxy.OneWay} {
+	kinds := []soak.Fault{kill, killAll{}, stop, pause{}, reload{}, loss{}, compact{}, drain{}, crash{}, silence{}, change{}, storm{}, evacuate{}}
+	for _, mode := range []proxy.Mode{proxy.Delay, proxy.Reset, proxy.Silence, proxy.OneWay, proxy.SilenceOpen} {
 		kinds = append(kinds, link{mode})
 	}
 	for _, fault := range []platformsim.Fault{
--- a/internal/lab/soak/faults/operator.go
+++ b/internal/lab/soak/faults/operator.go
@@ -32,6 +32,29 @@
 	return func() error { return nil }, nil
 }
 
+// evacuate takes a zone out of use, so that its hosts get nothing new, and takes it back.
+type evacuate struct{}
+
+func (evacuate) Name() string { return "evacuate" }
+
+func (evacuate) Targets(size soak.Size) int { return size.Zones }
+
+func (evacuate) Inject(_ context.Context, s *soak.Site, target int) (func() error, error) {
+	restore, held := s.Evacuate(target)
+	if !held {
+		return nil, soak.ErrHeld
+	}
+	return func() error {
+		time.Sleep(evacuationTime)
+		restore()
+		return nil
+	}, nil
+}
+
+// evacuationTime is how long a zone is evacuated at the least: longer than the
+// bound, so that it is checked.
+const evacuationTime = 4 * time.Second
+
 // Changes in quick succession.
 const (
 	stormChanges  = 20
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -76,6 +76,8 @@
 	services map[string]string   // by host
 	hosts    []*platformsim.Host // all that there were
 	closers  []func()
+
+	evacuating sync.Mutex // held while a zone is evacuated
 }
 
 // newSite starts all. The function ends it, also what faults have added.
@@ -231,6 +233,25 @@
 	s.Checker.Changed(s.version)
 }
 
+// Evacuate takes a zone out of use; false: another one is. The function takes it
+// back. One zone at a time, so that each service has hosts that take new flows.
+func (s *Site) Evacuate(index int) (restore func(), held bool) {
+	if !s.evacuating.TryLock() {
+		return nil, false
+	}
+	zone := s.zone(index)
+	s.Store.PutBytes(evacuationPrefix+zone, nil)
+	s.Checker.Evacuated(time.Now(), zone)
+	return func() {
+		s.Checker.Restored(zone)
+		s.Store.Delete(evacuationPrefix + zone)
+		s.evacuating.Unlock()
+	}, true
+}
+
+// evacuationPrefix is that of the entries of evacuated zones.
+const evacuationPrefix = "op/evacuate/"
+
 func (s *Site) addSlot(service string, index int) error {
 	slot := &Slot{Service: service, Zone: s.zone(index)}
 	s.Slots = append(s.Slots, slot)
