Cold back ends: a bound in every second over all nodes, without agreement

Cause: a service may state how many new flows a second its back ends bear after a start; nothing read it. Change: cold time with the back end's entry, rates with the configuration, both told by every way; cold ones are left alone while the ready ones are as many, else one node a back end may use a third of its bound (internal/coldstart).

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -196,6 +197,8 @@
 		checker.report("limits.pin_bytes_per_second", strconv.Itoa(raw.PinBytesPerSecond),
 			"exceeds limits.control_bytes_per_second, %d", raw.ControlBytesPerSecond)
 	}
+	checker.notNegative("limits.cold_overage", raw.ColdOverage)
+	checker.notNegative("limits.cold_slack", raw.ColdSlack)
 	return Limits(raw)
 }
 
@@ -205,6 +208,12 @@
 	}
 }
 
+func (checker *checker) notNegative(field string, value float64) {
+	if !(value >= 0) || math.IsInf(value, 0) {
+		checker.report(field, strconv.FormatFloat(value, 'g', -1, 64), "is not a number of 0 or more")
+	}
+}
+
 func (checker *checker) timings(raw timingsDocument) Timings {
 	timings := Timings{
 		OpeningHold:     checker.duration("timings.opening_hold", raw.OpeningHold),
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -29,8 +29,10 @@
 }
 
 type limitsDocument struct {
-	ControlBytesPerSecond int `yaml:"control_bytes_per_second"`
-	PinBytesPerSecond     int `yaml:"pin_bytes_per_second"`
+	ControlBytesPerSecond int     `yaml:"control_bytes_per_second"`
+	PinBytesPerSecond     int     `yaml:"pin_bytes_per_second"`
+	ColdOverage           float64 `yaml:"cold_overage"`
+	ColdSlack             float64 `yaml:"cold_slack"`
 }
 
 type timingsDocument struct {
@@ -59,6 +61,8 @@
 	DefaultLogLevel              = "info"
 	DefaultControlBytesPerSecond = 4096
 	DefaultPinBytesPerSecond     = 3000
+	DefaultColdOverage           = 1.0
+	DefaultColdSlack             = 0.0
 	DefaultOpeningHold           = 60 * time.Second
 	DefaultIdleTimeout           = 300 * time.Second
 	DefaultPinLifetime           = 60 * time.Second
@@ -84,6 +88,8 @@
 		Limits: limitsDocument{
 			ControlBytesPerSecond: DefaultControlBytesPerSecond,
 			PinBytesPerSecond:     DefaultPinBytesPerSecond,
+			ColdOverage:           DefaultColdOverage,
+			ColdSlack:             DefaultColdSlack,
 		},
 		Timings: timingsDocument{
 			OpeningHold:     DefaultOpeningHold.String(),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -65,6 +65,11 @@
 	ControlBytesPerSecond int
 	// PinBytesPerSecond bounds pins and confirmations, a part of the former.
 	PinBytesPerSecond int
+	// ColdOverage and ColdSlack give what a back end that has just started may get in a
+	// second, over all nodes: what it says it bears times ColdOverage, and ColdSlack new
+	// flows on top (AffinityToken).
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 // Timings are the times of the protocol (docs/DESIGN.md, "The chain").
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/coldstart"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/observe"
@@ -73,6 +74,7 @@
 	ReasonUnknownService Reason = "unknown-service" // no service has this front end
 	ReasonNoBackend      Reason = "no-backend"      // the service has no active back end
 	ReasonEvacuated      Reason = "evacuated"       // all zones with active back ends of the service are evacuated
+	ReasonCold           Reason = "cold"            // the back ends have just started, and bear no more new flows
 	ReasonBackendFailed  Reason = "backend-failed"  // the flow's back end is gone
 	ReasonAdmission      Reason = "admission"       // new flows exceed the limit
 	ReasonTupleReuse     Reason = "tuple-reuse"     // 5-tuple used again too soon after a move
@@ -219,6 +221,8 @@
 	RetryAfter time.Duration
 	// Overload are the parameters of overload control, for AffinityToken.
 	Overload overload.Settings
+	// ColdStart bounds the new flows of back ends that have just started, for AffinityToken.
+	ColdStart coldstart.Settings
 }
 
 // DefaultSettings gives the defaults for a node.
@@ -234,5 +238,6 @@
 		HandoverBytesPerSecond: 3000,
 		RetryAfter:             500 * time.Millisecond,
 		Overload:               overload.DefaultSettings(),
+		ColdStart:              coldstart.DefaultSettings(self, zone),
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 // affinity finds the back ends of flows; see Affinity.
 type affinity interface {
 	packet(packet *Packet, decision *Decision)
+	setMembers(members []Member)
 	setTable(table *steering.Table)
 	tick()
 	changes() []observe.Change
@@ -105,7 +106,7 @@
 	case event.Table != nil:
 		core.affinity.setTable(event.Table)
 	case event.Members != nil:
-		core.setMembers(event.Members)
+		core.affinity.setMembers(event.Members)
 	case event.Peer != nil:
 		core.peer(event.Peer, effects)
 	case event.Leave:
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -29,13 +29,13 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 15
+const reasonCount = 16
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
 	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused, ReasonDraining,
-	ReasonNoView, ReasonUnknownToken, ReasonOverload, ReasonEvacuated,
+	ReasonNoView, ReasonUnknownToken, ReasonOverload, ReasonEvacuated, ReasonCold,
 }
 
 // count adds a decision to the counters.
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"robinpulley.example/robinpulley/internal/coldstart"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
@@ -18,6 +19,8 @@
 	table    *steering.Table // nil: no view yet
 	observer *observe.Observer
 	overload *overload.Controller
+	// cold says which back ends that have just started this node may use.
+	cold *coldstart.Limiter
 	// factors are observer.Factor of the ready hosts of the service at hand.
 	factors []float64
 }
@@ -25,6 +28,7 @@
 func newTokenAffinity(core *Core) *tokenAffinity {
 	affinity := &tokenAffinity{core: core, observer: observe.New(observe.DefaultSettings())}
 	affinity.overload = overload.New(core.settings.Overload)
+	affinity.cold = coldstart.New(core.settings.ColdStart)
 	return affinity
 }
 
@@ -34,10 +38,19 @@
 	for _, host := range table.Hosts() {
 		present[observe.Identity(host.Identity)] = true
 	}
+	a.cold.Forget(func(identity coldstart.Identity) bool { return present[observe.Identity(identity)] })
 	a.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
 	a.overload.Forget(a.core.now, func(identity overload.Identity) bool { return present[observe.Identity(identity)] }, table.HasService)
 }
 
+func (a *tokenAffinity) setMembers(members []Member) {
+	known := make([]coldstart.Member, len(members))
+	for index, member := range members {
+		known[index] = coldstart.Member(member)
+	}
+	a.cold.SetMembers(a.core.now, known)
+}
+
 func (a *tokenAffinity) changes() []observe.Change { return a.observer.Changes() }
 
 func (a *tokenAffinity) overloads() []overload.Change { return a.overload.Changes() }
@@ -88,6 +101,9 @@
 	forwardTo(decision, host)
 	decision.Token = host.Token(&frontend)
 	a.observer.Opened(a.core.now, flow, observe.Identity(host.Identity))
+	if host.Cold {
+		a.cold.Sent(a.core.now, coldstart.Identity(host.Identity))
+	}
 }
 
 // withoutBackend says why no back end of a service takes an opening. One whose
@@ -95,6 +111,9 @@
 // operators' word goes before a caller's, who may come back, and to hold the
 // opening would only use up the time in which another attempt may succeed.
 func withoutBackend(service *steering.Service) Reason {
+	if len(service.Cold) > 0 {
+		return ReasonCold
+	}
 	if service.Evacuated() {
 		return ReasonEvacuated
 	}
@@ -111,6 +130,16 @@
 				return host, true
 			}
 		}
+		for _, host := range service.Cold {
+			if observe.Identity(host.Identity) == identity && a.mayUse(service, host) {
+				return host, true
+			}
+		}
+	}
+	if service.NeedsCold() {
+		if host := service.PickCold(flow, func(host *steering.Host) bool { return a.mayUse(service, host) }); host != nil {
+			return host, false
+		}
 	}
 	a.weigh(service)
 	first := service.Pick(flow, a.factors)
@@ -124,6 +153,12 @@
 	return first, false
 }
 
+// mayUse tells whether this node may send an opening to a cold back end now.
+func (a *tokenAffinity) mayUse(service *steering.Service, host *steering.Host) bool {
+	backend := coldstart.Backend{Identity: coldstart.Identity(host.Identity), Zone: host.Zone, Rate: service.ColdRate}
+	return a.cold.Allows(a.core.now, backend)
+}
+
 // weigh sets the factors of the hosts of a service at the time of the step.
 func (a *tokenAffinity) weigh(service *steering.Service) {
 	a.factors = a.factors[:0]
--- a/internal/core/token_test.go
+++ b/internal/core/token_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"robinpulley.example/robinpulley/internal/coldstart"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/view"
@@ -143,6 +145,51 @@
 	is.Equal(later.Identity, uint64(1))
 }
 
+// coldListing has one service whose back ends bear a new flow a second while cold.
+func coldListing(revision int64, cold ...time.Duration) *view.Listing {
+	listing := tokenListing(revision)
+	listing.Configuration.Configuration.ColdRates = []view.ColdRate{{Service: "web", PerSecond: 1}}
+	for index, remaining := range cold {
+		stored := tokenBackend(lb.BackendName(fmt.Sprintf("i-%d", index)), "web", uint64(index+1), lb.BackendActive)
+		stored.Backend.Zone = "za"
+		stored.Backend.ColdMillis = remaining.Milliseconds()
+		listing.Backends = append(listing.Backends, stored)
+	}
+	return listing
+}
+
+// TestColdBackendsGetFewFlows: none while others are ready; where none is, what this
+// node's part of the bound allows, and the rest is refused at once as not run.
+func TestColdBackendsGetFewFlows(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	core.affinity.(*tokenAffinity).cold = coldstart.New(coldstart.Settings{
+		Zone: "za", Overage: 1, Slack: 5, Owners: 3, Window: time.Second, Alone: true,
+	})
+	core.Step(0, &Event{Members: []Member{{Zone: "za"}}}, &core.effects)
+	core.list(0, coldListing(9, time.Hour, 0))
+	for number := range uint16(100) {
+		is.Equal(core.send(0, tokenOpening(number+1, 443)).Identity, uint64(2))
+	}
+	now := 1800 * time.Millisecond
+	core.list(0, coldListing(10, time.Hour))
+	core.list(now/2, coldListing(10, time.Hour))
+	core.list(now, coldListing(11, time.Hour)) // the other one is no last resort any more
+	forwarded := 0
+	for number := range uint16(100) {
+		decision := core.send(now, tokenOpening(number+200, 443))
+		if decision.Action == ActionForward {
+			forwarded++
+			continue
+		}
+		is.Equal(decision.Action, ActionRefuse)
+		is.Equal(decision.Reason, ReasonCold)
+		is.Equal(decision.Refusal.Verdict, lb.NotRun)
+	}
+	is.Equal(forwarded, 2) // (1 + 5) / 3
+	is.Equal(core.send(now+time.Second, tokenOpening(400, 443)).Action, ActionForward)
+}
+
 // TestTokenKeepsFlowsWhileViewsChange: any node that knows the flow's back end
 // sends its packets there, whatever else its view says, and no packet goes to
 // a service that its front end did not name when the flow was opened.
--- a/internal/lab/platformsim/host.go
+++ b/internal/lab/platformsim/host.go
@@ -60,8 +60,8 @@
 	identity uint64
 	socket   *net.UDPConn
 	reply    uint16
-	answers  atomic.Bool // false: it has fallen silent
-	cold     time.Time   // until then it takes coldAnswer for each packet
+	answers  atomic.Bool  // false: it has fallen silent
+	cold     atomic.Int64 // nanoseconds since 1970; until then it takes coldAnswer for each packet
 
 	mutex   sync.Mutex
 	flows   map[flowKey]*hostFlow
@@ -93,9 +93,13 @@
 // coldAnswer is what a host that has just started takes for each packet.
 const coldAnswer = 5 * time.Millisecond
 
-// StartCold has the host be slow for a while from now on. It must be called
-// before packets come.
-func (host *Host) StartCold(duration time.Duration) { host.cold = time.Now().Add(duration) }
+// StartCold has the host be slow for a while from now on.
+func (host *Host) StartCold(duration time.Duration) {
+	host.cold.Store(time.Now().Add(duration).UnixNano())
+}
+
+// Cold tells whether the host is slow at a time.
+func (host *Host) Cold(now time.Time) bool { return now.UnixNano() < host.cold.Load() }
 
 // Address is where the host takes packets.
 func (host *Host) Address() netip.AddrPort { return host.socket.LocalAddr().(*net.UDPAddr).AddrPort() }
@@ -104,7 +108,7 @@
 func (host *Host) Announce(store *Store, state string) {
 	store.Put("servers/"+host.ID, map[string]any{
 		"service": host.Service, "address": host.Address().String(), "zone": host.Zone,
-		"version": "v1", "slots": 2, "state": state, "cold_remaining_ms": 0, "call_seq": 1,
+		"version": "v1", "slots": 2, "state": state, "cold_remaining_ms": max(0, time.Until(time.Unix(0, host.cold.Load())).Milliseconds()), "call_seq": 1,
 	})
 }
 
@@ -149,7 +153,7 @@
 		if err != nil {
 			return
 		}
-		if time.Now().Before(host.cold) {
+		if host.Cold(time.Now()) {
 			time.Sleep(coldAnswer)
 		}
 		if size >= identityBytes && host.answers.Load() {
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -25,6 +25,7 @@
 	RuleForged  Rule = "forged"  // packets arrive as they were sent
 	RuleDrain   Rule = "drain"   // a draining host gets nothing new after Bounds.Change
 	RuleZone    Rule = "zone"    // hosts of an evacuated zone get nothing new after Bounds.Change
+	RuleCold    Rule = "cold"    // a host that has just started gets no more than Bounds.ColdOpenings in any second
 	RuleChange  Rule = "change"  // a change is in force after Bounds.Change and never reverts
 	RuleOpen    Rule = "open"    // an opening is answered, unless a fault has just been there
 	RuleRecover Rule = "recover" // all is served again after Bounds.Recovery
@@ -69,6 +70,7 @@
 	evacuated  map[string]time.Time      // zones, and when the store took that they are evacuated
 	disturbed  map[netip.AddrPort]time.Time
 	disturbing map[netip.AddrPort]int // faults under way
+	cold       map[string][]time.Time // openings of hosts that have just started, in the last second
 	gone       map[string]bool        // hosts that crash, fall silent or end
 	lastGone   time.Time
 	unopened   map[Cause]int
@@ -95,6 +97,7 @@
 		evacuated:  make(map[string]time.Time),
 		disturbed:  make(map[netip.AddrPort]time.Time),
 		disturbing: make(map[netip.AddrPort]int),
+		cold:       make(map[string][]time.Time),
 		gone:       make(map[string]bool),
 		unopened:   make(map[Cause]int),
 	}
@@ -113,6 +116,8 @@
 	Drains int // openings whose node was in touch, while a host had drained for long
 	// Evacuations are openings whose node was in touch, while a zone had been evacuated for long.
 	Evacuations int
+	// Cold are openings at hosts that had just started.
+	Cold int
 }
 
 // Checked gives how often promises were checked that hold for nodes in touch only.
@@ -249,6 +254,7 @@
 	case platformsim.HostOpening:
 		c.checkDrain(now, &event)
 		c.checkZone(now, &event)
+		c.checkCold(now, &event)
 	case platformsim.HostRan:
 		c.checkRun(now, &event)
 	}
@@ -287,6 +293,22 @@
 	}
 }
 
+// checkCold counts each span of a second, whatever befalls the nodes meanwhile.
+func (c *Checker) checkCold(now time.Time, event *platformsim.HostEvent) {
+	if c.bounds.ColdOpenings == 0 || !event.Host.Cold(now) {
+		return
+	}
+	c.checked.Cold++
+	openings := append(c.cold[event.Host.ID], now)
+	for now.Sub(openings[0]) > time.Second {
+		openings = openings[1:]
+	}
+	c.cold[event.Host.ID] = openings
+	if len(openings) > c.bounds.ColdOpenings {
+		c.report(now, RuleCold, "%s, cold, got %d openings within a second", event.Host.ID, len(openings))
+	}
+}
+
 func (c *Checker) checkRun(now time.Time, event *platformsim.HostEvent) {
 	front, asked := c.sent[event.Request]
 	if !asked || front != event.Front {
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -19,7 +19,7 @@
 )
 
 // bounds are long over for what happened an hour ago.
-var bounds = soak.Bounds{Change: time.Minute, Contact: time.Minute}
+var bounds = soak.Bounds{Change: time.Minute, Contact: time.Minute, ColdOpenings: 2}
 
 var anHourAgo = time.Now().Add(-time.Hour)
 
@@ -40,6 +40,10 @@
 // TestCheckerSeesEachRuleBroken: for each promise, what keeps it and what breaks it.
 func TestCheckerSeesEachRuleBroken(t *testing.T) {
 	opening := platformsim.HostEvent{Host: host("i-1", "web"), Kind: platformsim.HostOpening, Node: node, Front: front, Caller: caller}
+	cold := host("i-3", "web")
+	cold.StartCold(time.Hour)
+	coldOpening := opening
+	coldOpening.Host = cold
 	cases := []struct {
 		name   string
 		happen func(c *soak.Checker)
@@ -92,6 +96,21 @@
 			c.Disturb(node)
 			c.HostSaw(opening)
 		}, nil},
+		{"as many openings at a cold host as it bears", func(c *soak.Checker) {
+			c.HostSaw(coldOpening)
+			c.HostSaw(coldOpening)
+		}, nil},
+		{"one more, by a node that is disturbed", func(c *soak.Checker) {
+			c.Disturb(node)
+			for range 3 {
+				c.HostSaw(coldOpening)
+			}
+		}, []soak.Rule{soak.RuleCold}},
+		{"many openings at a warm host", func(c *soak.Checker) {
+			for range 9 {
+				c.HostSaw(opening)
+			}
+		}, nil},
 		{"the same from a node that is disturbed", func(c *soak.Checker) {
 			c.Draining(anHourAgo, "i-1")
 			c.Disturb(node)
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -261,6 +261,7 @@
 		{"openings checked against the routes in force", report.Checked.Routes},
 		{"openings checked while hosts had drained for long", report.Checked.Drains},
 		{"openings checked while a zone was evacuated for long", report.Checked.Evacuations},
+		{"openings at hosts that had just started", report.Checked.Cold},
 		{"promises not kept", len(report.Violations)},
 	}
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -184,8 +184,9 @@
 		ready:   "http://" + admin + "/readyz",
 	}
 	settings := fmt.Sprintf("node: %s\nzone: %s\naffinity: token\ndata_address: %s\ncontrol_address: %s\n"+
-		"admin_address: %s\nstore_endpoints: [\"http://%s\"]\ntimings: {drain_grace: 500ms, drain_limit: 5s}\n",
-		n.Name, s.zone(index), n.Data, control, admin, link.Address)
+		"admin_address: %s\nstore_endpoints: [\"http://%s\"]\ntimings: {drain_grace: 500ms, drain_limit: 5s}\n"+
+		"limits: {cold_overage: %v, cold_slack: %v}\n",
+		n.Name, s.zone(index), n.Data, control, admin, link.Address, coldOverage, coldSlack)
 	if index > 0 {
 		settings += fmt.Sprintf("seeds: [%q]\n", s.Nodes[0].control)
 	}
@@ -228,7 +229,11 @@
 			"path_prefix": fmt.Sprintf("/%d/", front.Port()), "service": service,
 		})
 	}
-	s.Store.Put("op/config", map[string]any{"version": s.version.Number, "routes": documents})
+	services := []any{
+		map[string]any{"name": ServiceWeb, "cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond},
+		map[string]any{"name": ServiceDocs, "cold_start_s": coldTime.Seconds(), "cold_per_s": coldPerSecond},
+	}
+	s.Store.Put("op/config", map[string]any{"version": s.version.Number, "routes": documents, "services": services})
 	s.version.At = time.Now()
 	s.Checker.Changed(s.version)
 }
@@ -271,12 +276,24 @@
 		return nil, err
 	}
 	h.Observe(s.Checker.HostSaw)
+	if len(s.Nodes) > 0 { // it starts while flows are there
+		h.StartCold(coldTime)
+	}
 	h.Announce(s.Store, "ready")
 	s.hosts = append(s.hosts, h)
 	s.closers = append(s.closers, h.Close)
 	return h, nil
 }
 
+// What hosts say of themselves when they have just started.
+const (
+	coldTime      = 2 * time.Second
+	coldPerSecond = 2.0 // new flows
+	coldOverage   = 1.5
+	coldSlack     = 5.0
+	coldOpenings  = coldPerSecond*coldOverage + coldSlack
+)
+
 // firstHost is the number of the first host.
 const firstHost = 0x100
 
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -58,5 +58,14 @@
 	}
 }
 
+// capacityOf sums up what hosts work on at once.
+func capacityOf(hosts []*Host) float64 {
+	sum := 0.0
+	for _, host := range hosts {
+		sum += host.capacity()
+	}
+	return sum
+}
+
 // capacity is what the host says that it works on at once; one if it does not say.
 func (h *Host) capacity() float64 { return float64(max(h.Slots, 1)) }
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -24,6 +24,8 @@
 // Host is one back end in a table.
 type Host struct {
 	view.Backend
+	// Cold: it has just started and bears few new flows; see Service.Cold.
+	Cold bool
 	// hash is this host's part of its tokens.
 	hash uint32
 	// rank is the key of the host in rendezvous hashing.
@@ -41,6 +43,10 @@
 	// they drain. They take new flows only when no other back end is left, or
 	// by keepLapsed.
 	Lapsed []*Host
+	// Cold would take new flows, but have just started and bear few of them, ColdRate
+	// a second: package coldstart says who may send which.
+	Cold     []*Host
+	ColdRate float64
 	// evacuated counts those that would take new flows, were their zone not evacuated.
 	evacuated int
 	// away counts those that went while nothing was heard of the store.
@@ -66,6 +72,8 @@
 	byHash    map[uint32]*Host
 	// evacuated are the zones whose back ends get no new flows.
 	evacuated map[lb.Zone]bool
+	// coldRates are how many new flows a second cold back ends bear; 0: no bound is known.
+	coldRates map[lb.ServiceName]float64
 	// expires is when Compile would give another table for the same view; 0: never.
 	expires time.Duration
 }
@@ -84,6 +92,7 @@
 		services:  make(map[lb.ServiceName]*Service),
 		byHash:    make(map[uint32]*Host),
 		evacuated: make(map[lb.Zone]bool),
+		coldRates: replica.ColdRates(),
 	}
 	for _, zone := range replica.Evacuated() {
 		table.evacuated[zone] = true
@@ -142,12 +151,18 @@
 	}
 	t.byHash[host.hash] = host
 	service := t.service(host.Service)
+	cold := known.ColdUntil > now && service.ColdRate > 0
 	switch {
 	case host.State != lb.BackendActive:
 	case t.evacuated[host.Zone]:
 		service.evacuated++
+	case known.Gone && cold: // no last resort: it bears few flows, if it lives
 	case known.Gone:
 		t.addLapsed(service, host, known, now)
+	case cold:
+		host.Cold = true
+		service.Cold = append(service.Cold, host)
+		t.expireBy(known.ColdUntil)
 	default:
 		service.Ready = append(service.Ready, host)
 	}
@@ -175,6 +190,11 @@
 	if known.Away {
 		service.away++
 	}
+	t.expireBy(until)
+}
+
+// expireBy notes that the table is another one from a time on.
+func (t *Table) expireBy(until time.Duration) {
 	if t.expires == 0 || until < t.expires {
 		t.expires = until
 	}
@@ -188,7 +208,7 @@
 func (t *Table) service(name lb.ServiceName) *Service {
 	known := t.services[name]
 	if known == nil {
-		known = &Service{Name: name}
+		known = &Service{Name: name, ColdRate: t.coldRates[name]}
 		t.services[name] = known
 	}
 	return known
@@ -239,7 +259,14 @@
 // Evacuated tells whether the service has no back end that takes new flows
 // because the zones of those that would are evacuated.
 func (s *Service) Evacuated() bool {
-	return len(s.Ready) == 0 && len(s.Lapsed) == 0 && s.evacuated > 0
+	return len(s.Ready) == 0 && len(s.Lapsed) == 0 && len(s.Cold) == 0 && s.evacuated > 0
+}
+
+// NeedsCold tells whether the ready back ends are fewer than the cold ones, by what
+// they work on at once. Otherwise cold ones are left to warm up, since the others
+// bear what they would have got: at most twice their usual part, for seconds.
+func (s *Service) NeedsCold() bool {
+	return capacityOf(s.Ready) < capacityOf(s.Cold)
 }
 
 // HasService tells whether a route or a back end names the service.
@@ -276,6 +303,18 @@
 	return s.Ready[index]
 }
 
+// PickCold gives the cold host of a new flow: the first by rank among those that
+// may be used; nil if there is none.
+func (s *Service) PickCold(flow lb.FlowID, mayUse func(*Host) bool) *Host {
+	var usable []*Host
+	for _, host := range s.Cold {
+		if mayUse(host) {
+			usable = append(usable, host)
+		}
+	}
+	return first(usable, flow, nil)
+}
+
 // mostlyZero tells whether more than half of the hosts have the factor 0. Then
 // it is more likely this balancer, or its network, that is at fault than they
 // are, and to crowd the rest would make it worse.
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -176,6 +176,61 @@
 	is.Equal(restored.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
 }
 
+// TestColdHostsAreLeftToWarmUp: where a service states what they bear, they take no
+// new flows as others do, until they are warm.
+func TestColdHostsAreLeftToWarmUp(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	world.host("i-1", "web", zoneA, lb.BackendActive)
+	world.host("i-2", "web", zoneA, lb.BackendActive)
+	world.route(443, view.Target{Service: "web", Weight: 1})
+	world.listing.Backends[1].Backend.ColdMillis = 2000
+	flow := flowTo(443, 1)
+	unbounded := world.table(zoneA)
+	is.Equal(len(unbounded.Service(&flow).Ready), 2) // no bound is known
+
+	world.listing.Configuration.Configuration.ColdRates = []view.ColdRate{{Service: "web", PerSecond: 10}}
+	replica := world.replica()
+	table := Compile(replica, zoneA, time.Second)
+	service := table.Service(&flow)
+	is.Equal(len(service.Ready), 1)
+	is.Equal(service.Cold[0].Name, lb.BackendName("i-2"))
+	is.True(service.Cold[0].Cold)
+	is.Equal(service.ColdRate, 10.0)
+	is.Equal(service.NeedsCold(), false)
+	is.Equal(table.Expires(), 2*time.Second)
+	frontend := flow.Frontend()
+	is.Equal(table.Resolve(&frontend, service.Cold[0].Token(&frontend)), service.Cold[0]) // its flows go on
+	warm := Compile(replica, zoneA, table.Expires())
+	is.Equal(len(warm.Service(&flow).Ready), 2)
+
+	replica.ApplyChanges(time.Second, &view.Changes{Revision: 12, Changes: []view.Change{
+		{Revision: 11, Gone: "i-1"}, {Revision: 12, Gone: "i-2"},
+	}})
+	gone := Compile(replica, zoneA, time.Second).Service(&flow)
+	is.Equal(len(gone.Lapsed), 1) // a cold one is no last resort
+	is.Equal(gone.Lapsed[0].Name, lb.BackendName("i-1"))
+}
+
+func TestColdHostsAreNeededWhereTheyAreMost(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	for index, slots := range []int{4, 3, 2} {
+		world.host(lb.BackendName(fmt.Sprintf("i-%d", index)), "web", zoneA, lb.BackendActive)
+		world.listing.Backends[index].Backend.Slots = slots
+		if index > 0 {
+			world.listing.Backends[index].Backend.ColdMillis = 2000
+		}
+	}
+	world.route(443, view.Target{Service: "web", Weight: 1})
+	world.listing.Configuration.Configuration.ColdRates = []view.ColdRate{{Service: "web", PerSecond: 10}}
+	flow := flowTo(443, 1)
+	service := world.table(zoneA).Service(&flow)
+	is.True(service.NeedsCold()) // 4 slots ready, 5 cold
+	is.Equal(service.PickCold(flow.ID(), func(*Host) bool { return false }), nil)
+	is.Equal(service.PickCold(flow.ID(), func(host *Host) bool { return host.Name == "i-2" }).Name, lb.BackendName("i-2"))
+}
+
 func TestGoneHostKeepsFlowsAndIsTheLastResort(t *testing.T) {
 	is := is.New(t)
 	world := newWorld()
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -74,6 +74,8 @@
 	deciding.PauseLimit = settings.Timings.PauseLimit
 	deciding.RetryAfter = settings.Timings.RetryAfter
 	deciding.Overload.Off = settings.Admission == config.AdmissionOff
+	deciding.ColdStart.Overage = settings.Limits.ColdOverage
+	deciding.ColdStart.Slack = settings.Limits.ColdSlack
 	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation).
 		Within(min(settings.Timings.ChangeLimit, settings.Timings.LeaveLimit, settings.Timings.EvacuationLimit))
 	for _, seed := range settings.Seeds {
@@ -83,6 +85,7 @@
 		}
 		following.Seeds = append(following.Seeds, seed)
 	}
+	deciding.ColdStart.Alone = len(following.Seeds) == 0
 	return &engine{
 		settings:     settings,
 		logger:       logger,
@@ -224,14 +227,16 @@
 		engine.outbox = append(engine.outbox, follower.Outgoing{To: batch.To, Message: batch.Message})
 	}
 	if engine.memberEffects.Changed {
-		engine.followerStep(&follower.Event{Peers: engine.peers()})
+		engine.followerStep(&follower.Event{Peers: engine.noteMembers()})
 	}
 }
 
-// peers gives the members, and logs how many there are and stay.
-func (engine *engine) peers() []follower.Peer {
+// noteMembers tells the core and the zone of the members, gives them to the follower, and
+// logs how many there are and stay.
+func (engine *engine) noteMembers() []follower.Peer {
 	members := engine.member.Members(nil)
 	peers := make([]follower.Peer, 0, len(members))
+	known := make([]core.Member, 0, len(members))
 	var zone []availability.Member
 	leaving := 0
 	for _, entry := range members {
@@ -241,9 +246,12 @@
 		if entry.Leaving {
 			leaving++
 		}
+		known = append(known, core.Member{ID: entry.ID, Zone: entry.Zone, Leaving: entry.Leaving})
 		peers = append(peers, follower.Peer{ID: entry.ID, Zone: entry.Zone, Control: entry.Control, Leaving: entry.Leaving})
 	}
 	engine.zone.Update(engine.last, zone)
+	engine.core.Step(engine.last, &core.Event{Members: known}, &engine.coreEffects)
+	engine.logChanges()
 	engine.others = len(members) - 1
 	engine.leaving = leaving
 	engine.logger.Info().
--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -33,8 +33,13 @@
 	Routes                []RouteEntry      `json:"routes,omitempty"`
 	Backends              []BackendEntry    `json:"backends,omitempty"`
 	Evacuations           []EvacuationEntry `json:"evacuations,omitempty"`
+	// ColdRates is nil if they have not changed.
+	ColdRates *ColdRates `json:"cold_rates,omitempty"`
 }
 
+// maxColdMillis bounds how long a back end says that it stays cold: a day.
+const maxColdMillis = 24 * 60 * 60 * 1000
+
 // Limits of what a delta may hold.
 const (
 	maxRoutes   = 1 << 14
@@ -60,6 +65,11 @@
 			return errors.Wrapf(err, "backends[%d]", index)
 		}
 	}
+	if d.ColdRates != nil {
+		if err := d.ColdRates.Validate(); err != nil {
+			return errors.Wrap(err, "cold_rates")
+		}
+	}
 	for index := range d.Evacuations {
 		if err := d.Evacuations[index].Validate(); err != nil {
 			return errors.Wrapf(err, "evacuations[%d]", index)
@@ -98,6 +108,9 @@
 	if !b.Address.IsValid() || address.IsUnspecified() || address.IsMulticast() || b.Address.Port() == 0 {
 		return errors.Newf("address %q is no address of one host", b.Address)
 	}
+	if b.ColdMillis < 0 || b.ColdMillis > maxColdMillis {
+		return errors.Newf("cold_ms %d is not between 0 and %d", b.ColdMillis, int64(maxColdMillis))
+	}
 	if b.State != lb.BackendActive && b.State != lb.BackendDraining {
 		return errors.Newf("state %q is neither %s nor %s", b.State, lb.BackendActive, lb.BackendDraining)
 	}
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -25,6 +25,7 @@
 	routes                map[lb.Frontend]*RouteEntry
 	backends              map[lb.BackendName]*backendEntry
 	evacuations           map[lb.Zone]*EvacuationEntry
+	coldRates             ColdRates
 	// away: what is applied next comes after a time without word of the store.
 	away bool
 }
@@ -34,6 +35,8 @@
 	goneAt time.Duration
 	// away: it went while nothing was heard of the store.
 	away bool
+	// coldUntil is when it has warmed up, at the latest.
+	coldUntil time.Duration
 }
 
 // NewReplica gives a replica that knows nothing.
@@ -85,7 +88,7 @@
 	for index := range listing.Backends {
 		stored := &listing.Backends[index]
 		listed[stored.Backend.Name] = true
-		r.setBackend(stored.Revision, &stored.Backend)
+		r.setBackend(now, stored.Revision, &stored.Backend)
 	}
 	for _, rejected := range listing.Rejected {
 		listed[lb.BackendName(rejected.Key)] = true
@@ -117,7 +120,7 @@
 		case change.Configuration != nil:
 			r.setConfiguration(change.Revision, change.Configuration)
 		case change.Backend != nil:
-			r.setBackend(change.Revision, change.Backend)
+			r.setBackend(now, change.Revision, change.Backend)
 		case change.Evacuated != "":
 			r.setEvacuation(EvacuationEntry{Revision: change.Revision, Zone: change.Evacuated})
 		case change.Restored != "":
@@ -137,6 +140,7 @@
 	r.configurationRevision = revision
 	r.version = configuration.Version
 	r.changed = max(r.changed, revision)
+	r.setColdRates(revision, configuration.ColdRates)
 	present := make(map[lb.Frontend]bool, len(configuration.Routes))
 	for index := range configuration.Routes {
 		route := &configuration.Routes[index]
@@ -162,13 +166,14 @@
 	r.routes[route.Frontend] = &RouteEntry{Revision: revision, Route: *route}
 }
 
-func (r *Replica) setBackend(revision int64, backend *Backend) {
+func (r *Replica) setBackend(now time.Duration, revision int64, backend *Backend) {
 	known := r.backends[backend.Name]
 	if known != nil && known.Revision >= revision {
 		return
 	}
 	r.backends[backend.Name] = &backendEntry{
 		BackendEntry: BackendEntry{Revision: revision, Backend: *backend},
+		coldUntil:    now + time.Duration(backend.ColdMillis)*time.Millisecond,
 	}
 	r.changed = max(r.changed, revision)
 }
@@ -206,6 +211,8 @@
 	// Away: it went while nothing was heard of the store, which drops the
 	// entries of back ends that cannot reach it meanwhile.
 	Away bool
+	// ColdUntil is when it has warmed up, at the latest.
+	ColdUntil time.Duration
 }
 
 // Backends gives all back ends that are known, those that have gone included, by name.
@@ -213,7 +220,7 @@
 	known := make([]Known, 0, len(r.backends))
 	for _, entry := range r.backends {
 		known = append(known, Known{
-			Backend: entry.Backend, Gone: entry.Gone, GoneAt: entry.goneAt, Away: entry.away,
+			Backend: entry.Backend, Gone: entry.Gone, GoneAt: entry.goneAt, Away: entry.away, ColdUntil: entry.coldUntil,
 		})
 	}
 	slices.SortFunc(known, func(left, right Known) int {
--- a/internal/view/tell.go
+++ b/internal/view/tell.go
@@ -23,6 +23,7 @@
 		Version:               r.version,
 		ConfigurationRevision: r.configurationRevision,
 		Evacuations:           r.evacuationsAfter(after),
+		ColdRates:             r.coldRatesAfter(after),
 	}
 	for _, entry := range r.routes {
 		if entry.Revision > after && (after > 0 || !entry.Gone) {
@@ -34,6 +35,7 @@
 			continue
 		}
 		told := entry.BackendEntry
+		told.Backend.ColdMillis = coldMillis(now, entry.coldUntil)
 		if told.Gone {
 			told.GoneMillis = (now - entry.goneAt).Milliseconds()
 		}
@@ -62,6 +64,7 @@
 	r.applyRoutes(delta)
 	r.applyBackends(now, delta)
 	r.applyEvacuations(delta)
+	r.applyColdRates(delta)
 	r.Advance(delta.Revision)
 	if delta.After == 0 {
 		r.forgetHistory()
@@ -107,6 +110,7 @@
 			BackendEntry: BackendEntry{Revision: entry.Revision, Gone: entry.Gone, Backend: entry.Backend},
 			goneAt:       now - time.Duration(entry.GoneMillis)*time.Millisecond,
 			away:         r.away,
+			coldUntil:    now + time.Duration(entry.Backend.ColdMillis)*time.Millisecond,
 		}
 		r.changed = max(r.changed, entry.Revision)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -27,6 +27,9 @@
 	Created int64 `json:"created"`
 	// Slots is how many requests the back end works on at once; 0: it does not say.
 	Slots int `json:"slots,omitempty"`
+	// ColdMillis is how much longer the back end stays cold, from the moment at which
+	// this was read or told. What waits on its way only makes it longer.
+	ColdMillis int64 `json:"cold_ms,omitempty"`
 }
 
 // Target is one part of a split: a service and its weight in the sum of all.
@@ -52,6 +55,8 @@
 type Configuration struct {
 	Version uint64
 	Routes  []Route
+	// ColdRates are those of the services that state one.
+	ColdRates []ColdRate
 }
 
 // StoredBackend is a back end with the revision of its entry.
--- a/internal/view/viewtest/store.go
+++ b/internal/view/viewtest/store.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/view"
@@ -41,14 +42,24 @@
 
 // Put writes the entry of a back end of service web.
 func (store *Store) Put(name lb.BackendName, state lb.BackendState) {
+	store.put(Backend(name, state))
+}
+
+// PutCold writes the entry of a back end that has just started.
+func (store *Store) PutCold(name lb.BackendName, cold time.Duration) {
+	backend := Backend(name, lb.BackendActive)
+	backend.ColdMillis = cold.Milliseconds()
+	store.put(backend)
+}
+
+func (store *Store) put(backend view.Backend) {
 	store.revision++
 	created := store.revision
-	if known, found := store.backends[name]; found {
+	if known, found := store.backends[backend.Name]; found {
 		created = known.Backend.Created
 	}
-	backend := Backend(name, state)
 	backend.Created = created
-	store.backends[name] = view.StoredBackend{Revision: store.revision, Backend: backend}
+	store.backends[backend.Name] = view.StoredBackend{Revision: store.revision, Backend: backend}
 	store.history = append(store.history, view.Change{Revision: store.revision, Backend: &backend})
 }
 
