--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,11 @@
-# Targets: setup (once), build, test (all of CI), lint, model, demo, faults, soak, bench.
+# Targets: setup (part of test), build, test (all of CI), lint, model, demo, faults, soak, bench.
 GO ?= go
 export CGO_ENABLED ?= 1
 TOOLS := $(CURDIR)/bin
 
 .PHONY: setup build test unit lint model demo faults soak bench tools clean
 
-# setup installs what the tests need besides Go: the model checker and a C compiler.
+# setup installs what the tests need besides Go, if it is not there: the model checker and a C compiler.
 setup:
 	@if command -v spin >/dev/null 2>&1 && command -v gcc >/dev/null 2>&1; then echo "spin and gcc are installed"; \
 	else apt-get update -q && apt-get install -y -q spin gcc; fi
@@ -13,7 +13,7 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-test: lint model unit
+test: setup lint model unit
 
 unit:
 	$(GO) test -race -count=1 ./...
--- a/cmd/robinpulley/commands.go
+++ b/cmd/robinpulley/commands.go
@@ -143,12 +143,16 @@
 // versionCommand prints the version.
 type versionCommand struct{}
 
-// Run prints the version that the Go toolchain recorded in the binary.
+// Run prints the version.
 func (*versionCommand) Run() error {
-	version := "unknown"
+	fmt.Println("robinpulley", version())
+	return nil
+}
+
+// version is what the Go toolchain recorded in the binary.
+func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
+		return info.Main.Version
 	}
-	fmt.Println("robinpulley", version)
-	return nil
+	return "unknown"
 }
--- a/cmd/robinpulley/main.go
+++ b/cmd/robinpulley/main.go
@@ -26,6 +26,8 @@
 	Run     runCommand     `cmd:"" help:"Run a balancer until SIGTERM or SIGINT (planned stop; a second signal ends at once)."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file and list all its problems."`
 	Version versionCommand `cmd:"" help:"Print the version."`
+
+	VersionFlag kong.VersionFlag `name:"version" help:"Print the version."`
 }
 
 func main() {
@@ -35,13 +37,19 @@
 // execute runs one command line and gives the exit code.
 func execute(arguments []string) int {
 	var commands commandLine
+	answered := false // by the help or the version
 	parser, err := kong.New(&commands,
 		kong.Name("robinpulley"),
-		kong.Description("A layer-4 load balancer that keeps every flow on its back end."))
+		kong.Description("A layer-4 load balancer that keeps every flow on its back end."),
+		kong.Exit(func(int) { answered = true }),
+		kong.Vars{"version": "robinpulley " + version()})
 	if err != nil {
 		return report(err)
 	}
 	context, err := parser.Parse(arguments)
+	if answered {
+		return exitDone
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "robinpulley:", err)
 		return exitBadSettings
--- a/cmd/robinpulley/main_test.go
+++ b/cmd/robinpulley/main_test.go
@@ -26,6 +26,8 @@
 		{"unknown command", []string{"walk"}, exitBadSettings},
 		{"unknown flag", []string{"run", "--colour", "red"}, exitBadSettings},
 		{"version", []string{"version"}, exitDone},
+		{"version as a flag", []string{"--version"}, exitDone},
+		{"help", []string{"run", "--help"}, exitDone},
 		{"address not of this machine", []string{
 			"run", "--config", "../../deploy/robinpulley.yaml", "--admin-address", "192.0.2.1:9090",
 		}, exitFailed},
