Failing hosts are found by what all nodes see together

Cause: hosts that say that they are well and fail their requests get their part of new flows, since a node sees no answer, and only ten requests a second of 120 hosts. Ruled out: quick ends (answers with errors take as long as others: 40,000 requests read off). What shows are acknowledgements: 170 to 176 bytes for errors, 233 and more for all others. Change: outcomes in internal/observe (short, missing, unanswered), reported up a tree over each zone, judged by its first node against the others of the service and by a sequential test on what is heard of suspects (internal/evidence), told down; avoided hosts get a sixteenth. Nothing is sent while nothing fails.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -135,6 +135,8 @@
 	// Backends are back ends that have fallen silent or answer again, as far as
 	// this node sees. They hold until the next step.
 	Backends []observe.Change
+	// Outcomes are how requests at back ends went. They hold until the next step.
+	Outcomes []observe.Outcome
 	// Overload are services that have become overloaded, or are so no more. They
 	// hold until the next step.
 	Overload []overload.Change
@@ -157,6 +159,9 @@
 	Members   []Member      // all nodes thought alive, self included
 	// Table is a new table, for AffinityToken.
 	Table *steering.Table
+	// Avoid are the back ends that the nodes together take for failing, for
+	// AffinityToken; empty, not nil: none.
+	Avoid []observe.Identity
 	Peer  *PeerEvent
 	Tick  bool // at least every TickInterval
 	Leave bool // planned stop begins
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,8 @@
 	setTable(table *steering.Table)
 	tick()
 	changes() []observe.Change
+	outcomes() []observe.Outcome
+	avoid(identities []observe.Identity)
 	overloads() []overload.Change
 	pressures() []overload.Status
 }
@@ -109,6 +111,8 @@
 		core.affinity.setMembers(event.Members)
 	case event.Peer != nil:
 		core.peer(event.Peer, effects)
+	case event.Avoid != nil:
+		core.affinity.avoid(event.Avoid)
 	case event.Leave:
 		core.leave()
 	}
@@ -118,6 +122,7 @@
 		core.tick(effects)
 	}
 	effects.Backends = core.affinity.changes()
+	effects.Outcomes = core.affinity.outcomes()
 	effects.Overload = core.affinity.overloads()
 	effects.Unsure = !core.sure
 	effects.HandoverDone = core.leaving && core.handover.idle()
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -39,6 +39,11 @@
 // changes gives nothing: the chain's evidence is gathered by its node.
 func (chainAffinity) changes() []observe.Change { return nil }
 
+// outcomes gives nothing, and avoid does nothing: see changes.
+func (chainAffinity) outcomes() []observe.Outcome { return nil }
+
+func (chainAffinity) avoid([]observe.Identity) {}
+
 // overloads and pressures give nothing: this affinity has no overload control.
 func (chainAffinity) overloads() []overload.Change { return nil }
 
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -51,6 +51,10 @@
 	a.cold.SetMembers(a.core.now, known)
 }
 
+func (a *tokenAffinity) outcomes() []observe.Outcome { return a.observer.Outcomes() }
+
+func (a *tokenAffinity) avoid(identities []observe.Identity) { a.observer.Avoid(identities) }
+
 func (a *tokenAffinity) changes() []observe.Change { return a.observer.Changes() }
 
 func (a *tokenAffinity) overloads() []overload.Change { return a.overload.Changes() }
@@ -136,7 +140,7 @@
 			}
 		}
 	}
-	if service.NeedsCold() {
+	if service.NeedsCold {
 		if host := service.PickCold(flow, func(host *steering.Host) bool { return a.mayUse(service, host) }); host != nil {
 			return host, false
 		}
@@ -194,6 +198,8 @@
 	}
 	forwardTo(decision, host)
 	decision.Token = packet.Token
+	a.observer.Measure(a.core.now, packet.Key.ID(), frontend, observe.Identity(host.Identity),
+		packet.Acknowledged, packet.HasData, packet.Kind == PacketClosing)
 	took, answered := a.observer.Later(a.core.now, packet.Key.ID(), host.Service,
 		observe.Identity(host.Identity), packet.Acknowledged, packet.HasData)
 	if !answered {
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -35,6 +35,13 @@
 	core.checkReader()
 }
 
+// Zone gives the nodes of the own zone by rank, this one included. It holds until
+// the next step.
+func (core *Core) Zone() []Peer { return core.ranked }
+
+// Heads gives the first nodes of the other zones. It holds until the next step.
+func (core *Core) Heads() []Peer { return core.heads }
+
 // position is the place of a node of the own zone by rank; -1: it is not there.
 func (core *Core) position(id lb.NodeID) int {
 	return slices.IndexFunc(core.ranked, func(peer Peer) bool { return peer.ID == id })
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -41,6 +41,8 @@
 	EventDropped          Event = "dropped"
 	EventBackendSilent    Event = "backend_silent"
 	EventBackendAnswers   Event = "backend_answers"
+	EventBackendAvoided   Event = "backend_avoided"
+	EventBackendTrusted   Event = "backend_trusted"
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
 	EventMalformed        Event = "malformed_packets"
@@ -56,7 +58,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventOverloaded, EventOverloadEnded, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -89,6 +91,10 @@
 	FieldPriority  = "priority"
 	FieldAdmitted  = "admitted"
 	FieldRefused   = "refused"
+	FieldBad       = "bad"
+	FieldGood      = "good"
+	FieldReporters = "reporters"
+	FieldOthers    = "others"
 	FieldEvacuated = "evacuated_zones"
 
 	FieldAdmission = "admission"
--- /dev/null
+++ b/internal/message/outcome_test.go
@@ -0,0 +1,28 @@
+package message
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestOutcomesAreChecked(t *testing.T) {
+	is := is.New(t)
+	for _, good := range []Message{
+		OutcomeReport{Backends: []BackendOutcomes{{Identity: 1, Bad: 2, Good: 3, Reporters: 1}}},
+		OutcomeVerdict{Sender: "n", Number: 1, Watched: []uint64{1}, Avoided: []uint64{2}},
+	} {
+		_, err := Encode(nil, "n", good)
+		is.NoErr(err)
+	}
+	for want, bad := range map[string]Message{
+		"backends": OutcomeReport{Backends: []BackendOutcomes{{Identity: 1, Bad: -1}}},
+		"sender":   OutcomeVerdict{Number: 1},
+		"watched":  OutcomeVerdict{Sender: "n", Watched: make([]uint64, maxOutcomeBackends+1)},
+	} {
+		_, err := Encode(nil, "n", bad)
+		if err == nil {
+			t.Errorf("%s: no error", want)
+		}
+	}
+}
--- a/internal/message/validate.go
+++ b/internal/message/validate.go
@@ -56,6 +56,10 @@
 		return TypeViewDigest, validateViewDigest(message)
 	case ViewWant:
 		return TypeViewWant, validateViewWant(message)
+	case OutcomeReport:
+		return TypeOutcomeReport, validateOutcomeReport(message)
+	case OutcomeVerdict:
+		return TypeOutcomeVerdict, validateOutcomeVerdict(message)
 	case ViewDelta:
 		return TypeViewDelta, validateViewDelta(message)
 	}
--- a/internal/observe/factor.go
+++ b/internal/observe/factor.go
@@ -49,6 +49,19 @@
 // Factor is by how much the weight of a back end is lowered: 0 for one that is
 // silent, 1 for one of which nothing bad is known.
 func (o *Observer) Factor(now time.Duration, service lb.ServiceName, identity Identity) float64 {
+	factor := o.ownFactor(now, service, identity)
+	if o.avoided[identity] {
+		factor = min(factor, avoidedFactor)
+	}
+	return factor
+}
+
+// avoidedFactor keeps a trickle of flows going to back ends that the nodes together
+// avoid, which shows when they have recovered.
+const avoidedFactor = 1.0 / 16
+
+// ownFactor is Factor by what this balancer has seen itself.
+func (o *Observer) ownFactor(now time.Duration, service lb.ServiceName, identity Identity) float64 {
 	backend := o.backends[identity]
 	if backend == nil {
 		return 1
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -53,8 +53,10 @@
 // request is a request whose answer was not seen.
 type request struct {
 	identity     Identity
+	service      lb.ServiceName
 	at           time.Duration
 	acknowledged uint32
+	overdue      bool // noted as missing
 }
 
 // health is what is known of one back end.
@@ -71,6 +73,12 @@
 	settings Settings
 	openings map[lb.FlowID]opening
 	requests map[lb.FlowID]request
+	// exchanges are requests whose answers are to be measured, sizes what answers measure.
+	exchanges map[lb.FlowID]exchange
+	sizes     map[lb.FrontendKey]*sizes
+	outcomes  []Outcome
+	// avoided are back ends that the nodes together take for failing.
+	avoided  map[Identity]bool
 	backends map[Identity]*health
 	typical  map[lb.ServiceName]float64 // seconds; what fast answers of a service take
 	sweepAt  time.Duration
@@ -95,11 +103,13 @@
 // New gives an observer that knows nothing.
 func New(settings Settings) *Observer {
 	return &Observer{
-		settings: settings,
-		openings: make(map[lb.FlowID]opening),
-		requests: make(map[lb.FlowID]request),
-		backends: make(map[Identity]*health),
-		typical:  make(map[lb.ServiceName]float64),
+		settings:  settings,
+		openings:  make(map[lb.FlowID]opening),
+		requests:  make(map[lb.FlowID]request),
+		exchanges: make(map[lb.FlowID]exchange),
+		sizes:     make(map[lb.FrontendKey]*sizes),
+		backends:  make(map[Identity]*health),
+		typical:   make(map[lb.ServiceName]float64),
 	}
 }
 
@@ -150,13 +160,16 @@
 		delete(o.requests, flow)
 		o.alive(now, identity)
 		took, answered = now-pending.at, true
+		if pending.overdue {
+			o.note(identity, false) // it was late only
+		}
 		o.sample(now, service, identity, took)
 		waiting = false
 	case !hasData:
 		return 0, false
 	}
 	if hasData && !waiting && len(o.requests) < o.settings.MaxFlows {
-		o.requests[flow] = request{identity: identity, at: now, acknowledged: acknowledged}
+		o.requests[flow] = request{identity: identity, service: service, at: now, acknowledged: acknowledged}
 	}
 	return took, answered
 }
@@ -187,6 +200,7 @@
 	if !o.silentSince(pending.identity, pending.at) {
 		return // it has answered others: this packet, or its answer, was lost
 	}
+	o.note(pending.identity, true)
 	known := o.health(pending.identity)
 	known.missing++
 	if now >= known.silent {
@@ -213,16 +227,20 @@
 			delete(o.openings, flow)
 		}
 	}
-	for flow, pending := range o.requests {
-		if now-pending.at > requestTime {
-			delete(o.requests, flow)
-		}
-	}
+	o.sweepRequests(now)
 }
 
 // requestTime is how long an unanswered request is remembered.
 const requestTime = 5 * time.Second
 
+// Avoid sets the back ends that the nodes together take for failing.
+func (o *Observer) Avoid(identities []Identity) {
+	o.avoided = make(map[Identity]bool, len(identities))
+	for _, identity := range identities {
+		o.avoided[identity] = true
+	}
+}
+
 // Forget drops what is known of all back ends but those to keep.
 func (o *Observer) Forget(keep func(Identity) bool) {
 	for identity := range o.backends {
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -6,6 +6,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -47,6 +49,10 @@
 	// a second: package coldstart says who may send which.
 	Cold     []*Host
 	ColdRate float64
+	// NeedsCold tells whether the ready back ends are fewer than the cold ones, by what
+	// they work on at once. Otherwise cold ones are left to warm up, since the others
+	// bear what they would have got: at most twice their usual part, for seconds.
+	NeedsCold bool
 	// evacuated counts those that would take new flows, were their zone not evacuated.
 	evacuated int
 	// away counts those that went while nothing was heard of the store.
@@ -113,6 +119,9 @@
 // Expires is when the table must be compiled again; 0: not before the view changes.
 func (t *Table) Expires() time.Duration { return t.expires }
 
+// Services gives all services that a route or a back end names, in no particular order.
+func (t *Table) Services() iter.Seq2[lb.ServiceName, *Service] { return maps.All(t.services) }
+
 // Hosts gives all back ends, by the order in which they were made.
 func (t *Table) Hosts() []*Host { return t.hosts }
 
@@ -138,6 +147,7 @@
 		service.keepLapsed()
 		service.setShares(zone, len(zones))
 		service.setCapacities()
+		service.NeedsCold = capacityOf(service.Ready) < capacityOf(service.Cold)
 	}
 }
 
@@ -262,13 +272,6 @@
 	return len(s.Ready) == 0 && len(s.Lapsed) == 0 && len(s.Cold) == 0 && s.evacuated > 0
 }
 
-// NeedsCold tells whether the ready back ends are fewer than the cold ones, by what
-// they work on at once. Otherwise cold ones are left to warm up, since the others
-// bear what they would have got: at most twice their usual part, for seconds.
-func (s *Service) NeedsCold() bool {
-	return capacityOf(s.Ready) < capacityOf(s.Cold)
-}
-
 // HasService tells whether a route or a back end names the service.
 func (t *Table) HasService(name lb.ServiceName) bool { return t.services[name] != nil }
 
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -197,7 +197,7 @@
 	is.Equal(service.Cold[0].Name, lb.BackendName("i-2"))
 	is.True(service.Cold[0].Cold)
 	is.Equal(service.ColdRate, 10.0)
-	is.Equal(service.NeedsCold(), false)
+	is.Equal(service.NeedsCold, false)
 	is.Equal(table.Expires(), 2*time.Second)
 	frontend := flow.Frontend()
 	is.Equal(table.Resolve(&frontend, service.Cold[0].Token(&frontend)), service.Cold[0]) // its flows go on
@@ -226,7 +226,7 @@
 	world.listing.Configuration.Configuration.ColdRates = []view.ColdRate{{Service: "web", PerSecond: 10}}
 	flow := flowTo(443, 1)
 	service := world.table(zoneA).Service(&flow)
-	is.True(service.NeedsCold()) // 4 slots ready, 5 cold
+	is.True(service.NeedsCold) // 4 slots ready, 5 cold
 	is.Equal(service.PickCold(flow.ID(), func(*Host) bool { return false }), nil)
 	is.Equal(service.PickCold(flow.ID(), func(host *Host) bool { return host.Name == "i-2" }).Name, lb.BackendName("i-2"))
 }
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -10,6 +10,7 @@
 	"robinpulley.example/robinpulley/internal/availability"
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/evidence"
 	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
@@ -46,6 +47,10 @@
 	follower        *follower.Core
 	followerEffects follower.Effects
 	table           *steering.Table // nil: no view yet
+	evidence        *evidence.Core
+	evidenceEffects evidence.Effects
+	outcomes        []evidence.Outcome
+	judges          bool // this node judges back ends for its zone
 	zone            *availability.Zone
 	others          int // living members besides this node
 	leaving         int // living members in a planned stop, this one included
@@ -95,6 +100,7 @@
 		core:         core.New(deciding),
 		member:       membership,
 		follower:     follower.New(following),
+		evidence:     evidence.New(evidence.DefaultSettings(settings.Node)),
 		zone:         availability.New(availability.DefaultSettings(settings.Node)),
 		calls:        newCallCounts(),
 		decisions:    newDecisionLog(logger),
@@ -156,6 +162,7 @@
 		engine.followerStep(&follower.Event{})
 		engine.core.Step(engine.now(), &core.Event{Tick: true}, &engine.coreEffects)
 		engine.logChanges()
+		engine.evidenceStep(&evidence.Event{})
 		if engine.table != nil && engine.table.Expires() != 0 && engine.last >= engine.table.Expires() {
 			engine.compile()
 		}
@@ -165,7 +172,11 @@
 // receive takes one message from a peer.
 func (engine *engine) receive(incoming transport.Incoming) {
 	engine.input(func() {
-		switch incoming.Message.(type) {
+		switch received := incoming.Message.(type) {
+		case message.OutcomeReport:
+			engine.evidenceStep(&evidence.Event{Report: &received})
+		case message.OutcomeVerdict:
+			engine.evidenceStep(&evidence.Event{Verdict: &received})
 		case message.Ping, message.PingAck, message.PingReq, message.Members:
 			engine.memberStep(&member.Event{Peer: &member.PeerEvent{
 				From: incoming.From, Address: incoming.Address, Message: incoming.Message,
@@ -228,6 +239,7 @@
 	}
 	if engine.memberEffects.Changed {
 		engine.followerStep(&follower.Event{Peers: engine.noteMembers()})
+		engine.placeEvidence()
 	}
 }
 
@@ -291,6 +303,7 @@
 	}
 	engine.table = steering.Compile(replica, engine.settings.Zone, engine.last)
 	engine.core.Step(engine.now(), &core.Event{Table: engine.table}, &engine.coreEffects)
+	engine.giveServices()
 }
 
 // resolve gives the control address of a known node.
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -33,8 +33,9 @@
 	return names
 }
 
-// logChanges logs what the core has begun to believe.
+// logChanges logs what the core has begun to believe, and passes on what it has seen.
 func (engine *engine) logChanges() {
+	engine.noteOutcomes()
 	engine.logBackends()
 	engine.logOverload()
 }
--- /dev/null
+++ b/internal/tokennode/evidence.go
@@ -0,0 +1,112 @@
+package tokennode
+
+import (
+	"strconv"
+
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/evidence"
+	"robinpulley.example/robinpulley/internal/follower"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/logging"
+	"robinpulley.example/robinpulley/internal/observe"
+)
+
+// evidenceWidth is how many nodes report to one: a zone of a thousand nodes is four
+// levels deep, and no node hears more than eight reports in a window.
+const evidenceWidth = 8
+
+// evidenceStep gives one event to the evidence and carries out its effects.
+func (engine *engine) evidenceStep(event *evidence.Event) {
+	engine.evidence.Step(engine.now(), event, &engine.evidenceEffects)
+	for _, outgoing := range engine.evidenceEffects.Messages {
+		engine.outbox = append(engine.outbox, follower.Outgoing{To: outgoing.To, Message: outgoing.Message})
+	}
+	engine.logEvidence()
+	if !engine.evidenceEffects.Changed {
+		return
+	}
+	avoided := make([]observe.Identity, 0, len(engine.evidenceEffects.Avoided))
+	for _, identity := range engine.evidenceEffects.Avoided {
+		avoided = append(avoided, observe.Identity(identity))
+	}
+	engine.core.Step(engine.now(), &core.Event{Avoid: avoided}, &engine.coreEffects)
+}
+
+// noteOutcomes tells the evidence what the core has seen of back ends.
+func (engine *engine) noteOutcomes() {
+	if len(engine.coreEffects.Outcomes) == 0 {
+		return
+	}
+	engine.outcomes = engine.outcomes[:0]
+	for _, outcome := range engine.coreEffects.Outcomes {
+		engine.outcomes = append(engine.outcomes, evidence.Outcome{Identity: evidence.Identity(outcome.Identity), Bad: outcome.Bad})
+	}
+	engine.evidenceStep(&evidence.Event{Outcomes: engine.outcomes})
+}
+
+// placeEvidence tells the evidence where this node is in the tree over its zone.
+func (engine *engine) placeEvidence() {
+	place := placeOf(engine.settings.Node, engine.follower.Zone(), engine.follower.Heads())
+	place.Nodes = engine.others + 1
+	engine.judges = place.First
+	engine.evidenceStep(&evidence.Event{Place: &place})
+	engine.giveServices()
+}
+
+// placeOf gives the place of a node in the tree over its zone's nodes by rank.
+func placeOf(self lb.NodeID, zone, heads []follower.Peer) evidence.Place {
+	rank := -1
+	for index := range zone {
+		if zone[index].ID == self {
+			rank = index
+		}
+	}
+	place := evidence.Place{First: rank == 0}
+	if rank < 0 {
+		return place // taken for dead: it hears of verdicts again when it is back
+	}
+	if rank > 0 {
+		place.Parent = zone[(rank-1)/evidenceWidth].Control
+	} else {
+		for index := range heads {
+			place.Heads = append(place.Heads, heads[index].Control)
+		}
+	}
+	for child := rank*evidenceWidth + 1; child <= (rank+1)*evidenceWidth && child < len(zone); child++ {
+		place.Children = append(place.Children, zone[child].Control)
+	}
+	return place
+}
+
+// giveServices tells a node that judges which back ends take new flows.
+func (engine *engine) giveServices() {
+	if !engine.judges || engine.table == nil {
+		return
+	}
+	services := make(map[lb.ServiceName][]evidence.Identity)
+	for name, service := range engine.table.Services() {
+		for _, host := range service.Ready {
+			services[name] = append(services[name], evidence.Identity(host.Identity))
+		}
+	}
+	engine.evidenceStep(&evidence.Event{Services: services})
+}
+
+// logEvidence logs the back ends that the nodes together avoid, or no longer, with what decided it.
+func (engine *engine) logEvidence() {
+	for _, change := range engine.evidenceEffects.Changes {
+		event := logging.EventBackendTrusted
+		if change.Avoided {
+			event = logging.EventBackendAvoided
+		}
+		engine.logger.Warn().
+			Str(logging.FieldEvent, string(event)).
+			Str(logging.FieldBackend, strconv.FormatUint(uint64(change.Identity), 16)).
+			Str(logging.FieldService, string(change.Service)).
+			Float64(logging.FieldBad, change.Bad).
+			Float64(logging.FieldGood, change.Good).
+			Float64(logging.FieldReporters, change.Reporters).
+			Float64(logging.FieldOthers, change.Others).
+			Send()
+	}
+}
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -65,6 +65,8 @@
 		"Version of the configuration in force.")
 	metricEvacuated = metrics.New(prometheus.GaugeValue, "zone_evacuated",
 		"1 for each zone whose back ends get no new flows by the operators' word.", "zone")
+	metricAvoided = metrics.New(prometheus.GaugeValue, "backends_avoided",
+		"Back ends that this node avoids since the nodes together take them for failing.")
 	metricRank = metrics.New(prometheus.GaugeValue, "reader_rank",
 		"Place of this node among those of its zone, by which they lose patience with an old view.")
 	metricReads = metrics.New(prometheus.GaugeValue, "reader",
@@ -102,7 +104,7 @@
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricEvacuated, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
+	metricEvacuated, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 }
 
@@ -152,6 +154,7 @@
 	for _, zone := range state.evacuated {
 		output.Add(metricEvacuated, 1, string(zone))
 	}
+	output.Add(metricAvoided, float64(state.avoided))
 	output.Add(metricRank, float64(state.rank))
 	output.Add(metricReads, state.reads)
 	output.Add(metricMembers, float64(state.members))
@@ -202,6 +205,7 @@
 	revision  int64
 	version   uint64
 	evacuated []lb.Zone
+	avoided   int
 	age       float64 // seconds
 	rank      int
 	reads     float64 // 1: this node reads for the others
@@ -223,6 +227,7 @@
 		revision:  engine.follower.Replica().Revision(),
 		version:   engine.follower.Replica().Version(),
 		evacuated: engine.follower.Replica().Evacuated(),
+		avoided:   engine.evidence.Avoided(),
 		rank:      engine.follower.Rank(),
 		members:   engine.others + 1,
 		leaving:   engine.leaving,
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -142,6 +142,8 @@
 const (
 	digestLifetime = 200 * time.Millisecond // another one follows
 	deltaLifetime  = time.Second            // it is asked for again
+	// outcomeLifetime: older ones speak of what may be over.
+	outcomeLifetime = 500 * time.Millisecond
 )
 
 // Lifetime is how long a message may wait; zero: as long as it takes.
@@ -149,6 +151,8 @@
 	switch m.(type) {
 	case message.ViewDigest:
 		return digestLifetime
+	case message.OutcomeReport, message.OutcomeVerdict:
+		return outcomeLifetime
 	case message.ViewDelta, message.ViewWant:
 		return deltaLifetime
 	}
