Admin address: readiness, metrics and the log of a failure stand once

internal/node and internal/tokennode each had the pages that every balancer shows; adminserver has them now, and each affinity gives whether it is ready and its own routes.

--- a/internal/adminserver/adminserver.go
+++ b/internal/adminserver/adminserver.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/logging"
 )
 
 // headerTimeout bounds how long a client may take for its request header.
@@ -19,7 +22,7 @@
 	server   *http.Server
 }
 
-// Open listens on the address. Serve must follow, or Close.
+// Open listens on the address. Run must follow, or Close.
 func Open(address netip.AddrPort) (*Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -28,11 +31,28 @@
 	return &Server{listener: listener, server: &http.Server{ReadHeaderTimeout: headerTimeout}}, nil
 }
 
-// Serve answers by the routes, and by GET /healthz with 200, until Close.
-func (server *Server) Serve(routes *http.ServeMux) error {
+// Pages are what every balancer shows.
+type Pages struct {
+	// Ready tells whether the node may be sent packets, and why not.
+	Ready func() (ready bool, reason string)
+	// Metrics serves them in the Prometheus text format.
+	Metrics http.Handler
+}
+
+// Run serves the pages, and further routes of the node's own, until Close, and logs
+// if it ends before.
+func (server *Server) Run(logger zerolog.Logger, pages Pages, routes *http.ServeMux) {
+	if err := server.serve(pages, routes); err != nil {
+		logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
+	}
+}
+
+func (server *Server) serve(pages Pages, routes *http.ServeMux) error {
 	routes.HandleFunc("GET /healthz", func(response http.ResponseWriter, _ *http.Request) {
 		response.WriteHeader(http.StatusOK)
 	})
+	routes.HandleFunc("GET /readyz", pages.serveReady)
+	routes.Handle("GET /metrics", pages.Metrics)
 	server.server.Handler = routes
 	err := server.server.Serve(server.listener)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -41,7 +61,16 @@
 	return errors.Wrap(err, "admin address")
 }
 
-// Close ends Serve.
+// serveReady answers 200 when the node may be sent packets, else 503 with the reason.
+func (pages Pages) serveReady(response http.ResponseWriter, _ *http.Request) {
+	if ready, reason := pages.Ready(); !ready {
+		http.Error(response, reason, http.StatusServiceUnavailable)
+		return
+	}
+	response.WriteHeader(http.StatusOK)
+}
+
+// Close ends Run.
 func (server *Server) Close() {
 	_ = server.server.Close() // nothing is left to be done about it
 	_ = server.listener.Close()
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -9,25 +9,23 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"robinpulley.example/robinpulley/internal/adminserver"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lb"
-	"robinpulley.example/robinpulley/internal/logging"
 )
 
 // serveAdmin serves metrics, health and debugging until the node is closed.
 func (node *Node) serveAdmin() {
 	routes := http.NewServeMux()
-	routes.HandleFunc("GET /readyz", node.serveReady)
-	routes.Handle("GET /metrics", promhttp.HandlerFor(node.registry(), promhttp.HandlerOpts{}))
 	if node.settings.AllowFaultInjection {
 		routes.HandleFunc("POST /debug/cut", node.serveCut)
 	}
 	routes.HandleFunc("GET /debug/state", node.serveState)
-	node.background.Go(func() {
-		if err := node.admin.Serve(routes); err != nil {
-			node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
-		}
-	})
+	pages := adminserver.Pages{
+		Ready:   node.isReady,
+		Metrics: promhttp.HandlerFor(node.registry(), promhttp.HandlerOpts{}),
+	}
+	node.background.Go(func() { node.admin.Run(node.logger, pages, routes) })
 }
 
 // registry holds the metrics of this node and of its process.
@@ -41,20 +39,18 @@
 	return registry
 }
 
-// serveReady answers 200 when the node may be sent packets. Before it has
-// placements, and from the beginning of its planned stop, it answers 503.
-func (node *Node) serveReady(response http.ResponseWriter, _ *http.Request) {
+// isReady tells whether the node may be sent packets: not before it has placements,
+// nor from the beginning of its planned stop on.
+func (node *Node) isReady() (ready bool, reason string) {
 	select {
 	case <-node.stopping:
-		http.Error(response, "stopping", http.StatusServiceUnavailable)
-		return
+		return false, "stopping"
 	default:
 	}
 	if !node.ready.Load() {
-		http.Error(response, "no placements yet", http.StatusServiceUnavailable)
-		return
+		return false, "no placements yet"
 	}
-	response.WriteHeader(http.StatusOK)
+	return true, ""
 }
 
 // DebugState is what /debug/state shows.
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -191,7 +191,7 @@
 }
 
 func readyValue(node *Node) float64 {
-	if ready, _ := node.engine.readiness(); ready && !node.unready.Load() {
+	if ready, _ := node.isReady(); ready {
 		return 1
 	}
 	return 0
