--- a/cmd/robinlab/platform.go
+++ b/cmd/robinlab/platform.go
@@ -18,7 +18,8 @@
 
 // demoSteps is what befalls the platform, one thing after the other: a host
 // is replaced, one balancer is stopped as planned, one is killed, a route
-// comes, the store falls silent and comes back, a route changes its service.
+// comes, the store falls silent and comes back, a route changes its service, a
+// zone is taken out of use and back.
 func demoSteps() []soak.Step {
 	return []soak.Step{
 		{At: 2 * time.Second, Fault: "drain", Target: 0},
@@ -27,6 +28,7 @@
 		{At: 9 * time.Second, Fault: "change", Target: 0},
 		{At: 10 * time.Second, Lasts: 2 * time.Second, Fault: "store_silent"},
 		{At: 14 * time.Second, Fault: "change", Target: 0},
+		{At: 15 * time.Second, Lasts: 2 * time.Second, Fault: "evacuate", Target: 0},
 		{At: 19 * time.Second, Fault: "reload", Target: 0},
 	}
 }
