Evidence: nodes that have just started report nothing

Ruled out: hosts that had crashed before (not among those that take new flows), short answers (none). Change: a node reports nothing in its first 5 s.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -24,6 +24,10 @@
 	Self lb.NodeID
 	// Window is the time between two reports of a node.
 	Window time.Duration
+	// Youth is how long a node that has started reports nothing: it sees the flows that
+	// others had, and the backlog of callers who have waited, and does not know yet
+	// what answers usually take.
+	Youth time.Duration
 	// HalfLife is the time in which evidence loses half of its weight.
 	HalfLife time.Duration
 	// LeastBad is how many bad outcomes, by as many nodes, make a suspect, and Ratio
@@ -60,6 +64,7 @@
 	return Settings{
 		Self:           self,
 		Window:         100 * time.Millisecond,
+		Youth:          5 * time.Second,
 		HalfLife:       2 * time.Second,
 		LeastBad:       1.5, // two, as they fade
 		Ratio:          8,
@@ -136,6 +141,8 @@
 type Core struct {
 	settings Settings
 	now      time.Duration
+	started  bool
+	startAt  time.Duration
 	place    Place
 	pending  pending
 	nextSend time.Duration
@@ -167,6 +174,10 @@
 func (c *Core) Step(now time.Duration, event *Event, effects *Effects) {
 	*effects = Effects{Messages: effects.Messages[:0]}
 	c.now = max(now, c.now)
+	if !c.started {
+		c.started = true
+		c.startAt = c.now
+	}
 	switch {
 	case event.Outcomes != nil:
 		c.note(event.Outcomes)
@@ -186,6 +197,9 @@
 
 // note counts what this node has seen.
 func (c *Core) note(outcomes []Outcome) {
+	if c.now-c.startAt < c.settings.Youth {
+		return
+	}
 	for _, outcome := range outcomes {
 		c.pending.note(outcome, c.watched[outcome.Identity])
 	}
--- a/internal/evidence/fleet_test.go
+++ b/internal/evidence/fleet_test.go
@@ -61,6 +61,7 @@
 		}
 	}
 	f.place()
+	f.now = DefaultSettings("n").Youth
 	return f
 }
 
@@ -240,6 +241,18 @@
 		}
 	},
 	"a fifth of all requests vanish": func(f *fleet) { f.fails = func(Identity) float64 { return 0.2 } },
+	"all nodes start, and a third of the back ends has a backlog for two seconds": func(f *fleet) {
+		for _, node := range f.nodes {
+			node.core.started = false
+		}
+		began := f.now
+		f.fails = func(identity Identity) float64 {
+			if identity%3 == 0 && f.now < began+2*time.Second {
+				return 0.8
+			}
+			return 0.01
+		}
+	},
 	"nodes that restart": func(f *fleet) {
 		for index := range 9 {
 			node := f.nodes[index*10]
