Lifecycle: planned stop, events of a life and the closing of endpoints stand once

What internal/node and internal/tokennode both had (Stop, the reasons and events of a stop, what is logged when a part fails, closing admin, transport and plane) is internal/lifecycle; the admin server no longer logs.

--- a/internal/adminserver/adminserver.go
+++ b/internal/adminserver/adminserver.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
-
-	"robinpulley.example/robinpulley/internal/logging"
 )
 
 // headerTimeout bounds how long a client may take for its request header.
@@ -22,7 +19,7 @@
 	server   *http.Server
 }
 
-// Open listens on the address. Run must follow, or Close.
+// Open listens on the address. Serve must follow, or Close.
 func Open(address netip.AddrPort) (*Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -39,15 +36,8 @@
 	Metrics http.Handler
 }
 
-// Run serves the pages, and further routes of the node's own, until Close, and logs
-// if it ends before.
-func (server *Server) Run(logger zerolog.Logger, pages Pages, routes *http.ServeMux) {
-	if err := server.serve(pages, routes); err != nil {
-		logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
-	}
-}
-
-func (server *Server) serve(pages Pages, routes *http.ServeMux) error {
+// Serve serves the pages, and further routes of the node's own, until Close.
+func (server *Server) Serve(pages Pages, routes *http.ServeMux) error {
 	routes.HandleFunc("GET /healthz", func(response http.ResponseWriter, _ *http.Request) {
 		response.WriteHeader(http.StatusOK)
 	})
@@ -70,7 +60,7 @@
 	response.WriteHeader(http.StatusOK)
 }
 
-// Close ends Run.
+// Close ends Serve.
 func (server *Server) Close() {
 	_ = server.server.Close() // nothing is left to be done about it
 	_ = server.listener.Close()
--- /dev/null
+++ b/internal/lifecycle/lifecycle_test.go
@@ -0,0 +1,44 @@
+package lifecycle
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+func TestPlannedStopBeginsOnce(t *testing.T) {
+	is := is.New(t)
+	life := New(zerolog.Nop())
+	is.Equal(life.IsStopping(), false)
+	life.Stop()
+	life.Stop() // a second request changes nothing
+	is.True(life.IsStopping())
+	<-life.Stopping()
+}
+
+func TestEventsOfALife(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	life := New(zerolog.New(&output))
+	life.Failed(nil)
+	is.Equal(output.Len(), 0)
+	life.Failed(errors.New("no more descriptors"))
+	life.Stopped(DrainLimit)
+	is.True(errors.Is(life.StoppedAtOnce(), lb.ErrStoppedAtOnce))
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	is.Equal(lines, []string{
+		`{"level":"error","error":"no more descriptors","event":"failed"}`,
+		`{"level":"info","event":"stopped","reason":"drain_limit"}`,
+		`{"level":"info","event":"stopped_at_once"}`,
+	})
+}
+
+func TestEndpointsThatWereNeverOpenedAreClosed(*testing.T) {
+	(&Endpoints{}).Close()
+}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -25,7 +25,7 @@
 		Ready:   node.isReady,
 		Metrics: promhttp.HandlerFor(node.registry(), promhttp.HandlerOpts{}),
 	}
-	node.background.Go(func() { node.admin.Run(node.logger, pages, routes) })
+	node.background.Go(func() { node.life.Failed(node.endpoints.Admin.Serve(pages, routes)) })
 }
 
 // registry holds the metrics of this node and of its process.
@@ -42,10 +42,8 @@
 // isReady tells whether the node may be sent packets: not before it has placements,
 // nor from the beginning of its planned stop on.
 func (node *Node) isReady() (ready bool, reason string) {
-	select {
-	case <-node.stopping:
+	if node.life.IsStopping() {
 		return false, "stopping"
-	default:
 	}
 	if !node.ready.Load() {
 		return false, "no placements yet"
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -217,7 +217,7 @@
 }
 
 func (output sampler) control(node *Node) {
-	counters := node.transport.Counters()
+	counters := node.endpoints.Transport.Counters()
 	for _, traffic := range counters.Traffic {
 		output.Count(metricControlBytes, traffic.Bytes, string(traffic.Type), string(traffic.Direction))
 		output.Count(metricControlMessages, traffic.Messages, string(traffic.Type), string(traffic.Direction))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,7 @@
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/health"
-	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/lifecycle"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
@@ -41,30 +41,27 @@
 	cuts      cuts
 	engine    *engine
 	store     *store.Client
-	transport *transport.Transport
 	guard     *dataplane.Guard
-	plane     *dataplane.Plane
 	prober    *health.Prober
 	writes    writeCounts
 	targets   probeTargets // owned by the watch of the store
-	admin     *adminserver.Server
+	endpoints lifecycle.Endpoints
+	life      *lifecycle.Life
 
 	statusMutex sync.Mutex  // held while the zone's report is written
 	opened      atomic.Bool // all endpoints are open
 	ready       atomic.Bool
-	stopping    chan struct{} // closed when the planned stop begins
-	stopOnce    sync.Once
 	background  sync.WaitGroup
 }
 
 // New opens the endpoints of a balancer. Run must follow, which closes them.
 func New(settings *config.Settings, logger zerolog.Logger) (*Node, error) {
-	node := &Node{settings: settings, logger: logger, stopping: make(chan struct{})}
+	node := &Node{settings: settings, logger: logger, life: lifecycle.New(logger)}
 	if err := node.buildEngine(); err != nil {
 		return nil, err
 	}
 	if err := node.open(); err != nil {
-		node.close()
+		node.endpoints.Close()
 		return nil, err
 	}
 	return node, nil
@@ -77,12 +74,12 @@
 	if node.store, err = store.New(store.DefaultSettings(node.settings.StoreEndpoints, seed)); err != nil {
 		return err
 	}
-	if node.admin, err = adminserver.Open(node.settings.AdminAddress); err != nil {
+	if node.endpoints.Admin, err = adminserver.Open(node.settings.AdminAddress); err != nil {
 		return err
 	}
 	budget := transport.DefaultBudget()
 	budget.BytesPerSecond = node.settings.Limits.ControlBytesPerSecond
-	node.transport, err = transport.Open(transport.Settings{
+	node.endpoints.Transport, err = transport.Open(transport.Settings{
 		Self:    node.settings.Node,
 		Listen:  node.settings.ControlAddress,
 		Budget:  budget,
@@ -93,27 +90,14 @@
 	if err != nil {
 		return err
 	}
-	node.plane, err = dataplane.New(node.planeOptions())
+	node.endpoints.Plane, err = dataplane.New(node.planeOptions())
 	node.opened.Store(err == nil)
 	return err
 }
 
-// close closes what open opened.
-func (node *Node) close() {
-	if node.plane != nil {
-		_ = node.plane.Close() // nothing is left to be done about it
-	}
-	if node.transport != nil {
-		_ = node.transport.Close()
-	}
-	if node.admin != nil {
-		node.admin.Close()
-	}
-}
-
 // transmit sends a message to a control address.
 func (node *Node) transmit(to netip.AddrPort, outgoing message.Message) {
-	node.transport.Send(to, outgoing)
+	node.endpoints.Transport.Send(to, outgoing)
 }
 
 // receive takes a message from a peer. Those that come while this node is
@@ -126,21 +110,19 @@
 }
 
 // Stop begins a planned stop. Run returns when it is finished.
-func (node *Node) Stop() {
-	node.stopOnce.Do(func() { close(node.stopping) })
-}
+func (node *Node) Stop() { node.life.Stop() }
 
 // Reload does nothing but say so: the settings of this affinity are read at the start.
-func (node *Node) Reload() { node.logEvent(logging.EventReloadIgnored) }
+func (node *Node) Reload() { node.life.Log(logging.EventReloadIgnored) }
 
 // Run serves until a planned stop is finished, or until ctx ends, which stops
 // it at once with lb.ErrStoppedAtOnce.
 func (node *Node) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(ctx)
 	defer node.background.Wait()
-	defer node.close()
+	defer node.endpoints.Close()
 	defer cancel()
-	node.logEvent(logging.EventStarting)
+	node.life.Log(logging.EventStarting)
 	node.serveAdmin()
 	node.background.Go(func() { node.movePackets(running) })
 	node.background.Go(func() { node.watchStore(running) })
@@ -158,19 +140,16 @@
 		node.background.Go(func() { node.followMachines(running) })
 	}
 	select {
-	case <-node.stopping:
+	case <-node.life.Stopping():
 	case <-ctx.Done():
-		node.logEvent(logging.EventStoppedAtOnce)
-		return lb.ErrStoppedAtOnce
+		return node.life.StoppedAtOnce()
 	}
 	return node.stopAsPlanned(ctx)
 }
 
 // movePackets runs the data plane until ctx ends.
 func (node *Node) movePackets(ctx context.Context) {
-	if err := node.plane.Run(ctx); err != nil {
-		node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
-	}
+	node.life.Failed(node.endpoints.Plane.Run(ctx))
 }
 
 // tickUntil ticks the engine until ctx ends.
@@ -186,7 +165,3 @@
 		}
 	}
 }
-
-func (node *Node) logEvent(event logging.Event) {
-	node.logger.Info().Str(logging.FieldEvent, string(event)).Send()
-}
--- a/internal/node/plane.go
+++ b/internal/node/plane.go
@@ -29,7 +29,7 @@
 }
 
 // fabricPackets counts the packets that the fabric has sent to this node.
-func (node *Node) fabricPackets() uint64 { return node.plane.Counters().FromFabric }
+func (node *Node) fabricPackets() uint64 { return node.endpoints.Plane.Counters().FromFabric }
 
 // The metrics of the data plane.
 var (
@@ -48,7 +48,7 @@
 )
 
 func (output sampler) plane(node *Node) {
-	counters := node.plane.Counters()
+	counters := node.endpoints.Plane.Counters()
 	output.Count(metricReceived, counters.FromFabric, "fabric")
 	output.Count(metricReceived, counters.FromPeers, "peer")
 	output.Count(metricReceivedBytes, counters.ReceivedBytes)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/core"
-	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/lifecycle"
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
@@ -13,33 +13,23 @@
 // and lets its last messages go.
 const endLinger = 300 * time.Millisecond
 
-// Why a planned stop ended, in the log.
-const (
-	stoppedQuiet   = "quiet"       // handed over, and the fabric silent
-	stoppedByLimit = "drain_limit" // timings.drain_limit has passed
-)
-
 // endPlanned tells the others that this node ends, and waits for what is still
 // under way.
-func (node *Node) endPlanned(ctx context.Context, reason string) error {
+func (node *Node) endPlanned(ctx context.Context, reason lifecycle.Reason) error {
 	node.engine.end()
 	select {
 	case <-ctx.Done():
-		node.logEvent(logging.EventStoppedAtOnce)
-		return lb.ErrStoppedAtOnce
+		return node.life.StoppedAtOnce()
 	case <-time.After(endLinger):
 	}
-	node.logger.Info().
-		Str(logging.FieldEvent, string(logging.EventStopped)).
-		Str(logging.FieldReason, reason).
-		Send()
+	node.life.Stopped(reason)
 	return nil
 }
 
 // stopAsPlanned announces that this node leaves, hands over its records, and
 // goes on relaying and forwarding until the fabric no longer sends to it.
 func (node *Node) stopAsPlanned(ctx context.Context) error {
-	node.logEvent(logging.EventStopping)
+	node.life.Log(logging.EventStopping)
 	node.engine.leave()
 	limit := time.NewTimer(node.settings.Timings.DrainLimit)
 	defer limit.Stop()
@@ -51,10 +41,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			node.logEvent(logging.EventStoppedAtOnce)
-			return lb.ErrStoppedAtOnce
+			return node.life.StoppedAtOnce()
 		case <-limit.C:
-			return node.endPlanned(ctx, stoppedByLimit)
+			return node.endPlanned(ctx, lifecycle.DrainLimit)
 		case <-ticker.C:
 		}
 		if now := node.fabricPackets(); now != packets {
@@ -63,11 +52,11 @@
 		}
 		if !handedOver && node.engine.handoverDone() {
 			handedOver = true
-			node.logEvent(logging.EventHandedOver)
+			node.life.Log(logging.EventHandedOver)
 		}
 		quiet := time.Since(quietSince) >= node.settings.Timings.DrainGrace
 		if quiet && node.engine.handoverDone() {
-			return node.endPlanned(ctx, stoppedQuiet)
+			return node.endPlanned(ctx, lifecycle.Quiet)
 		}
 	}
 }
--- a/internal/tokennode/admin.go
+++ b/internal/tokennode/admin.go
@@ -12,7 +12,7 @@
 // serveAdmin serves metrics and health until the node is closed.
 func (node *Node) serveAdmin() {
 	pages := adminserver.Pages{Ready: node.isReady, Metrics: http.HandlerFunc(node.serveMetrics)}
-	node.background.Go(func() { node.admin.Run(node.logger, pages, http.NewServeMux()) })
+	node.background.Go(func() { node.life.Failed(node.endpoints.Admin.Serve(pages, http.NewServeMux())) })
 }
 
 // serveMetrics makes the registry only when it is asked for.
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -126,7 +126,7 @@
 	output.view(&state)
 	output.pressures(state.pressures)
 	output.Add(metricReady, readyValue(node))
-	output.plane(node.plane.Counters())
+	output.plane(node.endpoints.Plane.Counters())
 }
 
 // sampler writes samples of metrics.
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -18,7 +18,7 @@
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
-	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/lifecycle"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/transport"
 )
@@ -45,16 +45,13 @@
 	options   Options
 	logger    zerolog.Logger
 	engine    *engine
-	transport *transport.Transport
-	plane     *dataplane.Plane
-	admin     *adminserver.Server
+	endpoints lifecycle.Endpoints
+	life      *lifecycle.Life
 
 	opened atomic.Bool // all endpoints are open
 	// settings are those in force: Options.Settings, or what was read again since.
 	settings   atomic.Pointer[config.Settings]
-	stopping   chan struct{} // closed when the planned stop begins
 	unready    atomic.Bool   // routers are told not to send packets here any more
-	stopOnce   sync.Once
 	reload     chan struct{} // has one element after a request
 	background sync.WaitGroup
 }
@@ -62,10 +59,10 @@
 // New opens the endpoints of a balancer. Run must follow, which closes them.
 func New(options Options) (*Node, error) {
 	node := &Node{
-		options:  options,
-		logger:   options.Logger,
-		stopping: make(chan struct{}),
-		reload:   make(chan struct{}, 1),
+		options: options,
+		logger:  options.Logger,
+		life:    lifecycle.New(options.Logger),
+		reload:  make(chan struct{}, 1),
 	}
 	node.settings.Store(options.Settings)
 	started := time.Now()
@@ -76,7 +73,7 @@
 	}
 	node.engine.clock = func() time.Duration { return time.Since(started) }
 	if err := node.open(); err != nil {
-		node.close()
+		node.endpoints.Close()
 		return nil, err
 	}
 	return node, nil
@@ -86,7 +83,7 @@
 func (node *Node) open() error {
 	settings := node.options.Settings
 	var err error
-	node.plane, err = dataplane.New(dataplane.Options{
+	node.endpoints.Plane, err = dataplane.New(dataplane.Options{
 		Listen:      settings.DataAddress,
 		Decide:      node.engine.decide,
 		PeerAddress: noPeer,
@@ -95,10 +92,10 @@
 	if err != nil {
 		return err
 	}
-	if node.admin, err = adminserver.Open(settings.AdminAddress); err != nil {
+	if node.endpoints.Admin, err = adminserver.Open(settings.AdminAddress); err != nil {
 		return err
 	}
-	node.transport, err = transport.Open(transport.Settings{
+	node.endpoints.Transport, err = transport.Open(transport.Settings{
 		Self:    settings.Node,
 		Listen:  settings.ControlAddress,
 		Budget:  budgetOf(settings),
@@ -108,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	node.engine.transmit = node.transport.SendAll
+	node.engine.transmit = node.endpoints.Transport.SendAll
 	node.opened.Store(true)
 	return nil
 }
@@ -126,19 +123,6 @@
 	return budget
 }
 
-// close closes what open opened.
-func (node *Node) close() {
-	if node.plane != nil {
-		_ = node.plane.Close() // nothing is left to be done about it
-	}
-	if node.transport != nil {
-		_ = node.transport.Close()
-	}
-	if node.admin != nil {
-		node.admin.Close()
-	}
-}
-
 // receive takes a message from a peer. Those that come while this node is
 // still opening its endpoints are lost, as if sent before it was there.
 func (node *Node) receive(incoming transport.Incoming) {
@@ -148,9 +132,7 @@
 }
 
 // Stop begins a planned stop. Run returns when it is finished.
-func (node *Node) Stop() {
-	node.stopOnce.Do(func() { close(node.stopping) })
-}
+func (node *Node) Stop() { node.life.Stop() }
 
 // Reload asks for the settings to be read again.
 func (node *Node) Reload() {
@@ -165,7 +147,7 @@
 func (node *Node) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(ctx)
 	defer node.background.Wait()
-	defer node.close()
+	defer node.endpoints.Close()
 	defer cancel()
 	node.background.Go(func() { node.readStore(running) })
 	node.background.Go(func() { node.writeSnapshots(running) })
@@ -181,10 +163,9 @@
 	node.background.Go(func() { node.joinSeeds(running) })
 	node.background.Go(func() { node.reportMalformed(running) })
 	select {
-	case <-node.stopping:
+	case <-node.life.Stopping():
 	case <-ctx.Done():
-		node.logEvent(logging.EventStoppedAtOnce)
-		return lb.ErrStoppedAtOnce
+		return node.life.StoppedAtOnce()
 	}
 	return node.stopAsPlanned(ctx)
 }
@@ -200,9 +181,7 @@
 	case <-time.After(viewWait):
 	case <-ctx.Done():
 	}
-	if err := node.plane.Run(ctx); err != nil {
-		node.logger.Error().Err(err).Str(logging.FieldEvent, string(logging.EventFailed)).Send()
-	}
+	node.life.Failed(node.endpoints.Plane.Run(ctx))
 }
 
 // readStore carries out the calls that the follower asks for until ctx ends.
@@ -263,7 +242,7 @@
 			return
 		case <-ticker.C:
 		}
-		if count := malformed(node.plane.Counters()); count > reported {
+		if count := malformed(node.endpoints.Plane.Counters()); count > reported {
 			node.logger.Warn().
 				Str(logging.FieldEvent, string(logging.EventMalformed)).
 				Uint64("count", count-reported).
@@ -297,7 +276,7 @@
 	for first := true; ; first = false {
 		request, alone := node.engine.joinRequest()
 		for _, seed := range seedsToAsk(node.settings.Load(), first) {
-			node.transport.Send(seed, request)
+			node.endpoints.Transport.Send(seed, request)
 		}
 		interval := joinedSeedInterval
 		if alone {
@@ -321,7 +300,3 @@
 	}
 	return []netip.AddrPort{seeds[rand.IntN(len(seeds))]}
 }
-
-func (node *Node) logEvent(event logging.Event) {
-	node.logger.Info().Str(logging.FieldEvent, string(event)).Send()
-}
--- a/internal/tokennode/stop.go
+++ b/internal/tokennode/stop.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/lifecycle"
 	"robinpulley.example/robinpulley/internal/logging"
 )
 
@@ -23,16 +23,10 @@
 	endLinger = 20 * time.Millisecond
 )
 
-// Why a planned stop ended, in the log.
-const (
-	stoppedQuiet   = "quiet"       // no packet for timings.drain_grace
-	stoppedByLimit = "drain_limit" // timings.drain_limit has passed
-)
-
 // stopAsPlanned stays ready until the zone can spare this node, makes it not
 // ready, serves on until the routers no longer send to it, and ends.
 func (node *Node) stopAsPlanned(ctx context.Context) error {
-	node.logEvent(logging.EventStopping)
+	node.life.Log(logging.EventStopping)
 	node.engine.leave()
 	begun := time.Now()
 	timings := &node.settings.Load().Timings
@@ -47,17 +41,17 @@
 		Str(logging.FieldEvent, string(logging.EventNotReady)).
 		Int64(logging.FieldDuration, time.Since(begun).Milliseconds()).
 		Send()
-	reason := stoppedByLimit
+	reason := lifecycle.DrainLimit
 	notReady := time.Now()
 	quietSince := notReady
-	packets := node.plane.Counters().Received
+	packets := node.endpoints.Plane.Counters().Received
 	err = node.poll(ctx, func() bool {
-		if now := node.plane.Counters().Received; now != packets {
+		if now := node.endpoints.Plane.Counters().Received; now != packets {
 			packets = now
 			quietSince = time.Now()
 		}
 		if time.Since(notReady) >= leaveTime && time.Since(quietSince) >= timings.DrainGrace {
-			reason = stoppedQuiet
+			reason = lifecycle.Quiet
 			return true
 		}
 		return time.Since(begun) >= limit
@@ -76,8 +70,7 @@
 	for !holds() {
 		select {
 		case <-ctx.Done():
-			node.logEvent(logging.EventStoppedAtOnce)
-			return lb.ErrStoppedAtOnce
+			return node.life.StoppedAtOnce()
 		case <-ticker.C:
 		}
 	}
@@ -85,11 +78,8 @@
 }
 
 // endPlanned tells the others that this node ends.
-func (node *Node) endPlanned(reason string) {
+func (node *Node) endPlanned(reason lifecycle.Reason) {
 	node.engine.end()
 	time.Sleep(endLinger)
-	node.logger.Info().
-		Str(logging.FieldEvent, string(logging.EventStopped)).
-		Str(logging.FieldReason, reason).
-		Send()
+	node.life.Stopped(reason)
 }
