Cheaper changes of the membership: no rank worked out, no list of back ends, only the own zone

Each change of the membership had the hash of each node of the zone worked out, the whole membership copied, and, at the first node of a zone, a list of all back ends made. Change: nodes are ranked when a cold back end asks for it; the core is given its zone; back ends are listed when this node begins to judge and when the table is built. Behaviour is the same by all tests.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -78,9 +78,9 @@
 	settings  Settings
 	startedAt time.Duration
 	started   bool
-	zone      []rendezvous.Candidate // staying nodes of the zone
-	counts    []count                // of zone, the newest last
-	owned     map[Identity]bool      // what zone says of back ends, as far as asked
+	zone      []lb.NodeID       // staying nodes of the zone
+	counts    []count           // of zone, the newest last
+	owned     map[Identity]bool // what zone says of back ends, as far as asked
 	sent      map[Identity][]time.Duration
 }
 
@@ -105,7 +105,7 @@
 	l.zone = l.zone[:0]
 	for _, member := range members {
 		if member.Zone == l.settings.Zone && !member.Leaving {
-			l.zone = append(l.zone, rendezvous.Candidate{ID: member.ID, Zone: member.Zone, Hash: member.ID.Hash()})
+			l.zone = append(l.zone, member.ID)
 		}
 	}
 	clear(l.owned)
@@ -177,20 +177,22 @@
 	return 2*len(l.zone) <= most
 }
 
-// owns tells whether this node is the first of its zone for a back end.
+// owns tells whether this node is the first of its zone for a back end. It ranks
+// nodes only when it is asked: memberships change often, and cold back ends are rare.
 func (l *Limiter) owns(identity Identity) bool {
 	owned, known := l.owned[identity]
 	if known {
 		return owned
 	}
 	key := rendezvous.Key(rendezvous.Mix(uint64(identity)))
-	var first *rendezvous.Candidate
-	for index := range l.zone {
-		if first == nil || rendezvous.Before(key, &l.zone[index], first) {
-			first = &l.zone[index]
+	var first rendezvous.Candidate
+	for _, id := range l.zone {
+		candidate := rendezvous.Candidate{ID: id, Hash: id.Hash()}
+		if first.ID == "" || rendezvous.Before(key, &candidate, &first) {
+			first = candidate
 		}
 	}
-	owned = first != nil && first.ID == l.settings.Self
+	owned = first.ID == l.settings.Self
 	l.owned[identity] = owned
 	return owned
 }
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -156,7 +156,9 @@
 type Event struct {
 	Packet    *Packet
 	Placement *lb.Placement // adopted only when its version is higher
-	Members   []Member      // all nodes thought alive, self included
+	// Members are all nodes thought alive, self included; with AffinityToken those of
+	// the own zone do.
+	Members []Member
 	// Table is a new table, for AffinityToken.
 	Table *steering.Table
 	// Avoid are the back ends that the nodes together take for failing, for
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -248,17 +248,17 @@
 func (engine *engine) noteMembers() []follower.Peer {
 	members := engine.member.Members(nil)
 	peers := make([]follower.Peer, 0, len(members))
-	known := make([]core.Member, 0, len(members))
+	var known []core.Member // of the own zone: only these matter to the core with tokens
 	var zone []availability.Member
 	leaving := 0
 	for _, entry := range members {
 		if entry.Zone == engine.settings.Zone {
 			zone = append(zone, availability.Member{ID: entry.ID, Leaving: entry.Leaving})
+			known = append(known, core.Member{ID: entry.ID, Zone: entry.Zone, Leaving: entry.Leaving})
 		}
 		if entry.Leaving {
 			leaving++
 		}
-		known = append(known, core.Member{ID: entry.ID, Zone: entry.Zone, Leaving: entry.Leaving})
 		peers = append(peers, follower.Peer{ID: entry.ID, Zone: entry.Zone, Control: entry.Control, Leaving: entry.Leaving})
 	}
 	engine.zone.Update(engine.last, zone)
--- a/internal/tokennode/evidence.go
+++ b/internal/tokennode/evidence.go
@@ -48,9 +48,12 @@
 func (engine *engine) placeEvidence() {
 	place := placeOf(engine.settings.Node, engine.follower.Zone(), engine.follower.Heads())
 	place.Nodes = engine.others + 1
+	begins := place.First && !engine.judges
 	engine.judges = place.First
 	engine.evidenceStep(&evidence.Event{Place: &place})
-	engine.giveServices()
+	if begins {
+		engine.giveServices()
+	}
 }
 
 // placeOf gives the place of a node in the tree over its zone's nodes by rank.
