Interfaces of fleet load: one tree over a zone, what the fleet knows of a service, its messages

Cause: shares between zones, admission and picking each need what all nodes see together; today only evidence on failing back ends does, with a tree of its own. Nothing sends them yet, so that behaviour is as before: tests of message, tree, evidence, tokennode and transport pass.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -14,6 +14,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/tree"
 )
 
 // Identity names a run of a back end, as packets do.
@@ -84,18 +85,6 @@
 	}
 }
 
-// Place is where a node is in the tree over its zone.
-type Place struct {
-	// First: this node judges for its zone. Parent is invalid then.
-	First    bool
-	Parent   netip.AddrPort
-	Children []netip.AddrPort
-	// Nodes is how many nodes the fleet has.
-	Nodes int
-	// Heads are the first nodes of the other zones, for the first one.
-	Heads []netip.AddrPort
-}
-
 // Outcome is how a request at a back end went, as this node saw.
 type Outcome struct {
 	Identity Identity
@@ -105,7 +94,7 @@
 // Event is one input. At most one field is set; none makes a tick.
 type Event struct {
 	Outcomes []Outcome
-	Place    *Place
+	Place    *tree.Place
 	// Services are the back ends that take new flows, by service.
 	Services map[lb.ServiceName][]Identity
 	Report   *message.OutcomeReport
@@ -143,7 +132,7 @@
 	now      time.Duration
 	started  bool
 	startAt  time.Duration
-	place    Place
+	place    tree.Place
 	pending  pending
 	nextSend time.Duration
 	watched  map[Identity]bool // of which good outcomes are reported, too
--- a/internal/evidence/fleet_test.go
+++ b/internal/evidence/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/tree"
 )
 
 const (
@@ -76,7 +77,7 @@
 	const width = 8
 	for zone, nodes := range byZone {
 		for rank, node := range nodes {
-			place := &Place{First: rank == 0, Nodes: len(f.nodes)}
+			place := &tree.Place{First: rank == 0, Nodes: len(f.nodes)}
 			if rank > 0 {
 				place.Parent = nodes[(rank-1)/width].address
 			}
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -116,6 +116,8 @@
 	TypeViewDelta:      decodeAs[ViewDelta],
 	TypeOutcomeReport:  decodeAs[OutcomeReport],
 	TypeOutcomeVerdict: decodeAs[OutcomeVerdict],
+	TypeLoadReport:     decodeAs[LoadReport],
+	TypeLoadState:      decodeAs[LoadState],
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
--- a/internal/message/validate.go
+++ b/internal/message/validate.go
@@ -60,6 +60,10 @@
 		return TypeOutcomeReport, validateOutcomeReport(message)
 	case OutcomeVerdict:
 		return TypeOutcomeVerdict, validateOutcomeVerdict(message)
+	case LoadReport:
+		return TypeLoadReport, validateLoadReport(message)
+	case LoadState:
+		return TypeLoadState, validateLoadState(message)
 	case ViewDelta:
 		return TypeViewDelta, validateViewDelta(message)
 	}
--- a/internal/tokennode/evidence.go
+++ b/internal/tokennode/evidence.go
@@ -9,12 +9,9 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/observe"
+	"robinpulley.example/robinpulley/internal/tree"
 )
 
-// evidenceWidth is how many nodes report to one: a zone of a thousand nodes is four
-// levels deep, and no node hears more than eight reports in a window.
-const evidenceWidth = 8
-
 // evidenceStep gives one event to the evidence and carries out its effects.
 func (engine *engine) evidenceStep(event *evidence.Event) {
 	engine.evidence.Step(engine.now(), event, &engine.evidenceEffects)
@@ -46,8 +43,7 @@
 
 // placeEvidence tells the evidence where this node is in the tree over its zone.
 func (engine *engine) placeEvidence() {
-	place := placeOf(engine.settings.Node, engine.follower.Zone(), engine.follower.Heads())
-	place.Nodes = engine.others + 1
+	place := placeOf(engine.settings.Node, engine.follower.Zone(), engine.follower.Heads(), engine.others+1)
 	begins := place.First && !engine.judges
 	engine.judges = place.First
 	engine.evidenceStep(&evidence.Event{Place: &place})
@@ -57,28 +53,16 @@
 }
 
 // placeOf gives the place of a node in the tree over its zone's nodes by rank.
-func placeOf(self lb.NodeID, zone, heads []follower.Peer) evidence.Place {
-	rank := -1
-	for index := range zone {
-		if zone[index].ID == self {
-			rank = index
-		}
-	}
-	place := evidence.Place{First: rank == 0}
-	if rank < 0 {
-		return place // taken for dead: it hears of verdicts again when it is back
-	}
-	if rank > 0 {
-		place.Parent = zone[(rank-1)/evidenceWidth].Control
-	} else {
-		for index := range heads {
-			place.Heads = append(place.Heads, heads[index].Control)
-		}
-	}
-	for child := rank*evidenceWidth + 1; child <= (rank+1)*evidenceWidth && child < len(zone); child++ {
-		place.Children = append(place.Children, zone[child].Control)
+func placeOf(self lb.NodeID, zone, heads []follower.Peer, nodes int) tree.Place {
+	return tree.PlaceOf(self, treeNodes(zone), treeNodes(heads), nodes)
+}
+
+func treeNodes(peers []follower.Peer) []tree.Node {
+	nodes := make([]tree.Node, len(peers))
+	for index := range peers {
+		nodes[index] = tree.Node{ID: peers[index].ID, Control: peers[index].Control}
 	}
-	return place
+	return nodes
 }
 
 // giveServices tells a node that judges which back ends take new flows.
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -142,7 +142,7 @@
 const (
 	digestLifetime = 200 * time.Millisecond // another one follows
 	deltaLifetime  = time.Second            // it is asked for again
-	// outcomeLifetime: older ones speak of what may be over.
+	// outcomeLifetime: older ones, also those on load, speak of what may be over.
 	outcomeLifetime = 500 * time.Millisecond
 )
 
@@ -151,7 +151,7 @@
 	switch m.(type) {
 	case message.ViewDigest:
 		return digestLifetime
-	case message.OutcomeReport, message.OutcomeVerdict:
+	case message.OutcomeReport, message.OutcomeVerdict, message.LoadReport, message.LoadState:
 		return outcomeLifetime
 	case message.ViewDelta, message.ViewWant:
 		return deltaLifetime
--- a/internal/tokennode/evidence_test.go
+++ b/internal/tree/tree_test.go
@@ -1,4 +1,4 @@
-package tokennode
+package tree
 
 import (
 	"fmt"
@@ -7,7 +7,6 @@
 
 	"github.com/matryer/is"
 
-	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
@@ -15,20 +14,20 @@
 // width, whose root alone tells the other zones.
 func TestEveryNodeReportsToTheFirst(t *testing.T) {
 	is := is.New(t)
-	heads := []follower.Peer{{ID: "head", Control: netip.MustParseAddrPort("10.9.0.1:7946")}}
+	heads := []Node{{ID: "head", Control: netip.MustParseAddrPort("10.9.0.1:7946")}}
 	for _, count := range []int{1, 2, 9, 10, 300} {
-		var zone []follower.Peer
+		var zone []Node
 		for index := range count {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(index >> 8), byte(index)}), 7946)
-			zone = append(zone, follower.Peer{ID: lb.NodeID(fmt.Sprintf("n-%d", index)), Control: address})
+			zone = append(zone, Node{ID: lb.NodeID(fmt.Sprintf("n-%d", index)), Control: address})
 		}
 		parents := map[netip.AddrPort]netip.AddrPort{}
 		for _, peer := range zone {
-			place := placeOf(peer.ID, zone, heads)
+			place := PlaceOf(peer.ID, zone, heads, count)
 			is.Equal(place.First, peer.ID == "n-0")
 			is.Equal(place.Parent.IsValid(), !place.First)
 			is.Equal(len(place.Heads) == 1, place.First)
-			is.True(len(place.Children) <= evidenceWidth)
+			is.True(len(place.Children) <= Width)
 			for _, child := range place.Children {
 				is.Equal(parents[child], netip.AddrPort{}) // one parent
 				parents[child] = peer.Control
@@ -36,10 +35,10 @@
 		}
 		is.Equal(len(parents), count-1)
 		for _, peer := range zone[1:] {
-			is.Equal(placeOf(peer.ID, zone, heads).Parent, parents[peer.Control])
+			is.Equal(PlaceOf(peer.ID, zone, heads, count).Parent, parents[peer.Control])
 		}
 	}
-	unknown := placeOf("elsewhere", heads, nil)
+	unknown := PlaceOf("elsewhere", heads, nil, 1)
 	is.Equal(unknown.First, false)
 	is.Equal(unknown.Parent.IsValid(), false)
 }
