Demand and room: shares of zones follow what the fleet knows

Cause: zones keep their flows as if demand were equal in all of them; a zone whose callers ask three times as much fails while others' back ends are idle. Change: internal/fleetload sums up work asked for and loads of back ends over the tree (nothing while far from a limit), internal/zoneshare splits a zone's flows by water-filling above 0.7 of its capacity, internal/core goes by it. Demand is that of callers, so that shares do not feed back.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/coldstart"
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/observe"
@@ -140,6 +141,9 @@
 	// Overload are services that have become overloaded, or are so no more. They
 	// hold until the next step.
 	Overload []overload.Change
+	// Samples are what this node has seen of the load of services since the last ones; nil: they are
+	// not due yet.
+	Samples []fleetload.Sample
 	// Unsure is set while the core distrusts its view and waits for ContactRegained.
 	Unsure bool
 }
@@ -164,6 +168,9 @@
 	// Avoid are the back ends that the nodes together take for failing, for
 	// AffinityToken; empty, not nil: none.
 	Avoid []observe.Identity
+	// Loads is what the fleet knows of the load of services, for AffinityToken; empty, not
+	// nil: nothing.
+	Loads map[lb.ServiceName]fleetload.Service
 	Peer  *PeerEvent
 	Tick  bool // at least every TickInterval
 	Leave bool // planned stop begins
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
@@ -68,6 +69,8 @@
 	avoid(identities []observe.Identity)
 	overloads() []overload.Change
 	pressures() []overload.Status
+	setLoads(loads map[lb.ServiceName]fleetload.Service)
+	samples() []fleetload.Sample
 }
 
 // New gives a core that knows of no other member and no service.
@@ -113,6 +116,8 @@
 		core.peer(event.Peer, effects)
 	case event.Avoid != nil:
 		core.affinity.avoid(event.Avoid)
+	case event.Loads != nil:
+		core.affinity.setLoads(event.Loads)
 	case event.Leave:
 		core.leave()
 	}
@@ -120,6 +125,7 @@
 	if event.Tick {
 		core.affinity.tick()
 		core.tick(effects)
+		effects.Samples = core.affinity.samples()
 	}
 	effects.Backends = core.affinity.changes()
 	effects.Outcomes = core.affinity.outcomes()
@@ -136,6 +142,7 @@
 	clear(effects.Messages)
 	effects.Messages = effects.Messages[:0]
 	effects.HandoverDone = false
+	effects.Samples = nil
 	effects.Unsure = false
 }
 
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
@@ -49,6 +50,11 @@
 
 func (chainAffinity) pressures() []overload.Status { return nil }
 
+// setLoads and samples are for overload control, too.
+func (chainAffinity) setLoads(map[lb.ServiceName]fleetload.Service) {}
+
+func (chainAffinity) samples() []fleetload.Sample { return nil }
+
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core.Core, packet: packet, decision: decision}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/coldstart"
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
 // tokenAffinity is AffinityToken: the opening is given a token that names its
@@ -23,10 +25,24 @@
 	cold *coldstart.Limiter
 	// factors are observer.Factor of the ready hosts of the service at hand.
 	factors []float64
+	// loads is what the fleet knows of services, and shares where their flows go by it.
+	loads  map[lb.ServiceName]fleetload.Service
+	shares map[lb.ServiceName]*share
+	// sampleAt is when the next samples are due.
+	sampleAt time.Duration
+}
+
+// share is where this node's new flows of a service go, by what the fleet knows.
+type share struct {
+	parts zoneshare.Parts
+	// weights are those of the ready hosts.
+	weights []float64
 }
 
 func newTokenAffinity(core *Core) *tokenAffinity {
-	affinity := &tokenAffinity{core: core, observer: observe.New(observe.DefaultSettings())}
+	affinity := &tokenAffinity{
+		core: core, observer: observe.New(observe.DefaultSettings()), shares: make(map[lb.ServiceName]*share),
+	}
 	affinity.overload = overload.New(core.settings.Overload)
 	affinity.cold = coldstart.New(core.settings.ColdStart)
 	return affinity
@@ -41,6 +57,65 @@
 	a.cold.Forget(func(identity coldstart.Identity) bool { return present[observe.Identity(identity)] })
 	a.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
 	a.overload.Forget(a.core.now, func(identity overload.Identity) bool { return present[observe.Identity(identity)] }, table.HasService)
+	for name, known := range a.shares {
+		service := table.ServiceNamed(name)
+		if service == nil {
+			delete(a.shares, name)
+			continue
+		}
+		known.weights = service.Weights(known.parts)
+	}
+}
+
+// setLoads takes what the fleet knows of services. The parts of zones move by a step with
+// each news, also back to those while nothing is known.
+func (a *tokenAffinity) setLoads(loads map[lb.ServiceName]fleetload.Service) {
+	a.loads = loads
+	if a.table == nil {
+		return
+	}
+	for name := range loads {
+		if a.shares[name] == nil && a.table.HasService(name) {
+			a.shares[name] = &share{parts: a.table.ServiceNamed(name).Even()}
+		}
+	}
+	for name, known := range a.shares {
+		service := a.table.ServiceNamed(name)
+		wanted := a.wantedParts(service)
+		if wanted == nil {
+			delete(a.shares, name)
+			continue
+		}
+		known.parts = zoneshare.Approach(known.parts, wanted, zoneshare.MostStep)
+		known.weights = service.Weights(known.parts)
+	}
+}
+
+// wantedParts gives the parts of zones for a service, by what is known; nil: nothing is
+// known, and the parts are those of the table.
+func (a *tokenAffinity) wantedParts(service *steering.Service) zoneshare.Parts {
+	known, found := a.loads[service.Name]
+	if !found {
+		return nil
+	}
+	capacity := service.Capacity()
+	return zoneshare.Split(a.core.settings.Zone, zoneshare.Known(capacity, &known), zoneshare.Home)
+}
+
+// sampleInterval is the time between samples of load: short beside the window of reports.
+const sampleInterval = 100 * time.Millisecond
+
+// samples gives what was seen of the load of services, when it is due: nil before.
+func (a *tokenAffinity) samples() []fleetload.Sample {
+	if a.core.now < a.sampleAt {
+		return nil
+	}
+	a.sampleAt = a.core.now + sampleInterval
+	samples := a.overload.Samples()
+	if samples == nil {
+		samples = []fleetload.Sample{} // nothing was seen, which is news as well
+	}
+	return samples
 }
 
 func (a *tokenAffinity) setMembers(members []Member) {
@@ -146,7 +221,11 @@
 		}
 	}
 	a.weigh(service)
-	first := service.Pick(flow, a.factors)
+	var weights []float64
+	if known := a.shares[service.Name]; known != nil {
+		weights = known.weights
+	}
+	first := service.Pick(flow, weights, a.factors)
 	if first == nil || !a.overload.Crowded(a.core.now, overload.Identity(first.Identity)) {
 		return first, false
 	}
@@ -200,13 +279,18 @@
 	decision.Token = packet.Token
 	a.observer.Measure(a.core.now, packet.Key.ID(), frontend, observe.Identity(host.Identity),
 		packet.Acknowledged, packet.HasData, packet.Kind == PacketClosing)
-	took, answered := a.observer.Later(a.core.now, packet.Key.ID(), host.Service,
+	took, answered, begun := a.observer.Later(a.core.now, packet.Key.ID(), host.Service,
 		observe.Identity(host.Identity), packet.Acknowledged, packet.HasData)
-	if !answered {
+	if !answered && !begun {
 		return
 	}
 	objective, _ := a.table.Objective(&frontend)
-	a.overload.Answered(a.core.now, host.Service, objective, overload.Identity(host.Identity), took)
+	if answered {
+		a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
+	}
+	if begun {
+		a.overload.Begun(a.core.now, host.Service, objective)
+	}
 }
 
 func forwardTo(decision *Decision, host *steering.Host) {
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -31,6 +31,8 @@
 	// Load is the geometric mean of the loads of requests at the zone's back ends, whoever sent
 	// them (see overload.Controller), and Answers how many answers a second it rests on.
 	Load, Answers float64
+	// Rejected is how many openings a second the zone's back ends have rejected, being full.
+	Rejected float64
 }
 
 // Level is the work that openings and requests of one priority bring, in slots:
@@ -65,4 +67,6 @@
 	Zone lb.Zone
 	// Count is how many there were, and Logs the sum of the natural logarithms of their loads.
 	Count, Logs float64
+	// Rejected is how many more came too quickly to be answers: full back ends reject so.
+	Rejected float64
 }
--- a/internal/message/load.go
+++ b/internal/message/load.go
@@ -27,6 +27,8 @@
 	Count int     `json:"n"`
 	// Logs is the sum of the natural logarithms of their loads, in thousandths.
 	Logs int `json:"l"`
+	// Rejected is how many came too quickly to be answers, in the unit of Count.
+	Rejected int `json:"q,omitempty"`
 }
 
 // ServiceWork is what nodes have seen of one service.
@@ -34,6 +36,8 @@
 	Service lb.ServiceName `json:"s"`
 	Levels  []LevelWork    `json:"w,omitempty"`
 	Answers []ZoneAnswers  `json:"a,omitempty"`
+	// Echo: it is told only since others are near their limit with this service.
+	Echo bool `json:"e,omitempty"`
 }
 
 // LoadReport goes up the tree over a zone: what was seen since the report before.
@@ -135,6 +139,9 @@
 	if answers.Count < 0 || answers.Count > maxLoadSum {
 		return fieldError(kind, "v.a.n", answers.Count, "no number of answers")
 	}
+	if answers.Rejected < 0 || answers.Rejected > maxLoadSum {
+		return fieldError(kind, "v.a.q", answers.Rejected, "no number of rejections")
+	}
 	if math.Abs(float64(answers.Logs)) > maxLoadSum {
 		return fieldError(kind, "v.a.l", answers.Logs, "out of range")
 	}
--- a/internal/message/load_test.go
+++ b/internal/message/load_test.go
@@ -11,7 +11,7 @@
 	is := is.New(t)
 	service := ServiceWork{
 		Service: "web", Levels: []LevelWork{{Priority: 1, Begun: 20, Refused: 3}},
-		Answers: []ZoneAnswers{{Zone: "za", Count: 7, Logs: -300}},
+		Answers: []ZoneAnswers{{Zone: "za", Count: 7, Logs: -300, Rejected: 2}},
 	}
 	for _, sent := range []Message{
 		LoadReport{Services: []ServiceWork{service}},
@@ -38,6 +38,7 @@
 		"too many levels":   {bad(ServiceWork{Service: "s", Levels: make([]LevelWork, maxLoadParts+1)}), "v.w"},
 		"zone without name": {bad(ServiceWork{Service: "s", Answers: []ZoneAnswers{{Count: 1}}}), "v.a.z"},
 		"negative count":    {bad(ServiceWork{Service: "s", Answers: []ZoneAnswers{{Zone: "z", Count: -1}}}), "v.a.n"},
+		"negative rejected": {bad(ServiceWork{Service: "s", Answers: []ZoneAnswers{{Zone: "z", Rejected: -1}}}), "v.a.q"},
 		"no sender":         {LoadState{}, "sender"},
 		"age":               {LoadState{Sender: "n", Zones: []ZoneWork{{Zone: "z", AgeMillis: -1}}}, "zones.t"},
 		"state's services":  {LoadState{Sender: "n", Zones: []ZoneWork{{Zone: "z", Services: []ServiceWork{{}}}}}, "v.s"},
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -148,8 +148,9 @@
 
 // Later notes a later packet of a flow: its back end has answered the opening,
 // and, where the packet acknowledges something new, the request before, whose
-// time it then gives. hasData tells whether the packet carries some.
-func (o *Observer) Later(now time.Duration, flow lb.FlowID, service lb.ServiceName, identity Identity, acknowledged uint32, hasData bool) (took time.Duration, answered bool) {
+// time it then gives. hasData tells whether the packet carries some, and begun
+// whether a request begins with it.
+func (o *Observer) Later(now time.Duration, flow lb.FlowID, service lb.ServiceName, identity Identity, acknowledged uint32, hasData bool) (took time.Duration, answered, begun bool) {
 	if _, pending := o.openings[flow]; pending {
 		delete(o.openings, flow)
 		o.alive(now, identity)
@@ -166,12 +167,13 @@
 		o.sample(now, service, identity, took)
 		waiting = false
 	case !hasData:
-		return 0, false
+		return 0, false, false
 	}
 	if hasData && !waiting && len(o.requests) < o.settings.MaxFlows {
 		o.requests[flow] = request{identity: identity, service: service, at: now, acknowledged: acknowledged}
+		begun = true
 	}
-	return took, answered
+	return took, answered, begun
 }
 
 func (o *Observer) alive(now time.Duration, identity Identity) {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -7,8 +7,10 @@
 package overload
 
 import (
+	"math"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
@@ -92,6 +94,8 @@
 	services map[lb.ServiceName]*service
 	backends map[Identity]*backend
 	changes  []Change
+	// meter adds up what the nodes of the fleet are to know together.
+	meter *fleetload.Meter
 }
 
 // Change is a service that has become overloaded, or is so no more.
@@ -113,11 +117,20 @@
 		settings: settings,
 		services: make(map[lb.ServiceName]*service),
 		backends: make(map[Identity]*backend),
+		meter:    fleetload.NewMeter(),
 	}
 }
 
-// Answered notes that a back end has answered a request after the time took.
-func (c *Controller) Answered(now time.Duration, name lb.ServiceName, objective lb.Objective, identity Identity, took time.Duration) {
+// Samples gives what was seen since the last call, for what the nodes know together.
+func (c *Controller) Samples() []fleetload.Sample { return c.meter.Samples() }
+
+// Begun notes that a request was sent on.
+func (c *Controller) Begun(now time.Duration, name lb.ServiceName, objective lb.Objective) {
+	c.meter.Begun(name, objective.Priority, c.service(now, name).class(objective).idle.value)
+}
+
+// Answered notes that a back end in a zone has answered a request after the time took.
+func (c *Controller) Answered(now time.Duration, name lb.ServiceName, objective lb.Objective, zone lb.Zone, identity Identity, took time.Duration) {
 	if c.settings.Off || took > c.settings.Longest {
 		return
 	}
@@ -130,9 +143,13 @@
 		s.backends[identity] = b
 	}
 	kind := s.class(objective)
-	if kind.idle.add(now, took.Seconds(), &c.settings) {
-		b.answered(now, kind.load(took, &c.settings))
+	if !kind.idle.add(now, took.Seconds(), &c.settings) {
+		c.meter.Rejected(name, zone)
+		return
 	}
+	load := kind.load(took, &c.settings)
+	b.answered(now, load)
+	c.meter.Answered(name, zone, math.Log(load))
 }
 
 // Load gives how much a back end has to do, from the times that its requests
@@ -187,6 +204,7 @@
 	}
 	s.refused++
 	s.refusedEver++
+	c.meter.Refused(name, objective.Priority, s.class(objective).idle.value)
 	return false
 }
 
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -121,7 +121,7 @@
 	for i := range 4800 {
 		name := lb.ServiceName(fmt.Sprintf("service-%d", i%275))
 		for range 8 {
-			c.Answered(0, name, feed, Identity(i), idleWork)
+			c.Answered(0, name, feed, "za", Identity(i), idleWork)
 		}
 	}
 	now := time.Duration(0)
@@ -155,7 +155,7 @@
 			switch rapid.IntRange(0, 2).Draw(t, "step") {
 			case 0:
 				took := rapid.SampledFrom([]time.Duration{0, 1, ms, 40 * ms, time.Second, time.Hour}).Draw(t, "took")
-				c.Answered(now, web, objective, identity, took)
+				c.Answered(now, web, objective, "za", identity, took)
 			case 1:
 				c.Admit(now, web, objective, identity, rapid.Uint64().Draw(t, "draw"))
 			case 2:
@@ -187,7 +187,7 @@
 			now += time.Duration(step) * ms
 			objective := lb.Objective{Priority: uint16(step & 3), TargetMillis: uint32(step) << 2}
 			identity := Identity(step >> 5)
-			c.Answered(now, web, objective, identity, time.Duration(i)*time.Duration(step)*ms)
+			c.Answered(now, web, objective, "za", identity, time.Duration(i)*time.Duration(step)*ms)
 			c.Admit(now, web, objective, identity, uint64(step)<<56)
 			c.Tick(now)
 			if load, known := c.Load(now, identity); known && !(load >= 0 && load <= maxLoad) {
--- a/internal/overload/property_test.go
+++ b/internal/overload/property_test.go
@@ -52,7 +52,7 @@
 		if h.random.IntN(4) == 0 {
 			objective = tap
 		}
-		h.Answered(h.now, service, objective, Identity(1+h.random.IntN(backends)), took())
+		h.Answered(h.now, service, objective, "za", Identity(1+h.random.IntN(backends)), took())
 		h.admits(service, objective)
 		if h.now%(100*ms) == 0 {
 			h.Tick(h.now)
@@ -224,7 +224,7 @@
 			const free = Identity(99)
 			for range 400 {
 				h.pass(web, 5*ms, h.crowded)
-				h.Answered(h.now, web, feed, free, idleWork*9/10) // near the geometric mean of calm times
+				h.Answered(h.now, web, feed, "za", free, idleWork*9/10) // near the geometric mean of calm times
 			}
 			for range 100 {
 				if !h.Admit(h.now, web, feed, free, h.random.Uint64()) {
@@ -242,7 +242,7 @@
 			for range 600 {
 				h.pass(web, 5*ms, h.calm)
 				if h.random.IntN(2) == 0 {
-					h.Answered(h.now, web, feed, Identity(90+h.random.IntN(2)), 10*idleWork)
+					h.Answered(h.now, web, feed, "za", Identity(90+h.random.IntN(2)), 10*idleWork)
 				}
 			}
 			return all(h.partAtNew(web, feed))
@@ -288,7 +288,7 @@
 			for range 400 {
 				h.pass(web, 5*ms, h.crowded)
 				if h.random.IntN(4) == 0 {
-					h.Answered(h.now, docs, feed, Identity(50+h.random.IntN(backends)), h.calm())
+					h.Answered(h.now, docs, feed, "za", Identity(50+h.random.IntN(backends)), h.calm())
 				}
 			}
 			return all(h.partAtNew(docs, feed))
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -1,45 +1,45 @@
 package steering
 
-import "robinpulley.example/robinpulley/internal/lb"
-
-// remoteShare is the part of a zone's new flows that goes to other zones at
-// the least, so that their back ends are known to answer before they are needed.
-const remoteShare = 0.02
+import (
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/zoneshare"
+)
 
 // setShares gives each ready host of a service its weight for a balancer in
-// zone. Demand is taken to be the same in each of the zones. A zone keeps its
-// flows as far as its back ends hold their part of the service; what is too
-// much for them goes to the zones that have room. So all hosts get the same
-// load and no more bytes cross zones than that takes.
+// zone while nothing is known of the load of zones: demand is taken to be the same
+// in each of them; see package zoneshare.
 func (s *Service) setShares(zone lb.Zone, zones int) {
-	capacity := make(map[lb.Zone]float64)
-	total := 0.0
-	for _, host := range s.Ready {
-		capacity[host.Zone] += host.capacity()
-		total += host.capacity()
+	s.zones = zonesOf(s.Ready)
+	parts := zoneshare.Split(zone, zoneshare.Even(s.zones, zone, zones), 0)
+	weights := s.Weights(parts)
+	for index, host := range s.Ready {
+		host.weight = weights[index]
 	}
-	fair := total / float64(max(zones, 1))
-	own := capacity[zone]
-	if own == 0 {
-		s.shareBy(func(host *Host) float64 { return host.capacity() })
-		return
+	s.even = parts
+}
+
+// Capacity gives what the ready hosts work on at once, by zone. It is not to be changed.
+func (s *Service) Capacity() map[lb.Zone]float64 { return s.zones }
+
+// Even gives the parts of zones while nothing is known of their load. It is not to be changed.
+func (s *Service) Even() zoneshare.Parts { return s.even }
+
+// Weights gives the weight of each ready host where zones get these parts of the new flows.
+func (s *Service) Weights(parts zoneshare.Parts) []float64 {
+	weights := make([]float64, len(s.Ready))
+	for index, host := range s.Ready {
+		weights[index] = parts[host.Zone] * host.capacity() / s.zones[host.Zone]
 	}
-	room := 0.0
-	for _, has := range capacity {
-		room += max(0, has-fair)
+	return weights
+}
+
+// zonesOf sums up what hosts work on at once, by zone.
+func zonesOf(hosts []*Host) map[lb.Zone]float64 {
+	zones := make(map[lb.Zone]float64)
+	for _, host := range hosts {
+		zones[host.Zone] += host.capacity()
 	}
-	local := min(1-remoteShare, own/fair)
-	s.shareBy(func(host *Host) float64 {
-		if host.Zone == zone {
-			return local * host.capacity() / own
-		}
-		share := remoteShare * host.capacity() / total
-		has := capacity[host.Zone]
-		if local < 1-remoteShare && room > 0 && has > fair {
-			share += (1 - local) * (has - fair) / room * host.capacity() / has
-		}
-		return share
-	})
+	return zones
 }
 
 // setCapacities sums up what the ready hosts work on at once.
@@ -51,13 +51,6 @@
 	}
 }
 
-// shareBy sets the weights.
-func (s *Service) shareBy(share func(*Host) float64) {
-	for _, host := range s.Ready {
-		host.weight = share(host)
-	}
-}
-
 // capacityOf sums up what hosts work on at once.
 func capacityOf(hosts []*Host) float64 {
 	sum := 0.0
--- a/internal/steering/share_test.go
+++ b/internal/steering/share_test.go
@@ -10,6 +10,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/view"
+	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
 // TestSharesAreEven: with the same demand in every zone, all hosts get the same
@@ -54,7 +55,7 @@
 				}
 			}
 			for _, share := range load {
-				is.True(math.Abs(share*float64(total)-1) < 3*remoteShare)
+				is.True(math.Abs(share*float64(total)-1) < 3*zoneshare.Remote)
 			}
 		})
 	}
@@ -71,7 +72,7 @@
 			local += host.weight
 		}
 	}
-	is.True(local >= 1-2*remoteShare && local <= 1)
+	is.True(local >= 1-2*zoneshare.Remote && local <= 1)
 }
 
 // TestFlowsFollowWeights: the choice by hash gives each host its weight's part.
@@ -93,7 +94,7 @@
 	}
 	for number := range flows {
 		flow := flowTo(443, number)
-		counts[service.Pick(flow.ID(), factors).Name]++
+		counts[service.Pick(flow.ID(), nil, factors).Name]++
 	}
 	sum := 0.0
 	for index, host := range service.Ready {
@@ -113,7 +114,7 @@
 	avoided := service.Ready[1]
 	factors := []float64{1, 0, 1, 1}
 	for number := range 200 {
-		is.True(service.Pick(lb.FlowID(number), factors) != avoided)
+		is.True(service.Pick(lb.FlowID(number), nil, factors) != avoided)
 		is.True(service.PickOther(lb.FlowID(number), factors) != avoided)
 	}
 }
@@ -128,7 +129,7 @@
 	factors := []float64{1, 1, 0, 0, 0}
 	for number := range 200 {
 		flow := lb.FlowID(number)
-		is.Equal(service.Pick(flow, factors), service.Pick(flow, nil))
+		is.Equal(service.Pick(flow, nil, factors), service.Pick(flow, nil, nil))
 	}
 }
 
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -17,6 +17,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/view"
+	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
 // Token is what a packet carries to name its back end. It holds for one front
@@ -57,8 +58,12 @@
 	evacuated int
 	// away counts those that went while nothing was heard of the store.
 	away int
-	// capacities are the running sums of what the ready hosts work on at once.
+	// capacities are the running sums of what the ready hosts work on at once, and zones
+	// the sums by zone.
 	capacities []uint64
+	zones      map[lb.Zone]float64
+	// even are the parts of zones while nothing is known of their load.
+	even zoneshare.Parts
 }
 
 // split is a route's targets with the running sums of their weights.
@@ -275,18 +280,22 @@
 // HasService tells whether a route or a back end names the service.
 func (t *Table) HasService(name lb.ServiceName) bool { return t.services[name] != nil }
 
+// ServiceNamed gives a service that a route or a back end names; nil: none does.
+func (t *Table) ServiceNamed(name lb.ServiceName) *Service { return t.services[name] }
+
 // Pick gives the host of a new flow: the first by weighted rendezvous rank
-// among those ready, or lapsed if none is ready; nil if there is neither. factors
+// among those ready, or lapsed if none is ready; nil if there is neither. weights are
+// those of the ready hosts, by Weights; nil: by Even. factors
 // are by how much this balancer lowers the weight of each ready host, from 0 to 1;
 // nil: by nothing, for a choice that is the same at all balancers of the zone.
-func (s *Service) Pick(flow lb.FlowID, factors []float64) *Host {
+func (s *Service) Pick(flow lb.FlowID, weights, factors []float64) *Host {
 	if mostlyZero(factors) {
 		factors = nil
 	}
-	if found := first(s.Ready, flow, factors); found != nil {
+	if found := first(s.Ready, flow, weights, factors); found != nil {
 		return found
 	}
-	return first(s.Lapsed, flow, nil)
+	return first(s.Lapsed, flow, nil, nil)
 }
 
 // PickOther gives another choice, independent of that of Pick: among the ready
@@ -315,7 +324,7 @@
 			usable = append(usable, host)
 		}
 	}
-	return first(usable, flow, nil)
+	return first(usable, flow, nil, nil)
 }
 
 // mostlyZero tells whether more than half of the hosts have the factor 0. Then
@@ -333,12 +342,15 @@
 
 // first ranks by -ln(u)/weight, lowest first, with u uniform in (0,1) by hash
 // (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). Hosts
-// of factor 0 are passed over.
-func first(candidates []*Host, flow lb.FlowID, factors []float64) *Host {
+// of weight or factor 0 are passed over.
+func first(candidates []*Host, flow lb.FlowID, weights, factors []float64) *Host {
 	var best *Host
 	bestCost := math.Inf(1)
 	for index, host := range candidates {
 		weight := host.weight
+		if weights != nil {
+			weight = weights[index]
+		}
 		if factors != nil {
 			weight *= factors[index]
 		}
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -75,8 +75,8 @@
 	second := world.table(zoneA)
 	for number := range 2000 {
 		flow := flowTo(443, number)
-		left := first.Service(&flow).Pick(flow.ID(), nil)
-		right := second.Service(&flow).Pick(flow.ID(), nil)
+		left := first.Service(&flow).Pick(flow.ID(), nil, nil)
+		right := second.Service(&flow).Pick(flow.ID(), nil, nil)
 		is.Equal(left.Name, right.Name)
 	}
 }
@@ -91,7 +91,7 @@
 	for number := range 500 {
 		flow := flowTo(443, number)
 		frontend := flow.Frontend()
-		host := table.Service(&flow).Pick(flow.ID(), nil)
+		host := table.Service(&flow).Pick(flow.ID(), nil, nil)
 		token := host.Token(&frontend)
 		is.Equal(table.Resolve(&frontend, token), host)
 		// The token of one front end names nothing at another, and neither does none.
@@ -133,7 +133,7 @@
 	for number := range 200 {
 		flow := flowTo(443, number)
 		frontend := flow.Frontend()
-		is.Equal(table.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+		is.Equal(table.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-2"))
 		draining := table.Hosts()[0]
 		is.Equal(table.Resolve(&frontend, draining.Token(&frontend)).Name, lb.BackendName("i-1"))
 	}
@@ -153,7 +153,7 @@
 	for number := range 200 {
 		flow := flowTo(443, number)
 		frontend := flow.Frontend()
-		is.Equal(table.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+		is.Equal(table.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-2"))
 		evacuated := table.Hosts()[0]
 		is.Equal(table.Resolve(&frontend, evacuated.Token(&frontend)).Name, lb.BackendName("i-1"))
 	}
@@ -163,17 +163,17 @@
 	}})
 	flow := flowTo(443, 1)
 	lapsed := Compile(replica, zoneA, time.Second)
-	is.Equal(lapsed.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+	is.Equal(lapsed.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-2"))
 	is.Equal(lapsed.Service(&flow).Evacuated(), false)
 
 	replica.ApplyChanges(time.Second, &view.Changes{Revision: 13, Changes: []view.Change{{Revision: 13, Evacuated: zoneB}}})
 	nobody := Compile(replica, zoneA, time.Second)
-	is.Equal(nobody.Service(&flow).Pick(flow.ID(), nil), nil)
+	is.Equal(nobody.Service(&flow).Pick(flow.ID(), nil, nil), nil)
 	is.True(nobody.Service(&flow).Evacuated())
 
 	replica.ApplyChanges(time.Second, &view.Changes{Revision: 14, Changes: []view.Change{{Revision: 14, Restored: zoneB}}})
 	restored := Compile(replica, zoneA, time.Second)
-	is.Equal(restored.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-2"))
+	is.Equal(restored.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-2"))
 }
 
 // TestColdHostsAreLeftToWarmUp: where a service states what they bear, they take no
@@ -242,11 +242,11 @@
 	soon := Compile(replica, zoneA, time.Second)
 	flow := flowTo(443, 1)
 	frontend := flow.Frontend()
-	is.Equal(soon.Service(&flow).Pick(flow.ID(), nil).Name, lb.BackendName("i-1"))
+	is.Equal(soon.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-1"))
 	is.Equal(soon.Expires(), time.Second+lapsedLimit)
 
 	later := Compile(replica, zoneA, soon.Expires())
-	is.Equal(later.Service(&flow).Pick(flow.ID(), nil), nil)
+	is.Equal(later.Service(&flow).Pick(flow.ID(), nil, nil), nil)
 	is.True(later.Resolve(&frontend, later.Hosts()[0].Token(&frontend)) != nil)
 	is.Equal(later.Expires(), time.Duration(0))
 }
@@ -287,7 +287,7 @@
 	flow := flowTo(443, 1)
 	b.ReportAllocs()
 	for b.Loop() {
-		table.Service(&flow).Pick(flow.ID(), nil)
+		table.Service(&flow).Pick(flow.ID(), nil, nil)
 	}
 }
 
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -11,6 +11,7 @@
 	"robinpulley.example/robinpulley/internal/config"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/evidence"
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
@@ -50,6 +51,8 @@
 	evidence        *evidence.Core
 	evidenceEffects evidence.Effects
 	outcomes        []evidence.Outcome
+	load            *fleetload.Core
+	loadEffects     fleetload.Effects
 	judges          bool // this node judges back ends for its zone
 	zone            *availability.Zone
 	others          int // living members besides this node
@@ -101,6 +104,7 @@
 		member:       membership,
 		follower:     follower.New(following),
 		evidence:     evidence.New(evidence.DefaultSettings(settings.Node)),
+		load:         fleetload.New(fleetload.DefaultSettings(settings.Node, settings.Zone)),
 		zone:         availability.New(availability.DefaultSettings(settings.Node)),
 		calls:        newCallCounts(),
 		decisions:    newDecisionLog(logger),
@@ -161,8 +165,10 @@
 		engine.memberStep(&member.Event{})
 		engine.followerStep(&follower.Event{})
 		engine.core.Step(engine.now(), &core.Event{Tick: true}, &engine.coreEffects)
+		engine.noteSamples() // before others step the core, which resets its effects
 		engine.logChanges()
 		engine.evidenceStep(&evidence.Event{})
+		engine.loadStep(&fleetload.Event{})
 		if engine.table != nil && engine.table.Expires() != 0 && engine.last >= engine.table.Expires() {
 			engine.compile()
 		}
@@ -177,6 +183,10 @@
 			engine.evidenceStep(&evidence.Event{Report: &received})
 		case message.OutcomeVerdict:
 			engine.evidenceStep(&evidence.Event{Verdict: &received})
+		case message.LoadReport:
+			engine.loadStep(&fleetload.Event{Report: &received})
+		case message.LoadState:
+			engine.loadStep(&fleetload.Event{State: &received})
 		case message.Ping, message.PingAck, message.PingReq, message.Members:
 			engine.memberStep(&member.Event{Peer: &member.PeerEvent{
 				From: incoming.From, Address: incoming.Address, Message: incoming.Message,
@@ -239,7 +249,7 @@
 	}
 	if engine.memberEffects.Changed {
 		engine.followerStep(&follower.Event{Peers: engine.noteMembers()})
-		engine.placeEvidence()
+		engine.placeInTree()
 	}
 }
 
@@ -304,6 +314,7 @@
 	engine.table = steering.Compile(replica, engine.settings.Zone, engine.last)
 	engine.core.Step(engine.now(), &core.Event{Table: engine.table}, &engine.coreEffects)
 	engine.giveServices()
+	engine.giveCapacity()
 }
 
 // resolve gives the control address of a known node.
--- a/internal/tokennode/evidence.go
+++ b/internal/tokennode/evidence.go
@@ -9,7 +9,6 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/observe"
-	"robinpulley.example/robinpulley/internal/tree"
 )
 
 // evidenceStep gives one event to the evidence and carries out its effects.
@@ -41,30 +40,6 @@
 	engine.evidenceStep(&evidence.Event{Outcomes: engine.outcomes})
 }
 
-// placeEvidence tells the evidence where this node is in the tree over its zone.
-func (engine *engine) placeEvidence() {
-	place := placeOf(engine.settings.Node, engine.follower.Zone(), engine.follower.Heads(), engine.others+1)
-	begins := place.First && !engine.judges
-	engine.judges = place.First
-	engine.evidenceStep(&evidence.Event{Place: &place})
-	if begins {
-		engine.giveServices()
-	}
-}
-
-// placeOf gives the place of a node in the tree over its zone's nodes by rank.
-func placeOf(self lb.NodeID, zone, heads []follower.Peer, nodes int) tree.Place {
-	return tree.PlaceOf(self, treeNodes(zone), treeNodes(heads), nodes)
-}
-
-func treeNodes(peers []follower.Peer) []tree.Node {
-	nodes := make([]tree.Node, len(peers))
-	for index := range peers {
-		nodes[index] = tree.Node{ID: peers[index].ID, Control: peers[index].Control}
-	}
-	return nodes
-}
-
 // giveServices tells a node that judges which back ends take new flows.
 func (engine *engine) giveServices() {
 	if !engine.judges || engine.table == nil {
--- /dev/null
+++ b/internal/zoneshare/zoneshare_test.go
@@ -0,0 +1,169 @@
+package zoneshare
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/fleetload"
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+func zones(demandAndCapacity ...float64) []Zone {
+	var made []Zone
+	for index := 0; index < len(demandAndCapacity); index += 2 {
+		made = append(made, Zone{
+			Zone: lb.Zone(fmt.Sprintf("z%d", index/2)), Demand: demandAndCapacity[index],
+			Capacity: demandAndCapacity[index+1], Known: true,
+		})
+	}
+	return made
+}
+
+// filled gives the work that each zone's back ends get, over their capacity.
+func filled(all []Zone, home float64) map[lb.Zone]float64 {
+	work := map[lb.Zone]float64{}
+	for _, from := range all {
+		for to, part := range Split(from.Zone, all, home) {
+			work[to] += part * from.Demand
+		}
+	}
+	for _, zone := range all {
+		if zone.Capacity > 0 {
+			work[zone.Zone] /= zone.Capacity
+		}
+	}
+	return work
+}
+
+// TestCrowdedZoneUsesTheRoomOfOthers: the load is one zone's callers asking for three
+// times as much, more than its back ends can do, while two thirds of the others' are idle.
+func TestCrowdedZoneUsesTheRoomOfOthers(t *testing.T) {
+	is := is.New(t)
+	crowded := zones(96, 80, 26, 80, 32, 80)
+	for _, part := range filled(crowded, Home) {
+		is.True(part <= Home+2*Remote) // nobody waits for long
+	}
+	is.Equal(Split("z1", crowded, Home)["z1"], 1-Remote) // those who have room keep their flows
+	is.Equal(Split("z2", crowded, Home)["z2"], 1-Remote)
+}
+
+// TestFlowsStayAtHomeWhileThereIsRoom: no bytes cross zones for nothing, however uneven demand is.
+func TestFlowsStayAtHomeWhileThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	for _, all := range [][]Zone{zones(55, 80, 5, 80, 0, 80), zones(20, 80, 40, 80, 55, 80)} {
+		for _, zone := range all {
+			is.Equal(Split(zone.Zone, all, Home)[zone.Zone], 1-Remote)
+		}
+	}
+}
+
+// TestZonesAreAlikeWhenAllAreFull: with more demand than all can do, all back ends get the same.
+func TestZonesAreAlikeWhenAllAreFull(t *testing.T) {
+	is := is.New(t)
+	for _, all := range [][]Zone{zones(150, 80, 60, 80, 70, 80), zones(90, 80, 90, 80, 90, 80), zones(10, 20, 200, 80, 30, 60)} {
+		demand, capacity := 0.0, 0.0
+		for _, zone := range all {
+			demand += zone.Demand
+			capacity += zone.Capacity
+		}
+		for _, part := range filled(all, Home) {
+			is.True(math.Abs(part/(demand/capacity)-1) < 0.05)
+		}
+	}
+}
+
+// TestZoneWithoutBackEnds: all goes where there is room, and to all alike when nobody has any.
+func TestZoneWithoutBackEnds(t *testing.T) {
+	is := is.New(t)
+	parts := Split("z0", zones(30, 0, 70, 80, 10, 80), Home)
+	is.Equal(parts["z0"], 0.0)
+	is.True(parts["z2"] > 0.9) // the other is full
+	is.Equal(Split("z0", zones(30, 0, 0, 0), Home), nil)
+}
+
+// TestUnknownZoneGetsNoSpill: a zone that is cut off, or whose first node has died, is taken
+// to have no room: only what shows whether its back ends answer goes there.
+func TestUnknownZoneGetsNoSpill(t *testing.T) {
+	is := is.New(t)
+	all := zones(96, 80, 20, 80, 20, 80)
+	all[2].Known = false
+	parts := Split("z0", all, Home)
+	is.True(parts["z2"] <= Remote)
+	is.True(parts["z1"] > 0.2)
+	all[1].Known = false
+	parts = Split("z0", all, Home)
+	is.True(parts["z0"] >= 1-Remote) // nobody is known to have room
+	all[0].Known = false
+	is.Equal(Split("z0", all, Home), nil)
+}
+
+// TestPartsAlwaysAddUp: whatever is told, also by a node that lies, parts are parts.
+func TestPartsAlwaysAddUp(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 20_000 {
+		var all []Zone
+		for index := range 1 + random.IntN(12) {
+			zone := Zone{Zone: lb.Zone(fmt.Sprintf("z%02d", index)), Known: random.IntN(4) > 0}
+			if random.IntN(4) > 0 {
+				zone.Capacity = float64(random.IntN(100))
+			}
+			if zone.Known {
+				zone.Demand = math.Exp(random.Float64()*30 - 10)
+			}
+			all = append(all, zone)
+		}
+		own := all[random.IntN(len(all))].Zone
+		parts := Split(own, all, Home)
+		if parts == nil {
+			continue
+		}
+		sum := 0.0
+		for zone, part := range parts {
+			if !(part >= 0 && part <= 1+1e-9) {
+				t.Fatalf("part of %s: %v of %v", zone, part, all)
+			}
+			sum += part
+		}
+		if math.Abs(sum-1) > 1e-6 {
+			t.Fatalf("parts add up to %v: %v of %v", sum, parts, all)
+		}
+		for index := range all {
+			if all[index].Capacity == 0 && parts[all[index].Zone] > 0 {
+				t.Fatalf("flows for a zone without back ends: %v of %v", parts, all)
+			}
+		}
+	}
+}
+
+// TestOneWrongNewsMovesLittle: a share moves by a bounded step with each news.
+func TestOneWrongNewsMovesLittle(t *testing.T) {
+	is := is.New(t)
+	before := Parts{"z0": 0.98, "z1": 0.01, "z2": 0.01}
+	wanted := Parts{"z0": 0.02, "z1": 0.97, "z2": 0.01}
+	moved := Approach(before, wanted, MostStep)
+	is.True(math.Abs(before["z0"]-moved["z0"]) <= MostStep+1e-9)
+	sum := 0.0
+	for _, part := range moved {
+		sum += part
+	}
+	is.True(math.Abs(sum-1) < 1e-9)
+	for range 3 {
+		moved = Approach(moved, wanted, MostStep)
+	}
+	is.Equal(moved, wanted)
+}
+
+func TestKnownTakesBothSides(t *testing.T) {
+	is := is.New(t)
+	capacity := map[lb.Zone]float64{"za": 10, "zc": 20}
+	service := fleetload.Service{Zones: []fleetload.Zone{
+		{Zone: "za", Levels: []fleetload.Level{{Begun: 2, Refused: 1}, {Priority: 2, Begun: 4}}}, {Zone: "zb"},
+	}}
+	is.Equal(Known(capacity, &service), []Zone{
+		{Zone: "za", Capacity: 10, Demand: 7, Known: true}, {Zone: "zb", Known: true}, {Zone: "zc", Capacity: 20},
+	})
+}
