Cold starts: a count equal to the last one is not kept

Cause: the limiter appended how many nodes it knows at each change of its zone's membership and kept that for ten minutes; in a fleet whose members change each second without a change of the number that is 600 entries that all say the same. Ruled out: merging by time, which would change from when the memory counts. An entry holds until the next one begins, so that leaving out an equal one changes no answer. Change: it is left out. Test first: TestMemoryIsBounded saw 100 entries where one is needed (100 != 1), and also checks that what was known most is forgotten as late as before. Others of the package pass unchanged.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -84,7 +84,7 @@
 	sent      map[Identity][]time.Duration
 }
 
-// count is how many nodes were known from a time on.
+// count is how many nodes were known from a time on, until the next one.
 type count struct {
 	at    time.Duration
 	nodes int
@@ -109,7 +109,9 @@
 		}
 	}
 	clear(l.owned)
-	l.counts = append(l.counts, count{at: now, nodes: len(l.zone)})
+	if last := len(l.counts) - 1; last < 0 || l.counts[last].nodes != len(l.zone) {
+		l.counts = append(l.counts, count{at: now, nodes: len(l.zone)})
+	}
 	for len(l.counts) > 1 && now-l.counts[1].at > l.settings.Memory {
 		l.counts = l.counts[1:]
 	}
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -250,6 +250,29 @@
 	is.Equal(l.Allows(2*time.Hour, backend), false) // the last of three
 }
 
+// TestMemoryIsBounded: a membership that is told anew each second without a change costs
+// nothing, and what was known most is forgotten as late as before.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	l := New(DefaultSettings("n-1", zone))
+	three := []Member{{ID: "n-1", Zone: zone}, {ID: "n-2", Zone: zone}, {ID: "n-3", Zone: zone}}
+	now := time.Duration(0)
+	for range 100 {
+		now += time.Second
+		l.SetMembers(now, three)
+	}
+	is.Equal(len(l.counts), 1)
+	for range 100 {
+		now += time.Second
+		l.SetMembers(now, three[:1])
+	}
+	is.Equal(len(l.counts), 2)
+	fell := 101 * time.Second // when there was one left
+	is.True(l.mayBeCutOff(fell + l.settings.Memory))
+	l.settings.Alone = true
+	is.Equal(l.mayBeCutOff(fell+l.settings.Memory+ms), false)
+}
+
 func TestPartOfTheBoundIsGivenBackAfterTheWindow(t *testing.T) {
 	is := is.New(t)
 	l := New(DefaultSettings("n-1", zone))
