Cold starts: the zone's members are filtered in one place

Cause: the engine gives the core the members of its own zone only (that made changes of the membership cheaper), and the limiter filtered by zone again, which said that it may be given others. Ruled out: the limiter's filter alone; the engine would build and pass the 840 members of a large fleet to drop 770 of them. Change: a limiter's member has no zone, and SetMembers takes those of the zone; Event.Members says 'and no others'. Tests lose the field, no assertion is changed. A move without a change of behaviour: core, coldstart and tokennode pass as before.

--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -58,10 +58,9 @@
 	}
 }
 
-// Member is a living node.
+// Member is a living node of the limiter's zone.
 type Member struct {
 	ID      lb.NodeID
-	Zone    lb.Zone
 	Leaving bool // it takes no new flows soon
 }
 
@@ -99,12 +98,12 @@
 	}
 }
 
-// SetMembers takes all living nodes, this one included.
+// SetMembers takes all living nodes of the zone, this one included.
 func (l *Limiter) SetMembers(now time.Duration, members []Member) {
 	l.start(now)
 	l.zone = l.zone[:0]
 	for _, member := range members {
-		if member.Zone == l.settings.Zone && !member.Leaving {
+		if !member.Leaving {
 			l.zone = append(l.zone, member.ID)
 		}
 	}
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/coldstart/coldstart_test.go
@@ -54,7 +54,7 @@
 	settings.Overage, settings.Slack = 1.5, 5
 	d.adjust(&settings)
 	node.limiter = New(settings)
-	node.limiter.SetMembers(now, []Member{{ID: node.id, Zone: zone}})
+	node.limiter.SetMembers(now, []Member{{ID: node.id}})
 	node.upSince = now
 	node.learns = now + d.delay()
 }
@@ -104,7 +104,7 @@
 	for _, other := range d.nodes {
 		reached := (now >= d.parted || other.part == node.part) && !other.down && other.lonely < now && node.lonely < now && !(young && d.random.IntN(2) == 0)
 		if other == node || reached {
-			members = append(members, Member{ID: other.id, Zone: zone})
+			members = append(members, Member{ID: other.id})
 		}
 	}
 	node.limiter.SetMembers(now, members)
@@ -223,12 +223,12 @@
 	is := is.New(t)
 	l := New(DefaultSettings("n-1", zone))
 	l.settings.Slack, l.settings.Alone = 9, true
-	l.SetMembers(0, []Member{{ID: "n-1", Zone: zone}})
+	l.SetMembers(0, []Member{{ID: "n-1"}})
 	now := l.settings.Youth
 	is.Equal(l.Allows(now-ms, Backend{Identity: 1, Zone: zone, Rate: 1}), false) // too young
 	is.Equal(l.Allows(now, Backend{Identity: 1, Zone: "zone-b", Rate: 1}), false)
 	is.True(l.Allows(now, Backend{Identity: 1, Zone: zone, Rate: 1}))
-	l.SetMembers(now, []Member{{ID: "n-1", Zone: zone, Leaving: true}})
+	l.SetMembers(now, []Member{{ID: "n-1", Leaving: true}})
 	is.Equal(l.Allows(now, Backend{Identity: 1, Zone: zone, Rate: 1}), false)
 }
 
@@ -238,15 +238,15 @@
 	l := New(DefaultSettings("n-1", zone))
 	l.settings.Slack = 9
 	backend := Backend{Identity: 1, Zone: zone, Rate: 1}
-	l.SetMembers(0, []Member{{ID: "n-1", Zone: zone}})
+	l.SetMembers(0, []Member{{ID: "n-1"}})
 	is.Equal(l.Allows(time.Hour, backend), false)
-	l.SetMembers(time.Hour, []Member{{ID: "n-1", Zone: zone}, {ID: "n-2", Zone: zone}, {ID: "n-3", Zone: zone}})
+	l.SetMembers(time.Hour, []Member{{ID: "n-1"}, {ID: "n-2"}, {ID: "n-3"}})
 	owner := l.Allows(time.Hour, backend)
 	other := New(DefaultSettings("n-2", zone))
 	other.settings.Slack = 9
-	other.SetMembers(0, []Member{{ID: "n-1", Zone: zone}, {ID: "n-2", Zone: zone}})
+	other.SetMembers(0, []Member{{ID: "n-1"}, {ID: "n-2"}})
 	is.True(!owner || !other.Allows(time.Hour, backend)) // both rank alike
-	l.SetMembers(2*time.Hour, []Member{{ID: "n-1", Zone: zone}})
+	l.SetMembers(2*time.Hour, []Member{{ID: "n-1"}})
 	is.Equal(l.Allows(2*time.Hour, backend), false) // the last of three
 }
 
@@ -255,7 +255,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	is := is.New(t)
 	l := New(DefaultSettings("n-1", zone))
-	three := []Member{{ID: "n-1", Zone: zone}, {ID: "n-2", Zone: zone}, {ID: "n-3", Zone: zone}}
+	three := []Member{{ID: "n-1"}, {ID: "n-2"}, {ID: "n-3"}}
 	now := time.Duration(0)
 	for range 100 {
 		now += time.Second
@@ -277,7 +277,7 @@
 	is := is.New(t)
 	l := New(DefaultSettings("n-1", zone))
 	l.settings.Alone = true
-	l.SetMembers(0, []Member{{ID: "n-1", Zone: zone}})
+	l.SetMembers(0, []Member{{ID: "n-1"}})
 	backend := Backend{Identity: 1, Zone: zone, Rate: 6}
 	now := l.settings.Youth
 	for range 2 {
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -161,7 +161,7 @@
 	Packet    *Packet
 	Placement *lb.Placement // adopted only when its version is higher
 	// Members are all nodes thought alive, self included; with AffinityToken those of
-	// the own zone do.
+	// the own zone, and no others.
 	Members []Member
 	// Table is a new table, for AffinityToken.
 	Table *steering.Table
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -121,7 +121,7 @@
 func (a *tokenAffinity) setMembers(members []Member) {
 	known := make([]coldstart.Member, len(members))
 	for index, member := range members {
-		known[index] = coldstart.Member(member)
+		known[index] = coldstart.Member{ID: member.ID, Leaving: member.Leaving}
 	}
 	a.cold.SetMembers(a.core.now, known)
 }
