Evidence: a bound on suspects, by the bytes that asking about them takes

Cause: a verdict named all suspects. Ruled out: leaving suspects out of the message alone. What speaks for a suspect is reported only of those that are named, so that one that isn't would be judged on its bad outcomes; a suspect waits for a place instead, the worst first. Change: Settings.Suspects, 32: 7 KB a second, half of the 14 that a node of a large fleet may spend. Suspects of a service that can spare no more hold no place: they could not be avoided, and would keep those of other services from being heard. Tests, failing first: TestSuspectsAreBounded (88 and 104 suspects before, 32 after; avoided by all nodes after 8 s 116 and 112 before, 114 and 115 after), TestSuspectsThatCannotBeAvoidedHoldNoPlace (2 != 0 without that rule). The others of the package pass unchanged.

--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -55,6 +55,8 @@
 	AvoidTime time.Duration
 	// MostAvoided is the part of a service's back ends that are avoided at the most.
 	MostAvoided float64
+	// Suspects bounds those that nodes are asked about at one time, the worst first.
+	Suspects int
 	// ReportEntries bounds the back ends in a report.
 	ReportEntries int
 }
@@ -81,7 +83,10 @@
 		RecentHalfLife: 500 * time.Millisecond,
 		AvoidTime:      6 * time.Second,
 		MostAvoided:    1.0 / 3,
-		ReportEntries:  32,
+		// A suspect takes eleven bytes of a verdict, which goes to eight nodes every 400 ms:
+		// 7 KB a second for 32, half of what a node of a large fleet spends for control.
+		Suspects:      32,
+		ReportEntries: 32,
 	}
 }
 
--- a/internal/evidence/fleet_test.go
+++ b/internal/evidence/fleet_test.go
@@ -31,6 +31,7 @@
 	// rate is how many requests a second come to all nodes.
 	rate              float64
 	messages, entries int // most in a message
+	suspects          int // most that a verdict asks for, besides those that it has avoided
 	bad               int // requests that went badly
 }
 
@@ -105,6 +106,9 @@
 		if report, ok := outgoing.Message.(message.OutcomeReport); ok {
 			f.entries = max(f.entries, len(report.Backends))
 		}
+		if verdict, ok := outgoing.Message.(message.OutcomeVerdict); ok {
+			f.suspects = max(f.suspects, len(verdict.Watched)-len(verdict.Avoided))
+		}
 		for _, to := range outgoing.To {
 			for _, other := range f.nodes {
 				if other.address == to && !other.dead {
@@ -345,6 +349,51 @@
 	is.Equal(f.messages, 0)
 }
 
+// TestSuspectsAreBounded: a third of the back ends, or half of them, fails at once, as when
+// a rack or a zone is lost. No verdict asks for more suspects than its bytes are bounded by,
+// and most of those that may be are avoided within seconds.
+func TestSuspectsAreBounded(t *testing.T) {
+	for _, failing := range []int{120, 200} {
+		is := is.New(t)
+		f := newFleet(1, 30, 400, 4000, asIs)
+		f.run(2 * time.Second)
+		f.fails = firstOf(failing)
+		f.run(8 * time.Second)
+		avoided := 0
+		for _, identity := range f.backends {
+			if f.avoidedBy(identity) == len(f.nodes) {
+				avoided++
+			}
+		}
+		t.Logf("%d fail, %d avoided by all nodes, %d suspects at the most", failing, avoided, f.suspects)
+		is.True(f.suspects > 0)
+		is.True(f.suspects <= DefaultSettings("n").Suspects)
+		is.True(5*avoided >= 4*min(failing, 400/3)) // each is tried again now and then
+		is.Equal(f.wrongly(), 0)
+	}
+}
+
+// TestSuspectsThatCannotBeAvoidedHoldNoPlace, since a third of their service is avoided.
+func TestSuspectsThatCannotBeAvoidedHoldNoPlace(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 10, 60, 1200, asIs)
+	f.run(2 * time.Second)
+	f.fails = firstOf(22)
+	f.run(3 * time.Second)
+	is.Equal(f.nodes[0].core.Avoided(), 20)
+	is.Equal(f.nodes[0].core.judge.watching(), 0)
+}
+
+// firstOf has all requests of that many back ends fail.
+func firstOf(count int) func(Identity) float64 {
+	return func(identity Identity) float64 {
+		if identity <= Identity(count) {
+			return 1
+		}
+		return 0
+	}
+}
+
 // TestFirstNodeThatDies: its verdict is void soon, and the next one judges.
 func TestFirstNodeThatDies(t *testing.T) {
 	is := is.New(t)
--- a/internal/evidence/judge.go
+++ b/internal/evidence/judge.go
@@ -181,7 +181,7 @@
 		})
 	}
 	avoided := 0
-	var guilty []Identity
+	var open []Identity
 	for _, identity := range identities {
 		known := j.records[identity]
 		switch {
@@ -191,29 +191,54 @@
 			change(identity, known)
 		case known.avoidedUntil > 0:
 			avoided++
-		case j.convicts(now, known, others, healthy):
-			guilty = append(guilty, identity)
+		default:
+			open = append(open, identity)
 		}
 	}
-	slices.SortFunc(guilty, func(left, right Identity) int {
+	slices.SortFunc(open, func(left, right Identity) int {
 		return cmp.Or(cmp.Compare(j.records[right].bad, j.records[left].bad), cmp.Compare(left, right))
 	})
 	room := int(j.settings.MostAvoided*float64(len(identities))) - avoided
-	for _, identity := range guilty[:max(0, min(len(guilty), room))] {
+	watching := j.watching()
+	for _, identity := range open {
 		known := j.records[identity]
-		known.avoidedUntil = now + j.settings.AvoidTime
-		change(identity, known)
+		if room <= 0 {
+			known.watched = false // there is no use in it, and others need the place
+			continue
+		}
+		mayWatch := known.watched || watching < j.settings.Suspects
+		before := known.watched
+		if j.convicts(now, known, others, healthy, mayWatch) {
+			known.avoidedUntil = now + j.settings.AvoidTime
+			change(identity, known)
+			room--
+		}
+		if known.watched && !before {
+			watching++
+		}
 	}
 	return changes
 }
 
+// watching counts the suspects that nodes are asked about.
+func (j *judge) watching() int {
+	count := 0
+	for _, known := range j.records {
+		if known.watched && known.avoidedUntil == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // convicts tells whether a back end is to be avoided. A suspect is watched first:
-// nodes that hear from it say so, and clear it where they are most.
-func (j *judge) convicts(now time.Duration, known *record, others, healthy float64) bool {
+// nodes that hear from it say so, and clear it where they are most. One that may not
+// be watched yet waits for a place.
+func (j *judge) convicts(now time.Duration, known *record, others, healthy float64, mayWatch bool) bool {
 	suspected := known.bad >= j.settings.LeastBad && known.reporters >= j.settings.LeastBad &&
 		known.bad >= j.settings.Ratio*max(others, j.settings.Floor)
 	if !suspected || !known.watched {
-		known.watched = suspected
+		known.watched = suspected && mayWatch
 		known.watchedAt = now
 		known.heardBad, known.heardGood = 0, 0
 		return false
