View: a bound on the cold rates in a delta

Cause: a delta bounds its routes, back ends and evacuated zones, but cold rates were bounded by the message's length only. Ruled out: a smaller bound; deployments state one for each service, and there may be as many services as back ends. Change: as many as back ends, 16,384. Test first: TestNumberOfColdRatesIsBounded found one more than that accepted (no error).

--- a/internal/view/cold.go
+++ b/internal/view/cold.go
@@ -25,8 +25,14 @@
 	Rates    []ColdRate `json:"rates"`
 }
 
+// maxColdRates bounds the rates in a delta: a service without a back end needs none.
+const maxColdRates = maxBackends
+
 // Validate names the first value that cannot be used.
 func (c *ColdRates) Validate() error {
+	if len(c.Rates) > maxColdRates {
+		return errors.Newf("%d of them are too many", len(c.Rates))
+	}
 	for index, rate := range c.Rates {
 		if rate.Service == "" {
 			return errors.Newf("rates[%d]: service is missing", index)
--- a/internal/view/cold_test.go
+++ b/internal/view/cold_test.go
@@ -1,6 +1,7 @@
 package view_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -74,3 +75,18 @@
 		is.Equal(err.Error(), want)
 	}
 }
+
+// TestNumberOfColdRatesIsBounded: as those of all else that a delta holds.
+func TestNumberOfColdRatesIsBounded(t *testing.T) {
+	is := is.New(t)
+	rates := make([]view.ColdRate, 1<<14)
+	for index := range rates {
+		rates[index] = view.ColdRate{Service: lb.ServiceName(strconv.Itoa(index)), PerSecond: 1}
+	}
+	delta := &view.Delta{Revision: 2, ColdRates: &view.ColdRates{Revision: 2, Rates: rates}}
+	is.NoErr(delta.Validate())
+	delta.ColdRates.Rates = append(rates, view.ColdRate{Service: "more", PerSecond: 1})
+	err := delta.Validate()
+	is.True(err != nil)
+	is.Equal(err.Error(), "cold_rates: 16385 of them are too many")
+}
