--- a/scenarios/platform/play.sh
+++ b/scenarios/platform/play.sh
@@ -1,7 +1,10 @@
 #!/bin/sh
 # play.sh BENCH SITE [DAY.toml ...]: plays days of our own (all of this folder, if
 # none is named) on a site with the users' bench, a few at a time, and prints a
-# line for each. It fails when a rule was broken or a program ended by itself.
+# line for each. A day's name says what it provokes: one kind of fault (fault-KIND-HOW) or
+# of planned work (plan-KIND-HOW) twice, or several that overlap (mix-KINDS); entries of
+# the journal from before name them by number. It fails when a rule was broken or a program
+# ended by itself.
 # BENCH and SITE are paths of the bench's program and of a site file; JOBS sets
 # how many days are played at once (default 4). The bench writes the journal.
 set -u
