Virtual time: running until a condition holds stands once

Ruled out: one set of metrics for both affinities (a count of packets means different things), one function that logs any change. Change: sim.Queue.RunUntil, with a test.

--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -250,24 +250,7 @@
 // runUntil goes on until the condition holds, looked at every 10 ms, and gives
 // the time it took; false when it took longer than limit.
 func (fleet *fleet) runUntil(limit time.Duration, condition func() bool) (time.Duration, bool) {
-	begun := fleet.queue.Now()
-	look := begun
-	for {
-		if fleet.queue.Now() >= look {
-			if condition() {
-				return fleet.queue.Now() - begun, true
-			}
-			look = fleet.queue.Now() + 10*time.Millisecond
-		}
-		if fleet.queue.Now() > begun+limit {
-			return limit, false
-		}
-		next, ok := fleet.queue.Next()
-		if !ok {
-			return limit, false
-		}
-		fleet.deliver(next)
-	}
+	return fleet.queue.RunUntil(limit, fleet.deliver, condition)
 }
 
 // publish gives a document to one node, as its watch of the store would.
--- a/internal/sim/queue.go
+++ b/internal/sim/queue.go
@@ -57,6 +57,32 @@
 // arity is the number of children of a heap node; four is kinder to the cache than two.
 const arity = 4
 
+// lookEvery is the time between two looks of RunUntil at its condition.
+const lookEvery = 10 * time.Millisecond
+
+// RunUntil gives event after event to deliver until the condition holds, looked at every
+// 10 ms, and gives the time it took; false when it took longer than limit.
+func (queue *Queue[E]) RunUntil(limit time.Duration, deliver func(E), condition func() bool) (time.Duration, bool) {
+	begun := queue.now
+	look := begun
+	for {
+		if queue.now >= look {
+			if condition() {
+				return queue.now - begun, true
+			}
+			look = queue.now + lookEvery
+		}
+		if queue.now > begun+limit {
+			return limit, false
+		}
+		next, ok := queue.Next()
+		if !ok {
+			return queue.now - begun, condition()
+		}
+		deliver(next)
+	}
+}
+
 func (queue *Queue[E]) less(i, j int) bool {
 	left, right := &queue.items[i], &queue.items[j]
 	if left.at != right.at {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -45,6 +45,25 @@
 	is.Equal(queue.Now(), time.Second)
 }
 
+func TestRunUntilEndsWithTheConditionTheLimitOrTheEvents(t *testing.T) {
+	is := is.New(t)
+	var queue sim.Queue[int]
+	for number := range 10 {
+		queue.Add(time.Duration(number)*time.Second, number)
+	}
+	last := -1
+	deliver := func(number int) { last = number }
+	took, held := queue.RunUntil(time.Minute, deliver, func() bool { return last == 3 })
+	is.True(held)
+	is.Equal(took, 3*time.Second)
+	took, held = queue.RunUntil(2*time.Second, deliver, func() bool { return false })
+	is.Equal(held, false)
+	is.Equal(took, 2*time.Second)
+	took, held = queue.RunUntil(time.Minute, deliver, func() bool { return last == 9 && queue.Len() == 0 })
+	is.True(held)
+	is.Equal(took, 3*time.Second)
+}
+
 func TestNetworkCutsAndDelays(t *testing.T) {
 	is := is.New(t)
 	network := sim.Network{Within: time.Millisecond, Between: 3 * time.Millisecond}
