--- /dev/null
+++ b/internal/follower/fleet_store_test.go
@@ -0,0 +1,90 @@
+package follower
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestOneNodeOfTheFleetReads(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 3, 4, 1)
+	is.Equal(fleet.behind(), 0)
+	is.Equal(len(fleet.readers()), 1)
+	before := fleet.calls()
+	fleet.run(15 * time.Second)
+	is.True(fleet.calls()-before <= 12) // a watch of 1.4 s, nothing else
+}
+
+func TestNodesWithoutTheStoreLearnFromOthers(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 2, 3, 1)
+	for _, node := range fleet.nodes {
+		if node.zone == "zone-1" {
+			node.fault = faultRefused // the whole zone
+		}
+	}
+	fleet.run(5 * time.Second)
+	fleet.store.Configure(2, 81)
+	fleet.run(inForceLimit)
+	is.Equal(fleet.behind(), 0)
+}
+
+func TestNodeStartsFromPeersWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 1, 3, 1)
+	for _, node := range fleet.nodes {
+		node.fault = faultSilent
+	}
+	restarted := fleet.nodes[2]
+	settings := DefaultSettings(restarted.id, restarted.zone, 9)
+	settings.Seeds = []netip.AddrPort{fleet.nodes[0].address}
+	restarted.core = New(settings)
+	restarted.read = nil
+	fleet.run(500 * time.Millisecond)
+	is.True(restarted.core.Replica().Configured())
+	is.Equal(fleet.behind(), 0)
+}
+
+func TestOutageCostsFewCallsAndEndsQuickly(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 3, 3, 1)
+	for _, node := range fleet.nodes {
+		node.fault = faultRefused
+	}
+	before := fleet.calls()
+	fleet.run(10 * time.Second)
+	is.True(fleet.calls()-before <= 9*14) // about one a second for each node
+	fleet.store.Configure(2, 81)
+	for _, node := range fleet.nodes {
+		node.fault = faultNone
+	}
+	fleet.run(2 * time.Second)
+	is.Equal(fleet.behind(), 0)
+}
+
+func TestLostHistoryIsListedAgain(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 2, 2, 1)
+	reader := fleet.readers()[0]
+	reader.fault = faultSilent
+	fleet.store.Configure(2, 81)
+	fleet.store.Remove("a")
+	fleet.compacted = fleet.store.Revision()
+	fleet.run(200 * time.Millisecond)
+	reader.fault = faultNone
+	fleet.run(3 * time.Second)
+	is.Equal(fleet.behind(), 0)
+	for _, node := range fleet.nodes {
+		is.True(node.core.Replica().Backends()[0].Gone)
+	}
+}
+
+// TestStartOfAFleetCostsFewCalls: each node lists once, and one of them goes on reading before the others lose patience.
+func TestStartOfAFleetCostsFewCalls(t *testing.T) {
+	is := is.New(t)
+	fleet := calm(t, 3, 20, 1)   // 10 s
+	is.True(fleet.calls() <= 14) // listings apart, which may be stale
+}
