--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -58,10 +58,9 @@
 	}
 }
 
-// Member is a living node.
+// Member is a living node of the limiter's zone.
 type Member struct {
 	ID      lb.NodeID
-	Zone    lb.Zone
 	Leaving bool // it takes no new flows soon
 }
 
@@ -84,7 +83,7 @@
 	sent      map[Identity][]time.Duration
 }
 
-// count is how many nodes were known from a time on.
+// count is how many nodes were known from a time on, until the next one.
 type count struct {
 	at    time.Duration
 	nodes int
@@ -99,17 +98,19 @@
 	}
 }
 
-// SetMembers takes all living nodes, this one included.
+// SetMembers takes all living nodes of the zone, this one included.
 func (l *Limiter) SetMembers(now time.Duration, members []Member) {
 	l.start(now)
 	l.zone = l.zone[:0]
 	for _, member := range members {
-		if member.Zone == l.settings.Zone && !member.Leaving {
+		if !member.Leaving {
 			l.zone = append(l.zone, member.ID)
 		}
 	}
 	clear(l.owned)
-	l.counts = append(l.counts, count{at: now, nodes: len(l.zone)})
+	if last := len(l.counts) - 1; last < 0 || l.counts[last].nodes != len(l.zone) {
+		l.counts = append(l.counts, count{at: now, nodes: len(l.zone)})
+	}
 	for len(l.counts) > 1 && now-l.counts[1].at > l.settings.Memory {
 		l.counts = l.counts[1:]
 	}
