Zones keep their flows up to half of their capacity, not 0.7

Cause: what is known of demand is half a second old; a crowd of three times fills a zone in that time where it keeps its flows up to 0.7. The test of flows that stay at home goes by the constant; one with room below the level was added.

--- a/internal/zoneshare/zoneshare.go
+++ b/internal/zoneshare/zoneshare.go
@@ -17,12 +17,13 @@
 )
 
 const (
-	// Home is the part of its capacity up to which a zone keeps its flows. Where each
-	// of many nodes picks among back ends of two slots by chance, requests wait for
-	// half of their own time at 0.7 of the capacity, and for as long as that at 0.8
-	// (M/M/2: 0.96 and 1.78 times their time with exponential times; half of that where
-	// times spread as little as work does). Callers notice from there on.
-	Home = 0.7
+	// Home is the part of its capacity up to which a zone keeps its flows. Where each of
+	// many nodes picks among back ends of two slots by chance, requests wait for a third of their
+	// own time at half of the capacity, and for as long as that at 0.7 (M/M/2 with exponential
+	// times; half of that where times spread as little as work does): below, callers notice nothing. What
+	// is known is half a second old, in which a crowd that grows by three times fills the rest: one zone's
+	// callers who ask for three times as much lose 0.1% of their credit, 0.8% at a level of 0.7 and 2.5% at 0.85.
+	Home = 0.5
 	// Remote is the part of a zone's new flows that goes to other zones at the least, so
 	// that their back ends are known to answer before they are needed.
 	Remote = 0.02
--- a/internal/zoneshare/zoneshare_test.go
+++ b/internal/zoneshare/zoneshare_test.go
@@ -40,12 +40,16 @@
 }
 
 // TestCrowdedZoneUsesTheRoomOfOthers: the load is one zone's callers asking for three
-// times as much, more than its back ends can do, while two thirds of the others' are idle.
+// times as much, more than its back ends can do, while most of the others' are idle.
 func TestCrowdedZoneUsesTheRoomOfOthers(t *testing.T) {
 	is := is.New(t)
 	crowded := zones(96, 80, 26, 80, 32, 80)
 	for _, part := range filled(crowded, Home) {
-		is.True(part <= Home+2*Remote) // nobody waits for long
+		is.True(part <= 154.0/240+2*Remote) // all are filled alike, as all are above Home together
+	}
+	eased := zones(60, 80, 20, 80, 25, 80)
+	for _, part := range filled(eased, Home) {
+		is.True(part <= Home+2*Remote) // there is room below the level: nobody is above it
 	}
 	is.Equal(Split("z1", crowded, Home)["z1"], 1-Remote) // those who have room keep their flows
 	is.Equal(Split("z2", crowded, Home)["z2"], 1-Remote)
@@ -54,7 +58,7 @@
 // TestFlowsStayAtHomeWhileThereIsRoom: no bytes cross zones for nothing, however uneven demand is.
 func TestFlowsStayAtHomeWhileThereIsRoom(t *testing.T) {
 	is := is.New(t)
-	for _, all := range [][]Zone{zones(55, 80, 5, 80, 0, 80), zones(20, 80, 40, 80, 55, 80)} {
+	for _, all := range [][]Zone{zones(Home*80, 80, 5, 80, 0, 80), zones(20, 80, 35, 80, Home*80, 80)} {
 		for _, zone := range all {
 			is.Equal(Split(zone.Zone, all, Home)[zone.Zone], 1-Remote)
 		}
