Operators: robinctl load, metrics and log lines of what the fleet knows of load

Cause: what the fleet knows (internal/fleetload) decided where flows go, and nobody could see it. Ruled out: reading it out of metrics in robinctl (no structure, and one scrape format more to parse); the store, which none of this goes through. Change: GET /load at the admin address tells capacity, demand, load, age and where this node's flows go, by service, zone and priority, through the plain structs of internal/loadreport, which also has a place for openings that wait; robinctl load asks several nodes and makes one table of it, with the newest knowledge and the mean of what nodes of a zone do. Metrics fleet_* and home_ratio. A line share_changed when the part of its flows that a zone keeps changes by a tenth, with asked and capacity here and elsewhere and their age: one a second for a service, ten for all.

--- a/cmd/robinctl/cli.go
+++ b/cmd/robinctl/cli.go
@@ -38,6 +38,7 @@
 	Wait     waitCommand     `cmd:"" help:"Wait until a change is in force in every zone."`
 	Apply    applyCommand    `cmd:"" help:"Create or change the objects of a YAML file."`
 	Export   exportCommand   `cmd:"" help:"Write all objects as YAML."`
+	Load     loadCommand     `cmd:"" help:"Show what callers ask for and back ends can do, by service, zone and priority; needs no store."`
 	Trace    traceCommand    `cmd:"" help:"Find one flow in the logs of all nodes; needs no store."`
 }
 
@@ -82,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, line.Timeout)
 	defer cancel()
 	session := &session{ctx: ctx, printer: printer{output: line.Output, writer: stdout}, freshFor: line.FreshFor}
-	if !strings.HasPrefix(parsed.Command(), "trace ") {
+	if !withoutStore(parsed.Command()) {
 		session.operator, err = newOperator(&line)
 	}
 	if err == nil {
@@ -91,6 +92,11 @@
 	return report(stderr, line.Output, err)
 }
 
+// withoutStore tells whether a command needs no store.
+func withoutStore(command string) bool {
+	return strings.HasPrefix(command, "trace ") || strings.HasPrefix(command, "load ")
+}
+
 // newOperator connects to the store.
 func newOperator(line *commandLine) (*operator.Operator, error) {
 	settings := store.DefaultSettings(line.Store, randomSeed())
--- a/cmd/robinctl/exit.go
+++ b/cmd/robinctl/exit.go
@@ -18,7 +18,7 @@
 	exitBadInput    = 2 // the command's own input, or an object that does not exist
 	exitConflict    = 3 // another change came first; nothing was written
 	exitUnknown     = 4 // the change may or may not have been made
-	exitUnavailable = 5 // the store cannot be reached; nothing was written
+	exitUnavailable = 5 // the store, or a balancer that was asked, cannot be reached; nothing was written
 	exitWaitTimeout = 6 // not in force everywhere in time; the change stays
 )
 
@@ -35,7 +35,7 @@
 		return exitConflict
 	case errors.Is(err, operator.ErrBadInput), errors.Is(err, operator.ErrNotFound):
 		return exitBadInput
-	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled), errors.Is(err, operator.ErrNoAnswer):
 		return exitUnavailable
 	}
 	return exitFailed
--- /dev/null
+++ b/internal/loadreport/loadreport_test.go
@@ -0,0 +1,74 @@
+package loadreport
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// crowded is a report of a node in a zone that is asked for more than it can do.
+func crowded(node string, age int64) Report {
+	return Report{Node: lb.NodeID(node), Zone: "za", Services: []Service{{
+		Service: "web", Known: true, AgeMillis: age, Pressure: 1.1, Refused: 7,
+		Zones: []Zone{
+			{Zone: "za", Capacity: 10, Part: 0.6, Load: 1.4, Answers: 90, Demand: []Demand{
+				{Priority: 0, Begun: 8, Refused: 2}, {Priority: 1, Begun: 3, Refused: 1},
+			}},
+			{Zone: "zb", Capacity: 10, Part: 0.4, Demand: []Demand{{Priority: 0, Begun: 4}}},
+		},
+		Levels: []Admission{{Priority: 0, Admitted: 1, Waiting: 2}, {Priority: 1, Admitted: 0.5, Waiting: 3}},
+	}}}
+}
+
+func TestRowsAreOfTheNewestKnowledgeAndOfAllNodes(t *testing.T) {
+	is := is.New(t)
+	old := crowded("n-2", 900)
+	old.Services[0].Zones[0].Capacity = 99 // has changed since
+	old.Services[0].Levels = []Admission{{Priority: 0, Admitted: 0.5, Waiting: 1}}
+	rows := Rows([]Report{old, crowded("n-1", 100)})
+	is.Equal(len(rows), 4)
+	is.Equal(rows[0], Row{
+		Service: "web", Zone: "za", Priority: 0, Known: true, AgeMillis: 100, Capacity: 10, Room: -4, Load: 1.4,
+		Asked: 10, Refused: 2, Home: 0.6, Admitted: 0.75, Waiting: 3, Nodes: 2,
+	})
+	is.Equal(rows[1].Admitted, 0.75) // one lets in half, the other had none of it
+	is.Equal(rows[1].Asked, 4.0)
+	is.Equal(rows[2], Row{Service: "web", Zone: "zb", Known: true, AgeMillis: 100, Capacity: 10, Room: 6, Asked: 4})
+	is.Equal(rows[3].Priority, uint16(1))
+}
+
+func TestServicesFarFromTheirLimitAreShownWithoutDemand(t *testing.T) {
+	is := is.New(t)
+	rows := Rows([]Report{{Node: "n", Zone: "za", Services: []Service{
+		{Service: "web", Zones: []Zone{{Zone: "za", Capacity: 8, Part: 0.98}, {Zone: "zb", Capacity: 4, Part: 0.02}}},
+		{Service: "empty"},
+	}}})
+	is.Equal(len(rows), 3)
+	is.Equal(rows[0], Row{Service: "empty", Zone: "za", Admitted: 1, Nodes: 1}) // no back end anywhere
+	is.Equal(rows[1], Row{Service: "web", Zone: "za", Capacity: 8, Room: 8, Home: 0.98, Admitted: 1, Nodes: 1})
+	is.Equal(rows[2], Row{Service: "web", Zone: "zb", Capacity: 4, Room: 4})
+}
+
+func TestReportsAreChecked(t *testing.T) {
+	is := is.New(t)
+	good := crowded("n", 1)
+	is.NoErr(good.Validate())
+	for want, spoil := range map[string]func(*Report){
+		"node":                func(r *Report) { r.Node = "" },
+		"services: 16385":     func(r *Report) { r.Services = make([]Service, maxServices+1) },
+		"service is missing":  func(r *Report) { r.Services[0].Service = "" },
+		"1025 zones":          func(r *Report) { r.Services[0].Zones = make([]Zone, maxParts+1) },
+		"age_ms -1":           func(r *Report) { r.Services[0].AgeMillis = -1 },
+		"zones[1]: zone \"\"": func(r *Report) { r.Services[0].Zones[1].Zone = "" },
+		"capacity -2":         func(r *Report) { r.Services[0].Zones[0].Capacity = -2 },
+	} {
+		bad := crowded("n", 1)
+		spoil(&bad)
+		err := bad.Validate()
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), want)) // the field is named
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -45,6 +45,7 @@
 	EventBackendTrusted   Event = "backend_trusted"
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
+	EventShareChanged     Event = "share_changed"
 	EventMalformed        Event = "malformed_packets"
 	EventReloaded         Event = "reloaded"
 	EventReloadFailed     Event = "reload_failed"
@@ -58,7 +59,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventShareChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -97,6 +98,14 @@
 	FieldOthers    = "others"
 	FieldEvacuated = "evacuated_zones"
 
+	FieldHome           = "home"
+	FieldBefore         = "before"
+	FieldAsked          = "asked"
+	FieldAskedOthers    = "asked_others"
+	FieldCapacity       = "capacity"
+	FieldCapacityOthers = "capacity_others"
+	FieldLoadAge        = "load_age_ms"
+
 	FieldAdmission = "admission"
 )
 
--- a/internal/tokennode/admin.go
+++ b/internal/tokennode/admin.go
@@ -9,10 +9,12 @@
 	"robinpulley.example/robinpulley/internal/adminserver"
 )
 
-// serveAdmin serves metrics and health until the node is closed.
+// serveAdmin serves metrics, health and the report on load until the node is closed.
 func (node *Node) serveAdmin() {
 	pages := adminserver.Pages{Ready: node.isReady, Metrics: http.HandlerFunc(node.serveMetrics)}
-	node.background.Go(func() { node.life.Failed(node.endpoints.Admin.Serve(pages, http.NewServeMux())) })
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /load", node.serveLoad)
+	node.background.Go(func() { node.life.Failed(node.endpoints.Admin.Serve(pages, routes)) })
 }
 
 // serveMetrics makes the registry only when it is asked for.
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -53,6 +53,7 @@
 	outcomes        []evidence.Outcome
 	load            *fleetload.Core
 	loadEffects     fleetload.Effects
+	shares          shareLog
 	judges          bool // this node judges back ends for its zone
 	zone            *availability.Zone
 	others          int // living members besides this node
@@ -105,6 +106,7 @@
 		follower:     follower.New(following),
 		evidence:     evidence.New(evidence.DefaultSettings(settings.Node)),
 		load:         fleetload.New(fleetload.DefaultSettings(settings.Node, settings.Zone)),
+		shares:       newShareLog(settings.Zone),
 		zone:         availability.New(availability.DefaultSettings(settings.Node)),
 		calls:        newCallCounts(),
 		decisions:    newDecisionLog(logger),
--- a/internal/tokennode/load.go
+++ b/internal/tokennode/load.go
@@ -20,6 +20,9 @@
 	}
 	engine.core.Step(engine.now(), &core.Event{Loads: engine.loadEffects.Services}, &engine.coreEffects)
 	engine.logChanges()
+	if engine.table != nil {
+		engine.logShares()
+	}
 }
 
 // noteSamples tells the fleet's load what the core has seen.
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -10,6 +10,7 @@
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/loadreport"
 	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/packet"
@@ -101,11 +102,29 @@
 		"Openings refused because their service is overloaded.", "service")
 )
 
+// The metrics of what the fleet knows of load. Those of a service are there while it is near
+// its limit, and known.
+var (
+	metricAsked = metrics.New(prometheus.GaugeValue, "fleet_asked_slots",
+		"Work that a zone's callers ask for, in slots (seconds of work a second), by service, zone and priority.", "service", "zone", "priority")
+	metricAskedRefused = metrics.New(prometheus.GaugeValue, "fleet_refused_slots",
+		"The part of it that is refused.", "service", "zone", "priority")
+	metricCapacity = metrics.New(prometheus.GaugeValue, "fleet_capacity_slots",
+		"What the ready back ends of a zone work on at once.", "service", "zone")
+	metricLoad = metrics.New(prometheus.GaugeValue, "fleet_load_ratio",
+		"Time of requests at the back ends of a zone, as all nodes see it, over that at idle ones.", "service", "zone")
+	metricLoadAge = metrics.New(prometheus.GaugeValue, "fleet_load_age_seconds",
+		"Time since the newest part of what is known of a service's load was summed up.", "service")
+	metricHome = metrics.New(prometheus.GaugeValue, "home_ratio",
+		"Part of this node's new flows of a service that the back ends of its own zone get.", "service")
+)
+
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
 	metricEvacuated, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
+	metricAsked, metricAskedRefused, metricCapacity, metricLoad, metricLoadAge, metricHome,
 }
 
 // collector reads the counters of a node when metrics are asked for, so that
@@ -125,6 +144,8 @@
 	output.decisions(&state.stats)
 	output.view(&state)
 	output.pressures(state.pressures)
+	report := node.engine.loadReport()
+	output.loads(&report)
 	output.Add(metricReady, readyValue(node))
 	output.plane(node.endpoints.Plane.Counters())
 }
@@ -173,6 +194,38 @@
 	}
 }
 
+// loads writes what the fleet knows of load, and where new flows go by it.
+func (output sampler) loads(report *loadreport.Report) {
+	for index := range report.Services {
+		service := &report.Services[index]
+		name := string(service.Service)
+		for part := range service.Zones {
+			zone := &service.Zones[part]
+			if zone.Zone == report.Zone {
+				output.Add(metricHome, zone.Part, name)
+			}
+			if service.Known {
+				output.knownZone(name, zone)
+			}
+		}
+		if service.Known {
+			output.Add(metricLoadAge, float64(service.AgeMillis)/1000, name)
+		}
+	}
+}
+
+func (output sampler) knownZone(service string, zone *loadreport.Zone) {
+	output.Add(metricCapacity, zone.Capacity, service, string(zone.Zone))
+	if zone.Answers > 0 {
+		output.Add(metricLoad, zone.Load, service, string(zone.Zone))
+	}
+	for _, demand := range zone.Demand {
+		priority := strconv.Itoa(int(demand.Priority))
+		output.Add(metricAsked, demand.Begun+demand.Refused, service, string(zone.Zone), priority)
+		output.Add(metricAskedRefused, demand.Refused, service, string(zone.Zone), priority)
+	}
+}
+
 func (output sampler) histogram(metric *metrics.Metric, times times) {
 	output.Samples <- prometheus.MustNewConstHistogram(metric.Description, times.count, times.sum.Seconds(), times.buckets())
 }
