Turns among a hand of back ends, in place of chance

Cause: a new flow's back end came by weighted rendezvous. Over 120 back ends that is chance: some have three openings at once while others rest, and each of 71 nodes sees each of them less than once a second. Full hosts reject, and 15% of slots rest while all ask for more than there is. Change: a node deals its new flows by turns (smooth weighted round-robin) to the back ends under its arc of a circle over each zone's back ends, eight or those that three nodes share, whichever is more; one with requests of this node under way waits a turn for each. Nothing is sent: the arc follows from the node's rank among its zone's members. Copies still go where the first went, later packets by token. Parts of zones are those of shares by demand, silent and slow ones get less as before. Less loaded of two by the fleet's news was not built: news of 0.3 to 0.6 s says nothing of queues that last 0.1 s.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -16,6 +16,7 @@
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/turns"
 )
 
 // PacketKind says what a packet tells about its flow.
@@ -211,6 +212,17 @@
 	AffinityToken Affinity = "token"
 )
 
+// Picking is a way of choosing the back end of a new flow.
+type Picking string
+
+// The ways of picking.
+const (
+	// PickTurns: by turns among a hand of back ends of its own; see package turns.
+	PickTurns Picking = "turns"
+	// PickRank: the first by weighted rendezvous, alike at the nodes of a zone.
+	PickRank Picking = "rank"
+)
+
 // Settings are the core's parameters. Zero values are not valid; see DefaultSettings.
 type Settings struct {
 	Self lb.NodeID
@@ -235,6 +247,10 @@
 	RetryAfter time.Duration
 	// Overload are the parameters of overload control, for AffinityToken.
 	Overload overload.Settings
+	// Picking is how the back end of a new flow is chosen, for AffinityToken.
+	Picking Picking
+	// Turns are the parameters of PickTurns.
+	Turns turns.Settings
 	// ColdStart bounds the new flows of back ends that have just started, for AffinityToken.
 	ColdStart coldstart.Settings
 }
@@ -252,6 +268,8 @@
 		HandoverBytesPerSecond: 3000,
 		RetryAfter:             500 * time.Millisecond,
 		Overload:               overload.DefaultSettings(),
+		Picking:                PickTurns,
+		Turns:                  turns.DefaultSettings(),
 		ColdStart:              coldstart.DefaultSettings(self, zone),
 	}
 }
--- /dev/null
+++ b/internal/core/hands.go
@@ -0,0 +1,108 @@
+package core
+
+import (
+	"slices"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/observe"
+	"robinpulley.example/robinpulley/internal/rendezvous"
+	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/turns"
+	"robinpulley.example/robinpulley/internal/zoneshare"
+)
+
+// hands are the dealers of all services, and what their hands are dealt by.
+type hands struct {
+	place   turns.Place
+	dealers map[lb.ServiceName]*hand
+}
+
+// hand is the dealer of a service, and the version of it that is in force.
+type hand struct {
+	dealer *turns.Dealer
+	// dealt is the service that the present hand is of; nil: it is to be dealt anew.
+	dealt *steering.Service
+}
+
+// forget has all hands dealt anew with their next flow.
+func (h *hands) forget() {
+	for _, hand := range h.dealers {
+		hand.dealt = nil
+	}
+}
+
+// setMembers takes the living nodes of the zone. Their order is by hash, so that
+// neighbours on a circle are of no one rack or batch of starts.
+func (h *hands) setMembers(self lb.NodeID, members []Member) {
+	var staying []lb.NodeID
+	for _, member := range members {
+		if !member.Leaving || member.ID == self {
+			staying = append(staying, member.ID)
+		}
+	}
+	slices.SortFunc(staying, func(a, b lb.NodeID) int {
+		return compareHashes(a.Hash(), b.Hash())
+	})
+	h.place = turns.Place{Rank: max(0, slices.Index(staying, self)), Nodes: max(1, len(staying))}
+	h.forget()
+}
+
+func compareHashes(a, b lb.NodeHash) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// of gives the dealer of a service, with a hand of its present back ends.
+func (h *hands) of(core *Core, service *steering.Service) *turns.Dealer {
+	if h.dealers == nil {
+		h.dealers = make(map[lb.ServiceName]*hand)
+	}
+	known := h.dealers[service.Name]
+	if known == nil {
+		known = &hand{dealer: turns.New(core.settings.Turns)}
+		h.dealers[service.Name] = known
+	}
+	if known.dealt == service {
+		return known.dealer
+	}
+	known.dealt = service
+	backends := make([]turns.Backend, len(service.Ready))
+	for index, host := range service.Ready {
+		backends[index] = turns.Backend{
+			Identity: turns.Identity(host.Identity), Zone: host.Zone, Size: host.Capacity(),
+		}
+	}
+	known.dealer.Deal(backends, h.place, rendezvous.Mix(uint64(core.settings.Self.Hash())))
+	return known.dealer
+}
+
+// parts gives those of zones of this node's new flows of a service, and the weights
+// of its ready hosts that follow, nil: those of its table.
+func (a *tokenAffinity) parts(service *steering.Service) (zoneshare.Parts, []float64) {
+	if known := a.shares[service.Name]; known != nil {
+		return known.parts, known.weights
+	}
+	return service.Even(), nil
+}
+
+// deal gives the back end of a new flow of a service: the next by turns, or the first
+// by rank where that is the setting, this node's hand has none, or most are silent.
+func (a *tokenAffinity) deal(service *steering.Service, flow lb.FlowID) *steering.Host {
+	parts, weights := a.parts(service)
+	if a.core.settings.Picking != PickTurns || len(service.Ready) == 0 || steering.MostlyZero(a.factors) {
+		return service.Pick(flow, weights, a.factors)
+	}
+	index := a.hands.of(a.core, service).Pick(parts,
+		func(index int) float64 { return a.factors[index] },
+		func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Identity)) },
+	)
+	if index < 0 {
+		return service.Pick(flow, weights, a.factors)
+	}
+	return service.Ready[index]
+}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -30,6 +30,8 @@
 	shares map[lb.ServiceName]*share
 	// sampleAt is when the next samples are due.
 	sampleAt time.Duration
+	// hands deals the new flows of each service; see hands.go.
+	hands hands
 }
 
 // share is where this node's new flows of a service go, by what the fleet knows.
@@ -50,6 +52,7 @@
 
 func (a *tokenAffinity) setTable(table *steering.Table) {
 	a.table = table
+	a.hands.forget()
 	present := make(map[observe.Identity]bool, len(table.Hosts()))
 	for _, host := range table.Hosts() {
 		present[observe.Identity(host.Identity)] = true
@@ -124,6 +127,7 @@
 		known[index] = coldstart.Member(member)
 	}
 	a.cold.SetMembers(a.core.now, known)
+	a.hands.setMembers(a.core.settings.Self, members)
 }
 
 func (a *tokenAffinity) outcomes() []observe.Outcome { return a.observer.Outcomes() }
@@ -221,11 +225,7 @@
 		}
 	}
 	a.weigh(service)
-	var weights []float64
-	if known := a.shares[service.Name]; known != nil {
-		weights = known.weights
-	}
-	first := service.Pick(flow, weights, a.factors)
+	first := a.deal(service, flow)
 	if first == nil || !a.overload.Crowded(a.core.now, overload.Identity(first.Identity)) {
 		return first, false
 	}
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -5,7 +5,10 @@
 package crowd
 
 import (
+	"slices"
 	"time"
+
+	"robinpulley.example/robinpulley/internal/core"
 )
 
 // Policy says how openings are let in.
@@ -55,6 +58,10 @@
 	// MostLoad is the largest value of Load.
 	MostLoad float64
 	Duration time.Duration
+	// Adjust changes the settings of the balancers; nil: the defaults.
+	Adjust func(settings *core.Settings)
+	// Slow says by how much longer a host takes for its work at a time; nil: by nothing.
+	Slow func(host int, at time.Duration) float64
 }
 
 // Names of the classes of Default.
@@ -110,6 +117,17 @@
 	Admitted, Offered []int
 	// HostBusy is the time that slots worked, by host.
 	HostBusy []time.Duration
+	// Times are how long answered requests took, from their first attempt.
+	Times []time.Duration
+}
+
+// Percentile gives the time that a part of the answered requests took at the most.
+func (r *Result) Percentile(part float64) time.Duration {
+	if len(r.Times) == 0 {
+		return 0
+	}
+	times := slices.Sorted(slices.Values(r.Times))
+	return times[min(int(part*float64(len(times))), len(times)-1)]
 }
 
 // Class gives the counts of a class over whole seconds, from and before.
--- a/internal/lab/crowd/request.go
+++ b/internal/lab/crowd/request.go
@@ -132,9 +132,11 @@
 		r.again()
 	case w.now-r.begun <= r.settings().Target:
 		r.ended = true
+		w.result.Times = append(w.result.Times, w.now-r.begun)
 		r.count().InTime++
 	default:
 		r.ended = true
+		w.result.Times = append(w.result.Times, w.now-r.begun)
 		r.count().Late++
 	}
 }
@@ -174,6 +176,9 @@
 }
 
 func (w *world) run(index int, j job) {
+	if w.scenario.Slow != nil {
+		j.work = time.Duration(float64(j.work) * w.scenario.Slow(index, w.now))
+	}
 	w.result.HostBusy[index] += j.work
 	w.after(j.work, func() {
 		h := &w.hosts[index]
--- a/internal/lab/crowd/run.go
+++ b/internal/lab/crowd/run.go
@@ -117,14 +117,18 @@
 	for i := range w.nodes {
 		zone := i % scenario.Zones
 		w.byZone[zone] = append(w.byZone[zone], i)
-		settings := core.DefaultSettings(lb.NodeID(fmt.Sprintf("n%d", i)), zoneName(zone))
+		settings := core.DefaultSettings(nodeName(i), zoneName(zone))
 		settings.Affinity = core.AffinityToken
 		settings.Overload.Off = scenario.Policy != Adaptive
+		if scenario.Adjust != nil {
+			scenario.Adjust(&settings)
+		}
 		w.nodes[i] = node{core: core.New(settings), underWay: make([]int, scenario.Hosts)}
 		replica := view.NewReplica()
 		replica.ApplyListing(0, listing)
 		w.step(i, &core.Event{Table: steering.Compile(replica, zoneName(zone), 0)})
 	}
+	w.meet()
 	for i := range w.callers {
 		address := netip.AddrFrom4([4]byte{198, 51, byte(i >> 8), byte(i)})
 		w.callers[i] = caller{address: address, zone: i % scenario.Zones, port: 1024, idle: make([][]*flow, len(scenario.Classes))}
@@ -132,6 +136,21 @@
 	return w
 }
 
+// meet has the nodes of each zone know each other.
+func (w *world) meet() {
+	for zone, nodes := range w.byZone {
+		var members []core.Member
+		for _, i := range nodes {
+			members = append(members, core.Member{ID: nodeName(i), Zone: zoneName(zone)})
+		}
+		for _, i := range nodes {
+			w.step(i, &core.Event{Members: members})
+		}
+	}
+}
+
+func nodeName(index int) lb.NodeID { return lb.NodeID(fmt.Sprintf("n%d", index)) }
+
 func zoneName(zone int) lb.Zone { return lb.Zone(fmt.Sprintf("zone-%d", zone)) }
 
 // firstPort is the front end of the first class; the others follow.
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -63,6 +63,7 @@
 type health struct {
 	aliveAt time.Duration // when it was last seen to answer
 	missing int           // answers missing since
+	pending int           // openings and requests under way from here
 	silent  time.Duration // until when it is passed over
 	latency float64       // seconds; moving mean of the time to answer a request
 	sampled time.Duration // when latency last changed
@@ -124,10 +125,15 @@
 
 // Opened notes that an opening was forwarded to a back end.
 func (o *Observer) Opened(now time.Duration, flow lb.FlowID, identity Identity) {
-	if known, found := o.openings[flow]; found && known.identity == identity {
+	known, found := o.openings[flow]
+	if found && known.identity == identity {
 		return // a copy
 	}
 	if len(o.openings) < o.settings.MaxFlows {
+		o.begin(identity)
+		if found {
+			o.end(known.identity)
+		}
 		o.openings[flow] = opening{identity: identity, at: now}
 	}
 }
@@ -151,14 +157,16 @@
 // time it then gives. hasData tells whether the packet carries some, and begun
 // whether a request begins with it.
 func (o *Observer) Later(now time.Duration, flow lb.FlowID, service lb.ServiceName, identity Identity, acknowledged uint32, hasData bool) (took time.Duration, answered, begun bool) {
-	if _, pending := o.openings[flow]; pending {
+	if pending, found := o.openings[flow]; found {
 		delete(o.openings, flow)
+		o.end(pending.identity)
 		o.alive(now, identity)
 	}
 	pending, waiting := o.requests[flow]
 	switch {
 	case waiting && pending.acknowledged != acknowledged:
 		delete(o.requests, flow)
+		o.end(pending.identity)
 		o.alive(now, identity)
 		took, answered = now-pending.at, true
 		if pending.overdue {
@@ -170,12 +178,32 @@
 		return 0, false, false
 	}
 	if hasData && !waiting && len(o.requests) < o.settings.MaxFlows {
+		o.begin(identity)
 		o.requests[flow] = request{identity: identity, service: service, at: now, acknowledged: acknowledged}
 		begun = true
 	}
 	return took, answered, begun
 }
 
+// begin and end count what is under way at a back end.
+func (o *Observer) begin(identity Identity) { o.health(identity).pending++ }
+
+func (o *Observer) end(identity Identity) {
+	if known := o.backends[identity]; known != nil && known.pending > 0 {
+		known.pending--
+	}
+}
+
+// Busy is how many openings and requests that passed this balancer are under way
+// at a back end, as far as it sees.
+func (o *Observer) Busy(identity Identity) int {
+	known := o.backends[identity]
+	if known == nil {
+		return 0
+	}
+	return known.pending
+}
+
 func (o *Observer) alive(now time.Duration, identity Identity) {
 	known := o.health(identity)
 	if known.missing > 0 {
@@ -227,6 +255,7 @@
 		o.checkOverdue(now, flow, pending)
 		if now-pending.at > o.settings.OpeningTime {
 			delete(o.openings, flow)
+			o.end(pending.identity)
 		}
 	}
 	o.sweepRequests(now)
--- a/internal/observe/outcome.go
+++ b/internal/observe/outcome.go
@@ -128,6 +128,7 @@
 	for flow, pending := range o.requests {
 		if now-pending.at > requestTime {
 			delete(o.requests, flow)
+			o.end(pending.identity)
 			continue
 		}
 		if !pending.overdue && now-pending.at > o.missingTime(pending.service) {
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -289,7 +289,7 @@
 // are by how much this balancer lowers the weight of each ready host, from 0 to 1;
 // nil: by nothing, for a choice that is the same at all balancers of the zone.
 func (s *Service) Pick(flow lb.FlowID, weights, factors []float64) *Host {
-	if mostlyZero(factors) {
+	if MostlyZero(factors) {
 		factors = nil
 	}
 	if found := first(s.Ready, flow, weights, factors); found != nil {
@@ -327,10 +327,10 @@
 	return first(usable, flow, nil, nil)
 }
 
-// mostlyZero tells whether more than half of the hosts have the factor 0. Then
+// MostlyZero tells whether more than half of the hosts have the factor 0. Then
 // it is more likely this balancer, or its network, that is at fault than they
 // are, and to crowd the rest would make it worse.
-func mostlyZero(factors []float64) bool {
+func MostlyZero(factors []float64) bool {
 	zero := 0
 	for _, factor := range factors {
 		if factor == 0 {
@@ -383,3 +383,6 @@
 
 // splitKey makes the choice of a service independent of that of a host.
 const splitKey = 0x9e3779b97f4a7c15
+
+// Capacity is what the host works on at once.
+func (h *Host) Capacity() float64 { return h.capacity() }
--- /dev/null
+++ b/internal/turns/turns.go
@@ -0,0 +1,207 @@
+// Package turns deals one node's new flows out over the back ends of a service:
+// evenly, by turns, and among a few of them only. A node sees some twenty
+// openings a second; spread over all back ends of a zone by chance it knows
+// next to nothing of any of them, and some of them get three at once while
+// others rest. A node therefore keeps to a hand of neighbouring back ends on a
+// circle, which it shares with a few nodes, so that it sees a good part of what
+// they do; the hands of the nodes of a zone cover the circle evenly. Nothing is
+// agreed on: a hand follows from the node's own list of members and back ends,
+// and two nodes that differ only cover the circle a little unevenly. It has no I/O
+// and no clock. See docs/design/hosts.md.
+package turns
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/rendezvous"
+)
+
+// Identity names a run of a back end, as packets do.
+type Identity uint64
+
+// Backend is one that takes new flows.
+type Backend struct {
+	Identity Identity
+	Zone     lb.Zone
+	// Size is what it can do, against the others: slots times speed.
+	Size float64
+}
+
+// Place is where a node stands among the staying nodes of its zone, in an order
+// that all of them share.
+type Place struct{ Rank, Nodes int }
+
+// Settings of a dealer. See DefaultSettings.
+type Settings struct {
+	// Hand is how many back ends of a zone a node deals to.
+	Hand float64
+	// Cover is by how many nodes of a zone each back end is dealt to at the least,
+	// so that one that ends unnoticed takes little of its back ends' flows with it.
+	Cover float64
+	// Busy is how many turns a back end is put back for each request of
+	// this node that is under way there.
+	Busy float64
+}
+
+// DefaultSettings gives the defaults.
+func DefaultSettings() Settings { return Settings{Hand: 8, Cover: 3, Busy: 1} }
+
+// card is a back end in a hand.
+type card struct {
+	index  int // in the list that the hand was dealt from
+	key    Identity
+	weight float64 // its part of its zone's turns; one in sum
+	credit float64 // turns that it is owed
+	factor float64 // of the pick at hand
+}
+
+// group is the hand's part in one zone.
+type group struct {
+	zone   lb.Zone
+	credit float64
+	cards  []card
+	share  float64 // of this node's flows, at the pick at hand
+	factor float64 // mean of its cards', of the pick at hand
+}
+
+// Dealer deals the flows of one node to one service. It is not safe for concurrent use.
+type Dealer struct {
+	settings Settings
+	groups   []group
+}
+
+// New gives a dealer without a hand. seed tells nodes apart.
+func New(settings Settings) *Dealer { return &Dealer{settings: settings} }
+
+// Deal gives the node a new hand. What its back ends are owed stays. seed tells
+// nodes apart, so that they begin their turns at different back ends.
+func (d *Dealer) Deal(backends []Backend, place Place, seed uint64) {
+	owed := make(map[Identity]float64)
+	for _, g := range d.groups {
+		for _, c := range g.cards {
+			owed[c.key] = c.credit
+		}
+	}
+	byZone := make(map[lb.Zone][]int)
+	for index := range backends {
+		zone := backends[index].Zone
+		byZone[zone] = append(byZone[zone], index)
+	}
+	d.groups = d.groups[:0]
+	for zone, indices := range byZone {
+		g := group{zone: zone, cards: d.cut(backends, indices, place)}
+		for index := range g.cards {
+			c := &g.cards[index]
+			credit, known := owed[c.key]
+			if !known {
+				credit = uniform(rendezvous.Mix(seed^uint64(c.key))) - 0.5
+			}
+			c.credit = credit
+		}
+		d.groups = append(d.groups, g)
+	}
+	slices.SortFunc(d.groups, func(a, b group) int { return cmp.Compare(a.zone, b.zone) })
+}
+
+// uniform maps a hash to a number of [0, 1).
+func uniform(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
+// cut gives the part of a zone's circle that the node's arc covers.
+func (d *Dealer) cut(backends []Backend, indices []int, place Place) []card {
+	slices.SortFunc(indices, func(a, b int) int {
+		left, right := uint64(backends[a].Identity), uint64(backends[b].Identity)
+		return cmp.Or(cmp.Compare(rendezvous.Mix(left), rendezvous.Mix(right)), cmp.Compare(left, right))
+	})
+	total := 0.0
+	for _, index := range indices {
+		total += backends[index].Size
+	}
+	nodes := float64(max(place.Nodes, 1))
+	// Each point of the circle is covered by as many nodes as any other.
+	cover := math.Ceil(max(d.settings.Hand/float64(len(indices))*nodes, d.settings.Cover))
+	arc := min(1, cover/nodes)
+	from := float64(place.Rank) / nodes
+	var cards []card
+	at := 0.0
+	for _, index := range indices {
+		length := backends[index].Size / total
+		covered := overlap(at, at+length, from, from+arc) + overlap(at, at+length, from-1, from+arc-1)
+		at += length
+		if covered > 0 {
+			cards = append(cards, card{index: index, key: backends[index].Identity, weight: covered / arc})
+		}
+	}
+	return cards
+}
+
+// overlap is the length of what two intervals have in common.
+func overlap(from, to, otherFrom, otherTo float64) float64 {
+	return max(0, min(to, otherTo)-max(from, otherFrom))
+}
+
+// mostOwed bounds the turns that a back end is owed, or ahead: one that was passed
+// over for long is not given them all at once.
+const mostOwed = 2
+
+// Pick gives the place, in the list that the hand was dealt from, of the back end
+// whose turn it is; -1: none. parts are those of zones of this node's flows, factor is by how much the weight of one is lowered,
+// from 0 to 1, and busy how many requests of this node are under way there.
+func (d *Dealer) Pick(parts map[lb.Zone]float64, factor func(index int) float64, busy func(index int) int) int {
+	best := d.pickGroup(parts, factor)
+	if best == nil {
+		return -1
+	}
+	var chosen *card
+	most := math.Inf(-1)
+	for index := range best.cards {
+		c := &best.cards[index]
+		if c.factor == 0 {
+			continue
+		}
+		c.credit = min(c.credit+c.weight*c.factor/best.factor, mostOwed)
+		score := c.credit
+		if d.settings.Busy > 0 {
+			score -= d.settings.Busy * float64(busy(c.index))
+		}
+		if score > most {
+			chosen, most = c, score
+		}
+	}
+	chosen.credit = max(chosen.credit-1, -mostOwed)
+	return chosen.index
+}
+
+// pickGroup gives the zone whose turn it is; nil: no back end in any takes flows.
+func (d *Dealer) pickGroup(parts map[lb.Zone]float64, factor func(index int) float64) *group {
+	sum := 0.0
+	for index := range d.groups {
+		g := &d.groups[index]
+		g.factor, g.share = 0, parts[g.zone]
+		for index := range g.cards {
+			c := &g.cards[index]
+			c.factor = factor(c.index)
+			g.factor += c.weight * c.factor
+		}
+		if g.factor > 0 {
+			sum += g.share
+		}
+	}
+	var best *group
+	for index := range d.groups {
+		g := &d.groups[index]
+		if g.factor == 0 || g.share == 0 {
+			continue
+		}
+		g.credit += g.share / sum
+		if best == nil || g.credit > best.credit {
+			best = g
+		}
+	}
+	if best != nil {
+		best.credit--
+	}
+	return best
+}
--- /dev/null
+++ b/internal/turns/turns_test.go
@@ -0,0 +1,206 @@
+package turns
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// fleetOf gives back ends of zones, with sizes from one to three.
+func fleetOf(perZone ...int) []Backend {
+	var backends []Backend
+	for zone, count := range perZone {
+		for range count {
+			backends = append(backends, Backend{
+				Identity: Identity(len(backends) + 1), Zone: lb.Zone(fmt.Sprintf("zone-%d", zone)),
+				Size: float64(1 + len(backends)%3),
+			})
+		}
+	}
+	return backends
+}
+
+// parts are those of three zones.
+func parts(shares ...float64) map[lb.Zone]float64 {
+	given := map[lb.Zone]float64{}
+	for zone, share := range shares {
+		given[lb.Zone(fmt.Sprintf("zone-%d", zone))] = share
+	}
+	return given
+}
+
+var one = parts(1)
+
+func whole(int) float64 { return 1 }
+func idle(int) int      { return 0 }
+
+// counts gives how often each back end is picked.
+func counts(d *Dealer, zones map[lb.Zone]float64, backends, picks int, factor func(int) float64, busy func(int) int) []int {
+	got := make([]int, backends)
+	for range picks {
+		got[d.Pick(zones, factor, busy)]++
+	}
+	return got
+}
+
+// TestHandsCoverBackendsEvenly: the nodes of a zone together deal to each back end by its size.
+func TestHandsCoverBackendsEvenly(t *testing.T) {
+	for _, nodes := range []int{1, 2, 3, 7, 24, 100} {
+		for _, hosts := range []int{1, 3, 10, 40, 400} {
+			is := is.New(t)
+			backends := fleetOf(hosts)
+			total := 0.0
+			for _, backend := range backends {
+				total += backend.Size
+			}
+			weights := make([]float64, hosts)
+			for rank := range nodes {
+				d := New(DefaultSettings())
+				d.Deal(backends, Place{Rank: rank, Nodes: nodes}, uint64(rank))
+				for _, c := range d.groups[0].cards {
+					weights[c.index] += c.weight / float64(nodes)
+				}
+			}
+			for index, weight := range weights {
+				is.True(math.Abs(weight-backends[index].Size/total) < 1e-9)
+			}
+		}
+	}
+}
+
+// TestHandIsSmall: a node deals to few of many back ends, but each is dealt to by several.
+func TestHandIsSmall(t *testing.T) {
+	is := is.New(t)
+	for _, nodes := range []int{4, 24, 100} {
+		backends := fleetOf(120)
+		dealers := make([]int, len(backends))
+		for rank := range nodes {
+			d := New(DefaultSettings())
+			d.Deal(backends, Place{Rank: rank, Nodes: nodes}, 1)
+			cards := d.groups[0].cards
+			is.True(float64(len(cards)) < 2*max(DefaultSettings().Hand, DefaultSettings().Cover*120/float64(nodes)))
+			for _, c := range cards {
+				dealers[c.index]++
+			}
+		}
+		for _, count := range dealers {
+			is.True(count >= 3)
+		}
+	}
+}
+
+// TestTurnsFollowWeights: no back end gets a flow more than a turn too early or late.
+func TestTurnsFollowWeights(t *testing.T) {
+	is := is.New(t)
+	backends := fleetOf(40)
+	d := New(DefaultSettings())
+	d.Deal(backends, Place{Rank: 5, Nodes: 24}, 7)
+	const picks = 1000
+	got := counts(d, one, len(backends), picks, whole, idle)
+	for _, c := range d.groups[0].cards {
+		is.True(math.Abs(float64(got[c.index])-picks*c.weight) <= 3)
+	}
+}
+
+// TestZonesGetTheirShares whatever the sizes of hands in them.
+func TestZonesGetTheirShares(t *testing.T) {
+	is := is.New(t)
+	backends := fleetOf(10, 40, 3)
+	d := New(DefaultSettings())
+	d.Deal(backends, Place{Rank: 2, Nodes: 9}, 7)
+	got := counts(d, parts(0.9, 0.08, 0.02), len(backends), 1000, whole, idle)
+	zones := map[lb.Zone]int{}
+	for index, count := range got {
+		zones[backends[index].Zone] += count
+	}
+	is.True(math.Abs(float64(zones["zone-0"])-900) <= 1)
+	is.True(math.Abs(float64(zones["zone-1"])-80) <= 1)
+	is.True(math.Abs(float64(zones["zone-2"])-20) <= 1)
+}
+
+// TestFactorsLowerParts: 0 takes a back end out, a half halves its part.
+func TestFactorsLowerParts(t *testing.T) {
+	is := is.New(t)
+	backends := fleetOf(8)
+	for index := range backends {
+		backends[index].Size = 1
+	}
+	d := New(DefaultSettings())
+	d.Deal(backends, Place{Nodes: 1}, 7)
+	factors := []float64{0, 0.5, 1, 1, 1, 1, 1, 1}
+	got := counts(d, one, len(backends), 1300, func(index int) float64 { return factors[index] }, idle)
+	is.Equal(got[0], 0)
+	is.True(math.Abs(float64(got[1])-100) <= 3)
+	is.True(math.Abs(float64(got[2])-200) <= 3)
+	is.Equal(d.Pick(one, func(int) float64 { return 0 }, idle), -1)
+	is.Equal(New(DefaultSettings()).Pick(one, whole, idle), -1)
+}
+
+// TestBusyBackendsWait: one with requests under way is passed over while others
+// have none, and is not given what it was passed over for at once.
+func TestBusyBackendsWait(t *testing.T) {
+	is := is.New(t)
+	backends := fleetOf(8)
+	d := New(DefaultSettings())
+	d.Deal(backends, Place{Nodes: 1}, 7)
+	stuck := func(index int) int {
+		if index == 3 {
+			return 5
+		}
+		return 0
+	}
+	is.Equal(counts(d, one, len(backends), 400, whole, stuck)[3], 0)
+	after := counts(d, one, len(backends), 16, whole, idle)
+	is.True(after[3] <= 2+16*3/15) // its own two turns, and two that it is owed
+}
+
+// TestNodesBeginAtDifferentBackends: those that start together do not all send
+// their first flows to the same ones.
+func TestNodesBeginAtDifferentBackends(t *testing.T) {
+	is := is.New(t)
+	const nodes = 120
+	backends := fleetOf(8)
+	for index := range backends {
+		backends[index].Size = 1
+	}
+	first := make([]int, len(backends))
+	for seed := range uint64(nodes) {
+		d := New(DefaultSettings())
+		d.Deal(backends, Place{Nodes: 1}, seed*0x9e3779b97f4a7c15)
+		first[d.Pick(one, whole, idle)]++
+	}
+	for _, count := range first {
+		is.True(count > 4 && count < 30) // 15 in the mean
+	}
+}
+
+// TestTurnsSurviveAChange: a hand that is dealt anew begins no new round.
+func TestTurnsSurviveAChange(t *testing.T) {
+	is := is.New(t)
+	backends := fleetOf(8)
+	for index := range backends {
+		backends[index].Size = 1
+	}
+	d := New(DefaultSettings())
+	got := make([]int, len(backends))
+	for range 800 {
+		d.Deal(backends, Place{Nodes: 1}, 7)
+		got[d.Pick(one, whole, idle)]++
+	}
+	for _, count := range got {
+		is.True(math.Abs(float64(count)-100) <= 1)
+	}
+}
+
+// TestPickAllocatesNothing: it is on the path of every opening.
+func TestPickAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	d := New(DefaultSettings())
+	d.Deal(fleetOf(40, 40, 40), Place{Rank: 3, Nodes: 24}, 7)
+	zones := parts(0.98, 0.01, 0.01)
+	is.Equal(testing.AllocsPerRun(100, func() { d.Pick(zones, whole, idle) }), 0.0)
+}
