Admission over the fleet: one part for each priority, from the sums of all nodes

Cause: each node decides by the times of some twenty requests a second spread over 120 back ends: refusals come by chance, unlike from node to node and zone to zone, and early. Change: internal/admission works out, from the fleet's sums alone, the part of each priority's openings that is let in: the slots of all ready back ends (corrected slowly where work is taken for more or less than it is, and a little by the load, as it moves), the more important first, tries again taken out of what is asked for, work on flows that are open set aside. A node's own limit rises by 1.8 while the fleet refuses, so that it decides only far beyond chance; own sight of room goes before whatever is told; news older than a second do not count. Tests seen to fail, by taking out: LateLimit, PartsLife, own sight of room, the count of openings, a Gain of 1.2, tries = 1, Slow, the room of the less important, order of parts, Neutral, held work, the first room from the sums, Rising, bounds of the room.

--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -74,7 +74,10 @@
 	if a.table == nil {
 		return
 	}
-	for name := range loads {
+	for name, known := range loads {
+		if service := a.table.ServiceNamed(name); service != nil {
+			a.overload.Learn(a.core.now, name, &known, sum(service.Capacity()))
+		}
 		if a.shares[name] == nil && a.table.HasService(name) {
 			a.shares[name] = &share{parts: a.table.ServiceNamed(name).Even()}
 		}
@@ -91,6 +94,14 @@
 	}
 }
 
+func sum(capacity map[lb.Zone]float64) float64 {
+	total := 0.0
+	for _, slots := range capacity {
+		total += slots
+	}
+	return total
+}
+
 // wantedParts gives the parts of zones for a service, by what is known; nil: nothing is
 // known, and the parts are those of the table.
 func (a *tokenAffinity) wantedParts(service *steering.Service) zoneshare.Parts {
--- a/internal/overload/estimate.go
+++ b/internal/overload/estimate.go
@@ -128,10 +128,19 @@
 // load is a time over what a request may take: some times what it takes at idle
 // back ends, or a part of its target, whichever is less.
 func (c *class) load(took time.Duration, settings *Settings) float64 {
-	ratio := settings.IdleRatio + settings.SpreadRatio*math.Sqrt(c.idle.variance)
+	return c.over(took, settings.TargetShare, settings.IdleRatio+settings.SpreadRatio*math.Sqrt(c.idle.variance))
+}
+
+// late is the load as nodes tell each other: over what a request may take at the latest.
+func (c *class) late(took time.Duration, settings *Settings) float64 {
+	return c.over(took, settings.LateShare, settings.LateRatio+settings.SpreadRatio*math.Sqrt(c.idle.variance))
+}
+
+// over is a time over the lesser of a part of the target and some times the idle time.
+func (c *class) over(took time.Duration, share, ratio float64) float64 {
 	allowed := ratio * c.idle.value
-	if c.target > 0 && (allowed == 0 || settings.TargetShare*c.target < allowed) {
-		allowed = settings.TargetShare * c.target
+	if c.target > 0 && (allowed == 0 || share*c.target < allowed) {
+		allowed = share * c.target
 	}
 	if allowed == 0 {
 		return neutralLoad
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -10,6 +10,7 @@
 	"math"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/admission"
 	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 )
@@ -57,6 +58,17 @@
 	// FreeLoad is the load below which a back end takes what it is given,
 	// however the others do.
 	FreeLoad float64
+	// LateShare and LateRatio are like TargetShare and IdleRatio, for the loads that
+	// nodes tell each other: what all of them see together is known well enough to
+	// refuse later than one alone can.
+	LateShare, LateRatio float64
+	// LateLimit is by how much the limits rise while the fleet's parts are known: a node
+	// then decides by its own sight only where that is far beyond chance.
+	LateLimit float64
+	// PartsLife is how long the fleet's parts count after the sums they follow from.
+	PartsLife time.Duration
+	// Fleet are the parameters of the fleet's parts.
+	Fleet admission.Settings
 	// Forget is how long a class counts after its last opening.
 	Forget time.Duration
 
@@ -83,6 +95,11 @@
 		Step:          1.6,
 		Least:         0.002,
 		FreeLoad:      0.78,
+		LateShare:     0.5,
+		LateRatio:     3,
+		LateLimit:     1.8,
+		PartsLife:     time.Second,
+		Fleet:         admission.DefaultSettings(),
 		Forget:        5 * time.Second,
 	}
 }
@@ -126,7 +143,9 @@
 
 // Begun notes that a request was sent on.
 func (c *Controller) Begun(now time.Duration, name lb.ServiceName, objective lb.Objective) {
-	c.meter.Begun(name, objective.Priority, c.service(now, name).class(objective).idle.value)
+	s := c.service(now, name)
+	s.level(objective.Priority, &c.settings).begun++
+	c.meter.Begun(name, objective.Priority, s.class(objective).idle.value)
 }
 
 // Answered notes that a back end in a zone has answered a request after the time took.
@@ -149,7 +168,7 @@
 	}
 	load := kind.load(took, &c.settings)
 	b.answered(now, load)
-	c.meter.Answered(name, zone, math.Log(load))
+	c.meter.Answered(name, zone, math.Log(kind.late(took, &c.settings)))
 }
 
 // Load gives how much a back end has to do, from the times that its requests
@@ -180,18 +199,41 @@
 	return load < other
 }
 
+// Learn takes what the fleet knows of a service, and the slots of its ready back
+// ends; 0: not known.
+func (c *Controller) Learn(now time.Duration, name lb.ServiceName, known *fleetload.Service, slots float64) {
+	if c.settings.Off {
+		return
+	}
+	s := c.service(now, name)
+	s.fleet.Learn(now, known, slots, s.held, &c.settings.Fleet)
+	s.toldAt = known.At
+}
+
 // Admit tells whether the first copy of an opening may be forwarded to a back
 // end. draw is a hash of the opening, uniform over all numbers.
 func (c *Controller) Admit(now time.Duration, name lb.ServiceName, objective lb.Objective, identity Identity, draw uint64) bool {
 	if c.settings.Off {
 		return true
 	}
-	load, known := c.Load(now, identity)
 	s := c.service(now, name)
 	c.scan(now, s)
 	l := s.level(objective.Priority, &c.settings)
 	l.seen = now
-	if known && load < c.settings.FreeLoad {
+	if c.lets(now, s, l, identity, draw) {
+		l.opened++
+		return true
+	}
+	s.refused++
+	s.refusedEver++
+	c.meter.Refused(name, objective.Priority, s.class(objective).idle.value)
+	return false
+}
+
+// lets tells whether an opening is let in.
+func (c *Controller) lets(now time.Duration, s *service, l *level, identity Identity, draw uint64) bool {
+	load, known := c.Load(now, identity)
+	if known && load < c.settings.FreeLoad && !s.told(now, &c.settings) {
 		return true
 	}
 	if !known {
@@ -199,13 +241,7 @@
 	}
 	// One back end alone may be crowded by chance, or by what it is given elsewhere.
 	part := s.admitted(now, l, (load+s.pressure)/2, &c.settings)
-	if part >= 1 || float64(draw>>11)/(1<<53) < part {
-		return true
-	}
-	s.refused++
-	s.refusedEver++
-	c.meter.Refused(name, objective.Priority, s.class(objective).idle.value)
-	return false
+	return part >= 1 || float64(draw>>11)/(1<<53) < part
 }
 
 // Pressure gives the time that requests of a service take over what they may;
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -152,7 +152,8 @@
 			now += time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "wait"))
 			objective := rapid.SampledFrom(objectives).Draw(t, "objective")
 			identity := Identity(rapid.IntRange(1, 4).Draw(t, "identity"))
-			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			least := settings.Least
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				took := rapid.SampledFrom([]time.Duration{0, 1, ms, 40 * ms, time.Second, time.Hour}).Draw(t, "took")
 				c.Answered(now, web, objective, "za", identity, took)
@@ -160,6 +161,13 @@
 				c.Admit(now, web, objective, identity, rapid.Uint64().Draw(t, "draw"))
 			case 2:
 				c.Tick(now)
+			case 3:
+				known := crowd(now)
+				known.Zones[0].Levels[0].Begun = rapid.Float64Range(0, 300).Draw(t, "begun")
+				c.Learn(now, web, known, rapid.Float64Range(0, 200).Draw(t, "slots"))
+			}
+			if s := c.services[web]; s != nil && s.told(now, &settings) {
+				least = 0 // the fleet sees answers without it
 			}
 			for _, status := range c.Status(now) {
 				if math.IsNaN(status.Pressure) || status.Pressure < 0 || status.Pressure > maxLoad {
@@ -167,7 +175,7 @@
 				}
 				above := 1.0
 				for _, level := range status.Levels {
-					if !(level.Admitted >= settings.Least && level.Admitted <= above+1e-9) {
+					if !(level.Admitted >= least && level.Admitted <= above+1e-9) {
 						t.Fatalf("levels %v", status.Levels)
 					}
 					above = level.Admitted
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/admission"
 	"robinpulley.example/robinpulley/internal/lb"
 )
 
@@ -24,6 +25,9 @@
 	memory        time.Duration
 	levels        []*level // by priority, the most important first
 	adapted       time.Duration
+	// fleet is what follows from the fleet's sums, which are of the time toldAt.
+	fleet  admission.Service
+	toldAt time.Duration
 
 	overloaded bool
 	calmSince  time.Duration // since when nothing is refused
@@ -37,8 +41,31 @@
 	priority uint16
 	seen     time.Duration // when its last opening came
 	log      float64       // natural logarithm of the part; at most 0
+	// opened and begun are how many openings were let in and how many requests begun, lately.
+	opened, begun float64
 }
 
+// held gives the part of a priority's requests that come on flows that were open before.
+func (s *service) held(priority uint16) float64 {
+	for _, l := range s.levels {
+		if l.priority != priority || l.begun == 0 {
+			continue
+		}
+		if held := 1 - l.opened/l.begun; held > leastHeld {
+			return held
+		}
+	}
+	return 0
+}
+
+// leastHeld is the part that is taken for none: chance in a few tens of requests, and openings that were
+// let in by another node.
+const leastHeld = 0.3
+
+// heldTime is the time in which counts of openings and requests lose two thirds of their weight:
+// one node sees some tens of them in it.
+const heldTime = 2 * time.Second
+
 func (s *service) class(objective lb.Objective) *class {
 	known := s.classes[objective]
 	if known == nil {
@@ -97,6 +124,9 @@
 // each level below that has openings.
 func (s *service) limit(now time.Duration, l *level, settings *Settings) float64 {
 	limit := settings.Limit
+	if s.told(now, settings) && s.fleet.Refuses() {
+		limit += settings.LateLimit
+	}
 	for _, other := range s.levels {
 		if other.priority > l.priority && now-other.seen <= settings.Forget {
 			limit += settings.Step
@@ -115,7 +145,17 @@
 	if s.free(settings) {
 		return 1
 	}
-	return max(settings.Least, math.Exp(min(log, 0)))
+	part := max(settings.Least, math.Exp(min(log, 0)))
+	if s.told(now, settings) {
+		// The fleet sees answers, whatever this node lets in: Least would add up where flows are kept.
+		part = min(part, s.fleet.PartOf(l.priority))
+	}
+	return part
+}
+
+// told tells whether the parts that follow from the fleet's sums are known, and recent.
+func (s *service) told(now time.Duration, settings *Settings) bool {
+	return len(s.fleet.Parts()) > 0 && now-s.toldAt <= settings.PartsLife
 }
 
 // longestStep bounds the time that one adaptation stands for: after a pause
@@ -146,7 +186,10 @@
 	s.remember(now, settings)
 	step := min(now-s.adapted, longestStep).Seconds()
 	s.adapted = now
+	fade := math.Exp(-step / heldTime.Seconds())
 	for _, l := range s.levels {
+		l.opened *= fade
+		l.begun *= fade
 		over := s.pressure - s.limit(now, l, settings)
 		rate := settings.FallRate
 		if over < 0 {
