A node knows which zones it reaches: openings that none gets are held, and let in bit by bit

Cause: a zone cut off while its back ends are evacuated has nodes that reach nothing. Openings went on towards back ends in the other zones, whose silence counts one by one and is ignored once more than half are silent; when the cut ended, all who had waited came within a second, and requests of all zones failed.

Change: internal/reach, a core without I/O and clock: four back ends of a zone that leave openings unanswered and no sign of life of back ends or balancers there give it up; one sign refutes it. No flows but probes go there. Where no zone is left, openings are held for 10 s and refused at once later, or where this node alone is cut off; a return lets in the usual rate at first, more each 250 ms, new openings before copies. No message, no setting, nothing stored.

Tests were seen to fail first by mutants of reach.go (no answer before needed, signs ignored, pause ignored, one back end enough, no least silence, no bound of probes, no end of the return): each fails one at least. The mutants of ramp.go were not run.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -14,6 +14,7 @@
 	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
+	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -74,6 +75,8 @@
 	ReasonUnknownService Reason = "unknown-service" // no service has this front end
 	ReasonNoBackend      Reason = "no-backend"      // the service has no active back end
 	ReasonEvacuated      Reason = "evacuated"       // all zones with active back ends of the service are evacuated
+	ReasonUnreachable    Reason = "unreachable"     // this node reaches no zone with back ends of the service
+	ReasonReturning      Reason = "returning"       // zones have just been reached again; a copy may go later
 	ReasonCold           Reason = "cold"            // the back ends have just started, and bear no more new flows
 	ReasonBackendFailed  Reason = "backend-failed"  // the flow's back end is gone
 	ReasonAdmission      Reason = "admission"       // new flows exceed the limit
@@ -140,6 +143,8 @@
 	// Overload are services that have become overloaded, or are so no more. They
 	// hold until the next step.
 	Overload []overload.Change
+	// Reach are zones that are reached no more, or are again. They hold until the next step.
+	Reach []reach.Change
 	// Unsure is set while the core distrusts its view and waits for ContactRegained.
 	Unsure bool
 }
@@ -166,6 +171,8 @@
 	Avoid []observe.Identity
 	Peer  *PeerEvent
 	Tick  bool // at least every TickInterval
+	// Heard tells, with a tick, when balancers of zones were last heard, for AffinityToken.
+	Heard []ZoneHeard
 	Leave bool // planned stop begins
 	// Contact tells whether this node has lately exchanged placements with a
 	// peer. ContactRegained is valid only after an exchange that began after
@@ -173,6 +180,15 @@
 	Contact ContactChange
 }
 
+// ZoneHeard is what the membership knows of one zone.
+type ZoneHeard struct {
+	Zone lb.Zone
+	// At is when a message last came straight from a node of the zone.
+	At time.Duration
+	// Lost: the membership does not reach the zone.
+	Lost bool
+}
+
 // PeerEvent is a message from a peer.
 type PeerEvent struct {
 	From    lb.NodeID
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
+	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/steering"
 )
@@ -68,6 +69,9 @@
 	avoid(identities []observe.Identity)
 	overloads() []overload.Change
 	pressures() []overload.Status
+	heard(zones []ZoneHeard)
+	reached() []reach.Change
+	zones() []reach.Status
 }
 
 // New gives a core that knows of no other member and no service.
@@ -118,16 +122,21 @@
 	}
 	core.setContact(event.Contact)
 	if event.Tick {
+		core.affinity.heard(event.Heard)
 		core.affinity.tick()
 		core.tick(effects)
 	}
 	effects.Backends = core.affinity.changes()
 	effects.Outcomes = core.affinity.outcomes()
 	effects.Overload = core.affinity.overloads()
+	effects.Reach = core.affinity.reached()
 	effects.Unsure = !core.sure
 	effects.HandoverDone = core.leaving && core.handover.idle()
 }
 
+// Zones gives which zones' back ends are reached, for AffinityToken.
+func (core *Core) Zones() []reach.Status { return core.affinity.zones() }
+
 // Pressures gives what is known of the load of services, for AffinityToken.
 func (core *Core) Pressures() []overload.Status { return core.affinity.pressures() }
 
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -4,6 +4,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
+	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -49,6 +50,12 @@
 
 func (chainAffinity) pressures() []overload.Status { return nil }
 
+func (chainAffinity) heard([]ZoneHeard) {}
+
+func (chainAffinity) reached() []reach.Change { return nil }
+
+func (chainAffinity) zones() []reach.Status { return nil }
+
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core.Core, packet: packet, decision: decision}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -29,13 +29,14 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 16
+const reasonCount = 18
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
 	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused, ReasonDraining,
 	ReasonNoView, ReasonUnknownToken, ReasonOverload, ReasonEvacuated, ReasonCold,
+	ReasonUnreachable, ReasonReturning,
 }
 
 // count adds a decision to the counters.
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -7,6 +7,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
+	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/steering"
 )
@@ -21,6 +22,9 @@
 	overload *overload.Controller
 	// cold says which back ends that have just started this node may use.
 	cold *coldstart.Limiter
+	// reach says which zones' back ends this node reaches, and zoneOf where they are.
+	reach  *reach.Tracker
+	zoneOf map[observe.Identity]lb.Zone
 	// factors are observer.Factor of the ready hosts of the service at hand.
 	factors []float64
 }
@@ -29,11 +33,13 @@
 	affinity := &tokenAffinity{core: core, observer: observe.New(observe.DefaultSettings())}
 	affinity.overload = overload.New(core.settings.Overload)
 	affinity.cold = coldstart.New(core.settings.ColdStart)
+	affinity.reach = reach.New(reach.DefaultSettings(core.settings.Zone))
 	return affinity
 }
 
 func (a *tokenAffinity) setTable(table *steering.Table) {
 	a.table = table
+	a.placeBackends(table)
 	present := make(map[observe.Identity]bool, len(table.Hosts()))
 	for _, host := range table.Hosts() {
 		present[observe.Identity(host.Identity)] = true
@@ -49,6 +55,7 @@
 		known[index] = coldstart.Member(member)
 	}
 	a.cold.SetMembers(a.core.now, known)
+	a.reach.SetNodes(len(members))
 }
 
 func (a *tokenAffinity) outcomes() []observe.Outcome { return a.observer.Outcomes() }
@@ -65,6 +72,7 @@
 
 func (a *tokenAffinity) tick() {
 	a.observer.Tick(a.core.now)
+	a.noteSigns()
 	a.overload.Tick(a.core.now)
 }
 
@@ -93,7 +101,11 @@
 	decision.Service = service.Name
 	host, placed := a.choose(service, flow)
 	if host == nil {
-		a.refuse(packet, decision, flow, withoutBackend(service))
+		a.reject(packet, decision, flow, a.withoutBackend(service))
+		return
+	}
+	if !placed && !a.reach.Admit(a.core.now, packet.Copies == 0) {
+		decision.drop(ReasonReturning)
 		return
 	}
 	frontend := packet.Key.Frontend()
@@ -114,7 +126,10 @@
 // zones are all evacuated is refused like one that has no back ends: the
 // operators' word goes before a caller's, who may come back, and to hold the
 // opening would only use up the time in which another attempt may succeed.
-func withoutBackend(service *steering.Service) Reason {
+func (a *tokenAffinity) withoutBackend(service *steering.Service) Reason {
+	if a.outOfReach(service) {
+		return ReasonUnreachable
+	}
 	if len(service.Cold) > 0 {
 		return ReasonCold
 	}
@@ -146,7 +161,13 @@
 		}
 	}
 	a.weigh(service)
+	if host := a.probe(service, flow); host != nil {
+		return host, false
+	}
 	first := service.Pick(flow, a.factors)
+	if first != nil && !a.reach.Reaches(first.Zone) {
+		return nil, false
+	}
 	if first == nil || !a.overload.Crowded(a.core.now, overload.Identity(first.Identity)) {
 		return first, false
 	}
@@ -159,6 +180,9 @@
 
 // mayUse tells whether this node may send an opening to a cold back end now.
 func (a *tokenAffinity) mayUse(service *steering.Service, host *steering.Host) bool {
+	if !a.reach.Reaches(host.Zone) {
+		return false
+	}
 	backend := coldstart.Backend{Identity: coldstart.Identity(host.Identity), Zone: host.Zone, Rate: service.ColdRate}
 	return a.cold.Allows(a.core.now, backend)
 }
@@ -167,7 +191,10 @@
 func (a *tokenAffinity) weigh(service *steering.Service) {
 	a.factors = a.factors[:0]
 	for _, host := range service.Ready {
-		factor := a.observer.Factor(a.core.now, service.Name, observe.Identity(host.Identity))
+		factor := steering.FactorUnreached
+		if a.reach.All() || a.reach.Reaches(host.Zone) {
+			factor = a.observer.Factor(a.core.now, service.Name, observe.Identity(host.Identity))
+		}
 		a.factors = append(a.factors, factor)
 	}
 }
@@ -202,6 +229,7 @@
 		packet.Acknowledged, packet.HasData, packet.Kind == PacketClosing)
 	took, answered := a.observer.Later(a.core.now, packet.Key.ID(), host.Service,
 		observe.Identity(host.Identity), packet.Acknowledged, packet.HasData)
+	a.noteSigns()
 	if !answered {
 		return
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -43,6 +43,8 @@
 	EventBackendAnswers   Event = "backend_answers"
 	EventBackendAvoided   Event = "backend_avoided"
 	EventBackendTrusted   Event = "backend_trusted"
+	EventZoneUnreached    Event = "zone_unreached"
+	EventZoneReached      Event = "zone_reached"
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
 	EventMalformed        Event = "malformed_packets"
@@ -58,7 +60,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -97,6 +99,13 @@
 	FieldOthers    = "others"
 	FieldEvacuated = "evacuated_zones"
 
+	FieldBackendZone = "backend_zone"
+	FieldSilence     = "silence_ms"
+	FieldAnswered    = "answered_age_ms"
+	FieldHeard       = "heard_age_ms"
+	FieldLost        = "members_lost"
+	FieldProbes      = "probes"
+
 	FieldAdmission = "admission"
 )
 
--- a/internal/member/zone.go
+++ b/internal/member/zone.go
@@ -50,6 +50,24 @@
 	return core.zones[index]
 }
 
+// ZoneHeard is what this node has heard of one zone.
+type ZoneHeard struct {
+	Zone lb.Zone
+	// At is when a message last came straight from a node of the zone, or when the
+	// zone became known.
+	At time.Duration
+	// Lost: the zone is unreachable, in this node's view.
+	Lost bool
+}
+
+// Heard appends what this node has heard of each zone.
+func (core *Core) Heard(buffer []ZoneHeard) []ZoneHeard {
+	for _, zone := range core.zones {
+		buffer = append(buffer, ZoneHeard{Zone: zone.name, At: zone.heard, Lost: zone.unreachable})
+	}
+	return buffer
+}
+
 func compareHash(left, right *entry) int {
 	return cmp.Or(cmp.Compare(left.hash, right.hash), cmp.Compare(left.machine.ID, right.machine.ID))
 }
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -83,6 +83,7 @@
 	typical  map[lb.ServiceName]float64 // seconds; what fast answers of a service take
 	sweepAt  time.Duration
 	changes  []Change
+	signs    []Sign
 }
 
 // Change is a back end that has fallen silent, or has answered again.
@@ -100,6 +101,20 @@
 	return changes
 }
 
+// Sign is an answer of a back end, or a missing one to an opening sent at Sent.
+type Sign struct {
+	Identity Identity
+	Missing  bool
+	Sent     time.Duration
+}
+
+// Signs gives those since the last call. It holds until the next call of any method.
+func (o *Observer) Signs() []Sign {
+	signs := o.signs
+	o.signs = o.signs[:0]
+	return signs
+}
+
 // New gives an observer that knows nothing.
 func New(settings Settings) *Observer {
 	return &Observer{
@@ -175,6 +190,7 @@
 }
 
 func (o *Observer) alive(now time.Duration, identity Identity) {
+	o.signs = append(o.signs, Sign{Identity: identity})
 	known := o.health(identity)
 	if known.missing > 0 {
 		o.changes = append(o.changes, Change{Identity: identity})
@@ -201,6 +217,7 @@
 		return // it has answered others: this packet, or its answer, was lost
 	}
 	o.note(pending.identity, true)
+	o.signs = append(o.signs, Sign{Identity: pending.identity, Missing: true, Sent: pending.at})
 	known := o.health(pending.identity)
 	known.missing++
 	if now >= known.silent {
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -137,3 +137,19 @@
 	observer.Forget(func(Identity) bool { return false })
 	is.Equal(len(observer.backends), 0)
 }
+
+// TestSigns: each opening left unanswered is told of once, with when it was sent, and
+// each answer.
+func TestSigns(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Opened(10*ms, 7, first)
+	observer.Opened(20*ms, 8, second)
+	observer.Later(30*ms, 8, web, second, 1, false)
+	is.Equal(observer.Signs(), []Sign{{Identity: second}})
+	for now := 40 * ms; now < 400*ms; now += 20 * ms {
+		observer.Tick(now)
+	}
+	is.Equal(observer.Signs(), []Sign{{Identity: first, Missing: true, Sent: 10 * ms}})
+	is.Equal(len(observer.Signs()), 0)
+}
--- a/internal/steering/share_test.go
+++ b/internal/steering/share_test.go
@@ -201,3 +201,21 @@
 		})
 	}
 }
+
+// TestHostsOutOfReachGetNothing: nor do they count as silent, so that silence among
+// those in reach is heeded or ignored as if the others were not there.
+func TestHostsOutOfReachGetNothing(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	fill(world, 6)
+	service := world.table(zoneA).service("web")
+	out := FactorUnreached
+	for number := range 200 {
+		flow := lb.FlowID(number)
+		is.Equal(service.Pick(flow, []float64{out, out, out, out, out, out}), nil)
+		is.Equal(service.Pick(flow, []float64{out, out, out, 0, 1, 0.5}) == service.Ready[3], false)
+		chosen := service.Pick(flow, []float64{out, out, out, 0, 0, 1}) // most in reach are silent
+		is.True(chosen == service.Ready[3] || chosen == service.Ready[4] || chosen == service.Ready[5])
+		is.Equal(service.PickOther(flow, []float64{out, out, out, out, out, out}), nil)
+	}
+}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -279,18 +279,19 @@
 // among those ready, or lapsed if none is ready; nil if there is neither. factors
 // are by how much this balancer lowers the weight of each ready host, from 0 to 1;
 // nil: by nothing, for a choice that is the same at all balancers of the zone.
+// Those of FactorUnreached get nothing.
 func (s *Service) Pick(flow lb.FlowID, factors []float64) *Host {
-	if mostlyZero(factors) {
-		factors = nil
-	}
-	if found := first(s.Ready, flow, factors); found != nil {
+	if found := first(s.Ready, flow, factors, mostlyZero(factors)); found != nil {
 		return found
 	}
-	return first(s.Lapsed, flow, nil)
+	return first(s.Lapsed, flow, nil, false)
 }
 
+// FactorUnreached is that of a ready host in a zone that this balancer does not reach.
+const FactorUnreached = -1.0
+
 // PickOther gives another choice, independent of that of Pick: among the ready
-// hosts of all zones by what they can do. It is nil if that one has the factor 0.
+// hosts of all zones by what they can do. It is nil if that one has the factor 0 or below.
 func (s *Service) PickOther(flow lb.FlowID, factors []float64) *Host {
 	if len(s.Ready) == 0 {
 		return nil
@@ -300,7 +301,7 @@
 	if exact {
 		index++ // a host's part ends before its sum
 	}
-	if factors != nil && factors[index] == 0 {
+	if factors != nil && factors[index] <= 0 {
 		return nil
 	}
 	return s.Ready[index]
@@ -315,34 +316,37 @@
 			usable = append(usable, host)
 		}
 	}
-	return first(usable, flow, nil)
+	return first(usable, flow, nil, false)
 }
 
-// mostlyZero tells whether more than half of the hosts have the factor 0. Then
-// it is more likely this balancer, or its network, that is at fault than they
+// mostlyZero tells whether more than half of the hosts in reach have the factor 0.
+// Then it is more likely this balancer, or its network, that is at fault than they
 // are, and to crowd the rest would make it worse.
 func mostlyZero(factors []float64) bool {
-	zero := 0
+	zero, reached := 0, 0
 	for _, factor := range factors {
+		if factor >= 0 {
+			reached++
+		}
 		if factor == 0 {
 			zero++
 		}
 	}
-	return 2*zero > len(factors)
+	return 2*zero > reached
 }
 
 // first ranks by -ln(u)/weight, lowest first, with u uniform in (0,1) by hash
 // (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). Hosts
-// of factor 0 are passed over.
-func first(candidates []*Host, flow lb.FlowID, factors []float64) *Host {
+// of factor 0 are passed over, unless blind, and those out of reach always.
+func first(candidates []*Host, flow lb.FlowID, factors []float64, blind bool) *Host {
 	var best *Host
 	bestCost := math.Inf(1)
 	for index, host := range candidates {
 		weight := host.weight
-		if factors != nil {
+		if factors != nil && (!blind || factors[index] < 0) {
 			weight *= factors[index]
 		}
-		if weight == 0 {
+		if weight <= 0 {
 			continue
 		}
 		cost := -math.Log(uniform(rendezvous.Mix(uint64(flow)^host.rank))) / weight
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -160,7 +160,7 @@
 	engine.input(func() {
 		engine.memberStep(&member.Event{})
 		engine.followerStep(&follower.Event{})
-		engine.core.Step(engine.now(), &core.Event{Tick: true}, &engine.coreEffects)
+		engine.core.Step(engine.now(), &core.Event{Tick: true, Heard: engine.zonesHeard()}, &engine.coreEffects)
 		engine.logChanges()
 		engine.evidenceStep(&evidence.Event{})
 		if engine.table != nil && engine.table.Expires() != 0 && engine.last >= engine.table.Expires() {
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -38,6 +38,7 @@
 	engine.noteOutcomes()
 	engine.logBackends()
 	engine.logOverload()
+	engine.logReach()
 }
 
 // logOverload logs services that have become overloaded, or are so no more.
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -13,6 +13,7 @@
 	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/packet"
+	"robinpulley.example/robinpulley/internal/reach"
 )
 
 // callKey tells apart the calls to the store.
@@ -65,6 +66,8 @@
 		"Version of the configuration in force.")
 	metricEvacuated = metrics.New(prometheus.GaugeValue, "zone_evacuated",
 		"1 for each zone whose back ends get no new flows by the operators' word.", "zone")
+	metricReached = metrics.New(prometheus.GaugeValue, "zone_reached",
+		"1 for each zone with back ends that this node reaches, 0 for one that it does not.", "zone")
 	metricAvoided = metrics.New(prometheus.GaugeValue, "backends_avoided",
 		"Back ends that this node avoids since the nodes together take them for failing.")
 	metricRank = metrics.New(prometheus.GaugeValue, "reader_rank",
@@ -104,7 +107,7 @@
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricEvacuated, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
+	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 }
 
@@ -154,6 +157,13 @@
 	for _, zone := range state.evacuated {
 		output.Add(metricEvacuated, 1, string(zone))
 	}
+	for _, zone := range state.reached {
+		reached := 0.0
+		if zone.Reached {
+			reached = 1
+		}
+		output.Add(metricReached, reached, string(zone.Zone))
+	}
 	output.Add(metricAvoided, float64(state.avoided))
 	output.Add(metricRank, float64(state.rank))
 	output.Add(metricReads, state.reads)
@@ -206,6 +216,7 @@
 	version   uint64
 	evacuated []lb.Zone
 	avoided   int
+	reached   []reach.Status
 	age       float64 // seconds
 	rank      int
 	reads     float64 // 1: this node reads for the others
@@ -228,6 +239,7 @@
 		version:   engine.follower.Replica().Version(),
 		evacuated: engine.follower.Replica().Evacuated(),
 		avoided:   engine.evidence.Avoided(),
+		reached:   engine.core.Zones(),
 		rank:      engine.follower.Rank(),
 		members:   engine.others + 1,
 		leaving:   engine.leaving,
