Questions for the view stay in the own zone mostly

Cause, traced by a trial that counted bytes of control by type and zone (scratch copy, 299 machines before 3,000 back ends, a start, a kill of all): of 18 MB between zones 11.8 MB were whole views (669 messages, nearly all in the four to eight seconds after a start), 3.2 MB probes of members, 1.8 MB their answers, 1.2 MB member lists, 0.2 MB questions, 0.1 MB digests, 0.0003 MB evidence. Each node that starts asks two nodes of the whole fleet by chance, until its view is confirmed, and gets some six whole views.

Ruled out: evidence verdicts and digests (above), spreading of changes (through one node a zone).

Change: where eight others of the own zone are known, seven of eight questions go to them.

--- a/internal/follower/ask.go
+++ b/internal/follower/ask.go
@@ -69,14 +69,38 @@
 	if seeds := len(core.settings.Seeds); seeds > 0 && count < enoughPeers {
 		asked = append(asked, core.settings.Seeds[core.random.IntN(seeds)])
 	} else if count > 0 {
-		asked = append(asked, core.peers[core.random.IntN(count)].Control)
+		asked = append(asked, core.anyPeer().Control)
 	}
 	if count > 0 {
-		asked = append(asked, core.peers[core.random.IntN(count)].Control)
+		asked = append(asked, core.anyPeer().Control)
 	}
 	return asked
 }
 
+// farParts is the part of questions, one in so many, that go to nodes of all zones
+// where the own one has enough. While hundreds start at once, a node is answered with
+// some six whole views before one is confirmed: of 299 nodes before 3,000 back ends,
+// starting twice, two thirds of all bytes of control between zones were such answers
+// (11.8 MB of 18). The own zone hears what others know through its first node.
+const farParts = 8
+
+// anyPeer gives a peer by chance, of the own zone mostly if enough are known there.
+func (core *Core) anyPeer() Peer {
+	self := core.position(core.settings.Self)
+	near := len(core.ranked)
+	if self >= 0 {
+		near--
+	}
+	if near < enoughPeers || core.random.IntN(farParts) == 0 {
+		return core.peers[core.random.IntN(len(core.peers))]
+	}
+	index := core.random.IntN(near)
+	if self >= 0 && index >= self {
+		index++
+	}
+	return core.ranked[index]
+}
+
 // want asks a peer for what this node lacks.
 func (core *Core) want(address netip.AddrPort, effects *Effects) {
 	if !address.IsValid() || core.now < core.nextWant {
