--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -98,7 +98,7 @@
 		return service.Pick(flow, weights, a.factors)
 	}
 	index := a.hands.of(a.core, service).Pick(parts,
-		func(index int) float64 { return a.factors[index] },
+		func(index int) float64 { return max(0, a.factors[index]) }, // those out of reach get nothing
 		func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Identity)) },
 	)
 	if index < 0 {
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -5,6 +5,7 @@
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
+	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -54,6 +55,11 @@
 func (chainAffinity) setLoads(map[lb.ServiceName]fleetload.Service) {}
 
 func (chainAffinity) samples() []fleetload.Sample { return nil }
+func (chainAffinity) heard([]ZoneHeard)           {}
+
+func (chainAffinity) reached() []reach.Change { return nil }
+
+func (chainAffinity) zones() []reach.Status { return nil }
 
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -29,13 +29,14 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 16
+const reasonCount = 17
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
 	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused, ReasonDraining,
 	ReasonNoView, ReasonUnknownToken, ReasonOverload, ReasonEvacuated, ReasonCold,
+	ReasonUnreachable,
 }
 
 // count adds a decision to the counters.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -43,6 +43,8 @@
 	EventBackendAnswers   Event = "backend_answers"
 	EventBackendAvoided   Event = "backend_avoided"
 	EventBackendTrusted   Event = "backend_trusted"
+	EventZoneUnreached    Event = "zone_unreached"
+	EventZoneReached      Event = "zone_reached"
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
 	EventShareChanged     Event = "share_changed"
@@ -59,7 +61,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventShareChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -105,6 +107,12 @@
 	FieldCapacity       = "capacity"
 	FieldCapacityOthers = "capacity_others"
 	FieldLoadAge        = "load_age_ms"
+	FieldBackendZone    = "backend_zone"
+	FieldSilence        = "silence_ms"
+	FieldAnswered       = "answered_age_ms"
+	FieldHeard          = "heard_age_ms"
+	FieldLost           = "members_lost"
+	FieldProbes         = "probes"
 
 	FieldAdmission = "admission"
 )
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -166,7 +166,7 @@
 	engine.input(func() {
 		engine.memberStep(&member.Event{})
 		engine.followerStep(&follower.Event{})
-		engine.core.Step(engine.now(), &core.Event{Tick: true}, &engine.coreEffects)
+		engine.core.Step(engine.now(), &core.Event{Tick: true, Heard: engine.zonesHeard()}, &engine.coreEffects)
 		engine.noteSamples() // before others step the core, which resets its effects
 		engine.logChanges()
 		engine.evidenceStep(&evidence.Event{})
