Stand-ins: callers acknowledge answers and belong to zones, requests take time

Cause: callers of the stand-in never acknowledged an answer. A balancer sees by the caller's acknowledgement that there is one, so that in soaks and in tests of real nodes nobody knew how long requests take: admission, evidence on answers and the fleet's load had nothing to go by. Hosts answered at once, and callers had no zone. Change: callers acknowledge at once; Host.SetWork has a request take a time in one of the two slots that the host states, and wait for one; the router prefers nodes of the caller's zone, which Caller.SetZone sets or changes.

--- a/internal/lab/platformsim/caller.go
+++ b/internal/lab/platformsim/caller.go
@@ -43,6 +43,7 @@
 	router  *Router
 
 	mutex  sync.Mutex
+	zone   string // whose nodes its packets go to; empty: any
 	flows  map[uint16]*Flow
 	next   uint16
 	forged uint64
@@ -63,6 +64,14 @@
 	return caller, nil
 }
 
+// SetZone has the caller's packets go to the nodes of a zone from now on, also those of
+// open flows; empty: to any.
+func (caller *Caller) SetZone(zone string) {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	caller.zone = zone
+}
+
 // Close ends the caller.
 func (caller *Caller) Close() {
 	_ = caller.socket.Close()
@@ -116,7 +125,7 @@
 	received chan head
 	echo     uint32
 	sequence uint32
-	ack      uint32 // acknowledges the host's opening
+	ack      uint32 // acknowledges the host's opening, and its answers
 
 	// Copies is how many copies of the opening were sent besides the first.
 	Copies int
@@ -169,6 +178,8 @@
 			continue
 		}
 		flow.sequence = end
+		flow.ack = answer.Sequence + uint32(len(answer.Data))
+		flow.send(flagACK, flow.ack, nil) // at once, as callers do: balancers see by it that there is an answer
 		name, body, _ := strings.Cut(string(answer.Data), " ")
 		if body != string(data) {
 			return name, errors.Wrapf(ErrMixed, "request %d", id)
@@ -203,7 +214,10 @@
 		Source: flow.caller.address, SourcePort: flow.port,
 		Destination: flow.front.Addr().As4(), DestinationPort: flow.front.Port(),
 	}
-	to, lost := flow.caller.router.pick(packet.flow())
+	flow.caller.mutex.Lock()
+	zone := flow.caller.zone
+	flow.caller.mutex.Unlock()
+	to, lost := flow.caller.router.pick(packet.flow(), zone)
 	flow.Node = to
 	if !lost {
 		_, _ = flow.caller.socket.WriteToUDPAddrPort(packet.encode(nil), to) // sent again if lost
--- a/internal/lab/platformsim/host.go
+++ b/internal/lab/platformsim/host.go
@@ -49,7 +49,8 @@
 type hostFlow struct {
 	initial uint32 // the host's own first sequence number
 	open    bool
-	answers map[uint32][]byte // answers, by the sequence number of the request
+	answers map[uint32][]byte    // answers, by the sequence number of the request
+	ready   map[uint32]time.Time // when each is ready
 }
 
 // Host is one host that takes packets in the form that the platform calls echo.
@@ -62,9 +63,11 @@
 	reply    uint16
 	answers  atomic.Bool  // false: it has fallen silent
 	cold     atomic.Int64 // nanoseconds since 1970; until then it takes coldAnswer for each packet
+	work     atomic.Int64 // nanoseconds that a request takes in one of its slots
 
 	mutex   sync.Mutex
 	flows   map[flowKey]*hostFlow
+	busy    [slots]time.Time // when each slot is free again
 	counts  HostCounts
 	observe func(HostEvent) // nil: nobody
 	ended   chan struct{}
@@ -90,6 +93,13 @@
 	return host, nil
 }
 
+// slots is how many requests a host works on at once.
+const slots = 2
+
+// SetWork has each new request take a time in one of the host's slots, and wait for one
+// first; 0, as at the start: it is answered at once.
+func (host *Host) SetWork(work time.Duration) { host.work.Store(int64(work)) }
+
 // coldAnswer is what a host that has just started takes for each packet.
 const coldAnswer = 5 * time.Millisecond
 
@@ -108,7 +118,7 @@
 func (host *Host) Announce(store *Store, state string) {
 	store.Put("servers/"+host.ID, map[string]any{
 		"service": host.Service, "address": host.Address().String(), "zone": host.Zone,
-		"version": "v1", "slots": 2, "state": state, "cold_remaining_ms": max(0, time.Until(time.Unix(0, host.cold.Load())).Milliseconds()), "call_seq": 1,
+		"version": "v1", "slots": slots, "state": state, "cold_remaining_ms": max(0, time.Until(time.Unix(0, host.cold.Load())).Milliseconds()), "call_seq": 1,
 	})
 }
 
@@ -187,7 +197,7 @@
 	}
 	flow := host.flows[packet.flow()]
 	if flow == nil {
-		flow = &hostFlow{initial: uint32(host.identity)<<8 | 1, answers: map[uint32][]byte{}}
+		flow = &hostFlow{initial: uint32(host.identity)<<8 | 1, answers: map[uint32][]byte{}, ready: map[uint32]time.Time{}}
 		host.flows[packet.flow()] = flow
 	}
 	answer := packet.answer(flagSYN | flagACK)
@@ -222,18 +232,51 @@
 
 // answer runs a request once and answers it as often as it comes.
 func (host *Host) answer(flow *hostFlow, packet *head) {
-	if _, known := flow.answers[packet.Sequence]; !known {
+	kept, known := flow.answers[packet.Sequence]
+	if !known {
 		host.counts.Ran++
 		if len(packet.Data) == requestBytes {
 			host.tell(HostRan, packet, binary.BigEndian.Uint64(packet.Data))
 		}
-		flow.answers[packet.Sequence] = append([]byte(host.ID+" "), packet.Data...)
+		kept = append([]byte(host.ID+" "), packet.Data...)
+		flow.answers[packet.Sequence] = kept
+	}
+	now := time.Now()
+	ready := flow.ready[packet.Sequence]
+	if !known {
+		ready = host.takeSlot(now)
+		flow.ready[packet.Sequence] = ready
+	}
+	if ready.After(now) && known {
+		return // it is being worked on
 	}
 	answer := packet.answer(flagACK)
-	answer.Sequence = flow.initial + 1
+	answer.Sequence = packet.Acknowledgment
 	answer.Acknowledgment = packet.Sequence + uint32(len(packet.Data))
-	answer.Data = flow.answers[packet.Sequence]
-	host.send(packet, &answer)
+	answer.Data = kept
+	if !ready.After(now) {
+		host.send(packet, &answer)
+		return
+	}
+	about := *packet
+	time.AfterFunc(ready.Sub(now), func() { host.send(&about, &answer) })
+}
+
+// takeSlot gives when a request that comes now is done.
+func (host *Host) takeSlot(now time.Time) time.Time {
+	work := time.Duration(host.work.Load())
+	first := 0
+	for index := range host.busy {
+		if host.busy[index].Before(host.busy[first]) {
+			first = index
+		}
+	}
+	begin := now
+	if host.busy[first].After(now) {
+		begin = host.busy[first]
+	}
+	host.busy[first] = begin.Add(work)
+	return host.busy[first]
 }
 
 func (host *Host) send(about, answer *head) {
--- a/internal/lab/platformsim/router.go
+++ b/internal/lab/platformsim/router.go
@@ -15,6 +15,7 @@
 type RouterNode struct {
 	Data  netip.AddrPort
 	Ready string // URL of its readiness
+	Zone  string
 }
 
 // Times of the probes.
@@ -24,7 +25,8 @@
 	probeMisses   = 2
 )
 
-// Router picks a node for each packet, by hash modulo the number of nodes that are in.
+// Router picks a node for each packet, by hash modulo the number of nodes that are in; of
+// those in the zone of its caller, if the caller has one and any of them is.
 type Router struct {
 	client http.Client
 	mutex  sync.Mutex
@@ -110,10 +112,24 @@
 }
 
 // pick gives the node for a flow's packets at present, and whether this one is lost.
-func (router *Router) pick(flow flowKey) (node netip.AddrPort, lost bool) {
+func (router *Router) pick(flow flowKey, zone string) (node netip.AddrPort, lost bool) {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
-	in := router.in()
+	in := inZone(router.in(), zone)
 	hash := xxhash.Sum64String(flow.caller.String() + flow.front.String())
 	return in[hash%uint64(len(in))].Data, rand.Float64() < router.loss
 }
+
+// inZone gives the nodes of a zone, or all if it has none or no zone is meant.
+func inZone(nodes []RouterNode, zone string) []RouterNode {
+	var near []RouterNode
+	for _, node := range nodes {
+		if node.Zone == zone {
+			near = append(near, node)
+		}
+	}
+	if zone == "" || len(near) == 0 {
+		return nodes
+	}
+	return near
+}
