Soak: crowds, callers that move, slow hosts, evacuated zones under a crowd, mostly cold hosts

Change: five kinds of fault, one at a time with calm after each; callers of zones. Promises: an opening that a balancer refused reaches no host; 2 s after a crowd has gone next to nothing is refused for load until the next one comes (a tenth: callers try three times). Until now each refusal broke 'change'; balancers refuse for load now, so that a refusal while nobody crowds is judged by the reason in the log of the node that refused: for load by that part, for any other reason as before, each one.

--- a/cmd/robinlab/soak.go
+++ b/cmd/robinlab/soak.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,7 @@
 	Seed     uint64        `help:"Seed of the faults; 0 draws one."`
 	Duration time.Duration `help:"How long faults are injected." default:"2m"`
 	Seeds    string        `help:"File of seeds that once failed: each is played instead, one line each, SEED CAUSE." type:"existingfile"`
+	Only     []string      `help:"Kinds of fault that are drawn, separated by commas; empty: all." placeholder:"KIND"`
 	Nodes    int           `help:"Balancers; 0 is the usual number." default:"0"`
 	Zones    int           `help:"Zones of the balancers; 0 is the usual number." default:"0"`
 	Out      string        `help:"Directory for logs and settings files." default:"out/soak"`
@@ -36,7 +38,24 @@
 	if command.Nodes > 0 && command.Zones > command.Nodes {
 		return errors.Newf("--zones %d: there are only %d nodes", command.Zones, command.Nodes)
 	}
-	return nil
+	_, err := command.kinds()
+	return err
+}
+
+// kinds gives the kinds of fault that are drawn.
+func (command *soakCommand) kinds() ([]soak.Fault, error) {
+	if len(command.Only) == 0 {
+		return faults.All(), nil
+	}
+	var kinds []soak.Fault
+	for _, name := range command.Only {
+		index := slices.IndexFunc(faults.All(), func(kind soak.Fault) bool { return kind.Name() == name })
+		if index < 0 {
+			return nil, errors.Newf("--only %q: no kind of fault", name)
+		}
+		kinds = append(kinds, faults.All()[index])
+	}
+	return kinds, nil
 }
 
 // Run does the soak, or one for each seed of the file.
@@ -58,6 +77,9 @@
 			fmt.Printf("seed %d never checked %v: no node was undisturbed for long enough\n", seed, rules)
 			unchecked = append(unchecked, seed)
 		}
+		if rules := report.Unreached(); len(rules) > 0 {
+			fmt.Printf("seed %d had faults for %v, but no opening came to test it: most nodes were disturbed, or had just started\n", seed, rules)
+		}
 	}
 	if len(failed) > 0 {
 		return errors.Newf("promises were not kept with the seeds %d; logs are in %s", failed, command.Out)
@@ -78,7 +100,11 @@
 	settings.Size.Nodes = cmp.Or(command.Nodes, settings.Size.Nodes)
 	settings.Size.Zones = cmp.Or(command.Zones, settings.Size.Zones)
 	fmt.Printf("soak with seed %d for %s\n", seed, command.Duration)
-	report, err := soak.Run(ctx, settings, faults.All(), os.Stdout)
+	kinds, err := command.kinds()
+	if err != nil {
+		return nil, err
+	}
+	report, err := soak.Run(ctx, settings, kinds, os.Stdout)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/robinlab/soak_test.go
+++ b/cmd/robinlab/soak_test.go
@@ -33,3 +33,15 @@
 		})
 	}
 }
+
+func TestOnlyKnownKindsOfFaultAreDrawn(t *testing.T) {
+	is := is.New(t)
+	command := &soakCommand{Only: []string{"crowd", "move"}}
+	is.NoErr(command.Validate())
+	kinds, err := command.kinds()
+	is.NoErr(err)
+	is.Equal(len(kinds), 2)
+	is.Equal(kinds[1].Name(), "move")
+	command.Only = []string{"crwd"}
+	is.Equal(command.Validate().Error(), `--only "crwd": no kind of fault`)
+}
--- a/internal/lab/platformsim/load_test.go
+++ b/internal/lab/platformsim/load_test.go
@@ -11,6 +11,7 @@
 func TestRequestsWaitForASlot(t *testing.T) {
 	is := is.New(t)
 	var host Host
+	host.SetSlots(2)
 	now := time.Now()
 	is.Equal(host.takeSlot(now), now) // no work to do
 	host.SetWork(10 * time.Millisecond)
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -28,6 +28,8 @@
 	RuleCold    Rule = "cold"    // a host that has just started gets no more than Bounds.ColdOpenings in any second
 	RuleChange  Rule = "change"  // a change is in force after Bounds.Change and never reverts
 	RuleOpen    Rule = "open"    // an opening is answered, unless a fault has just been there
+	RuleNotRun  Rule = "not-run" // an opening that a balancer refused reaches no host
+	RuleCrowd   Rule = "crowd"   // next to nothing is refused for load Bounds.Settle after a crowd has gone
 	RuleRecover Rule = "recover" // all is served again after Bounds.Recovery
 	RuleExit    Rule = "exit"    // no balancer ends by itself
 )
@@ -52,6 +54,9 @@
 	SentAt time.Time
 	Node   netip.AddrPort // that the only copy went to
 	Copies int            // sent besides the first
+	Caller netip.AddrPort // the caller's end of the flow
+	// ByNode: it was a balancer that refused it.
+	ByNode bool
 	// Service is that of the host that answered; empty: it was refused.
 	Service string
 }
@@ -73,6 +78,12 @@
 	cold       map[string][]time.Time // openings of hosts that have just started, in the last second
 	gone       map[string]bool        // hosts that crash, fall silent or end
 	lastGone   time.Time
+	crowds     int                          // under way
+	crowdGone  time.Time                    // when the last one had gone
+	calm       *calm                        // under way; nil: none
+	calms      []*calm                      // all
+	reached    map[netip.AddrPort]time.Time // callers' ends of flows, and when an opening of theirs last reached a host
+	refused    map[netip.AddrPort]time.Time // and when one was refused
 	unopened   map[Cause]int
 }
 
@@ -99,6 +110,8 @@
 		disturbing: make(map[netip.AddrPort]int),
 		cold:       make(map[string][]time.Time),
 		gone:       make(map[string]bool),
+		reached:    make(map[netip.AddrPort]time.Time),
+		refused:    make(map[netip.AddrPort]time.Time),
 		unopened:   make(map[Cause]int),
 	}
 }
@@ -118,6 +131,13 @@
 	Evacuations int
 	// Cold are openings at hosts that had just started.
 	Cold int
+	// Refusals are those of a balancer to the only copy of an opening.
+	Refusals int
+	// Crowded are refusals while there was a crowd, and Settled openings after one had gone
+	// for long enough.
+	Crowded, Settled int
+	// Chance are refusals for load while nobody crowded.
+	Chance int
 }
 
 // Checked gives how often promises were checked that hold for nodes in touch only.
@@ -252,6 +272,7 @@
 	defer c.mutex.Unlock()
 	switch event.Kind {
 	case platformsim.HostOpening:
+		c.checkNotRun(now, &event)
 		c.checkDrain(now, &event)
 		c.checkZone(now, &event)
 		c.checkCold(now, &event)
@@ -337,10 +358,55 @@
 	c.report(now, RuleFlow, "a flow of %s by %s: %v", host, node, err)
 }
 
-// Opened takes how an opening went, if it was handled by one node in touch.
+// Crowd notes that back ends have, or may have, more to do than they can. The function
+// notes that it has gone.
+func (c *Checker) Crowd() (gone func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.crowds++
+	c.calm = nil
+	return func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.crowds--
+		c.crowdGone = time.Now()
+	}
+}
+
+// crowded tells whether openings sent at a time may be refused for load.
+func (c *Checker) crowded(at time.Time) bool {
+	return c.crowds > 0 || !c.crowdGone.IsZero() && (c.bounds.Settle == 0 || at.Sub(c.crowdGone) < c.bounds.Settle)
+}
+
+// refusalMemory is how long a refused opening must not reach a host: far longer than a
+// packet is on its way, and far shorter than it takes until a caller's port is used again.
+const refusalMemory = 2 * time.Second
+
+// checkRefusal holds a refusal against what hosts have seen so far, and remembers it.
+func (c *Checker) checkRefusal(now time.Time, opening *Opening) {
+	c.checked.Refusals++
+	if at, reached := c.reached[opening.Caller]; reached && !at.Before(opening.SentAt) {
+		c.report(now, RuleNotRun, "an opening of %s, refused by %s, had reached a host", opening.Caller, opening.Node)
+	}
+	c.refused[opening.Caller] = now
+}
+
+// checkNotRun holds an opening at a host against the refusals so far.
+func (c *Checker) checkNotRun(now time.Time, event *platformsim.HostEvent) {
+	c.reached[event.Caller] = now
+	if at, refused := c.refused[event.Caller]; refused && now.Sub(at) < refusalMemory {
+		c.report(now, RuleNotRun, "an opening of %s, refused before, reached %s by %s", event.Caller, event.Host.ID, event.Node)
+	}
+}
+
+// Opened takes how an opening went. Where it was handled by one node in touch, it is held
+// against the routes, and what was refused for load against crowds.
 func (c *Checker) Opened(opening Opening) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if opening.ByNode && opening.Copies == 0 {
+		c.checkRefusal(time.Now(), &opening)
+	}
 	if opening.Copies > 0 || !c.inTouch(time.Now(), opening.Node) {
 		return
 	}
@@ -348,6 +414,18 @@
 	if len(allowed) == 0 {
 		return
 	}
+	refused := opening.Service == "" && !slices.Contains(allowed, "")
+	if c.crowded(opening.SentAt) {
+		if refused {
+			c.checked.Crowded++
+			return
+		}
+	} else {
+		c.noteCalm(&opening, refused)
+		if refused {
+			return // judged by its reason, when that is known
+		}
+	}
 	c.checked.Routes++
 	if !slices.Contains(allowed, opening.Service) {
 		c.report(opening.SentAt, RuleChange, "%s to %s was handled by service %q, want one of %q", opening.Node, opening.Front, opening.Service, allowed)
--- a/internal/lab/soak/faults/faults.go
+++ b/internal/lab/soak/faults/faults.go
@@ -12,7 +12,7 @@
 
 // All gives every kind.
 func All() []soak.Fault {
-	kinds := []soak.Fault{kill, killAll{}, stop, pause{}, reload{}, loss{}, compact{}, drain{}, crash{}, silence{}, change{}, storm{}, evacuate{}}
+	kinds := []soak.Fault{kill, killAll{}, stop, pause{}, reload{}, loss{}, compact{}, drain{}, crash{}, silence{}, change{}, storm{}, evacuate{}, crowd{}, move{}, slow{}, crowdEvacuated{}, coldMost{}}
 	for _, mode := range []proxy.Mode{proxy.Delay, proxy.Reset, proxy.Silence, proxy.OneWay, proxy.SilenceOpen} {
 		kinds = append(kinds, link{mode})
 	}
--- a/internal/lab/soak/hold.go
+++ b/internal/lab/soak/hold.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"robinpulley.example/robinpulley/internal/lab/platformsim"
 )
@@ -48,3 +49,45 @@
 	}
 	return s.Checker.Disturb(nodes...)
 }
+
+// calmTime is how long nothing else brings load after a crowd, so that what it has left
+// behind is seen.
+const calmTime = 1500 * time.Millisecond
+
+// HoldLoad gives the site to one fault that brings load, or takes back ends from it; false:
+// another has it. The function notes that it has gone, waits until openings must be served
+// again and have been for a while, and gives the site back.
+func (s *Site) HoldLoad() (gone func(), held bool) {
+	if !s.loading.TryLock() {
+		return nil, false
+	}
+	calm := s.Checker.Crowd()
+	return func() {
+		calm()
+		if settle := s.Settings.Bounds.Settle; settle > 0 {
+			time.Sleep(settle + calmTime)
+		}
+		s.loading.Unlock()
+	}, true
+}
+
+// Crowd has callers of a zone ask several times as much. The function ends that.
+func (s *Site) Crowd(zone int) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.crowd(ctx, zone)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// MoveCallers has those of a zone go to the nodes of another one, with the flows that they
+// have open. The function moves them back.
+func (s *Site) MoveCallers(from, to int) (back func()) {
+	s.callers[from].SetZone(s.zone(to))
+	return func() { s.callers[from].SetZone(s.zone(from)) }
+}
