--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -23,7 +23,7 @@
 	crowdPause   = 30 * time.Millisecond // of callers who crowd
 	// refusedPause is long enough for nodes to have a line in their logs for each refusal.
 	refusedPause = 150 * time.Millisecond
-	longestFlow  = 60 // requests
+	longestFlow  = 20 // requests
 	toggledPart  = 4  // one flow in so many goes to a front end that changes
 )
 
