Log lines on admitted parts, with the inputs that decided them

Cause: 'overloaded' says that openings are refused and by what pressure, but not how the admitted part goes on, nor what the fleet knew; shares had a line of their own. Ruled out: a second copy of the share's bounds. Change: stepLog finds the changes of any parts that are worth a line (a tenth, one a second for each, ten for all, the largest first, the rest later); shares and admitted parts use it. admitted_changed has service, priority, the parts, the pressure, and as share_changed asked and capacity here and elsewhere, what is refused, and the age. While a part is away from 1 it is looked at with each tick, since it goes on rising when there is no news any more.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -46,6 +46,7 @@
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
 	EventShareChanged     Event = "share_changed"
+	EventAdmittedChanged  Event = "admitted_changed"
 	EventMalformed        Event = "malformed_packets"
 	EventReloaded         Event = "reloaded"
 	EventReloadFailed     Event = "reload_failed"
@@ -59,7 +60,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventShareChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -104,6 +105,7 @@
 	FieldAskedOthers    = "asked_others"
 	FieldCapacity       = "capacity"
 	FieldCapacityOthers = "capacity_others"
+	FieldAskedRefused   = "asked_refused"
 	FieldLoadAge        = "load_age_ms"
 
 	FieldAdmission = "admission"
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -53,7 +53,7 @@
 	outcomes        []evidence.Outcome
 	load            *fleetload.Core
 	loadEffects     fleetload.Effects
-	shares          shareLog
+	loadLog         loadLog
 	judges          bool // this node judges back ends for its zone
 	zone            *availability.Zone
 	others          int // living members besides this node
@@ -106,7 +106,7 @@
 		follower:     follower.New(following),
 		evidence:     evidence.New(evidence.DefaultSettings(settings.Node)),
 		load:         fleetload.New(fleetload.DefaultSettings(settings.Node, settings.Zone)),
-		shares:       newShareLog(settings.Zone),
+		loadLog:      newLoadLog(),
 		zone:         availability.New(availability.DefaultSettings(settings.Node)),
 		calls:        newCallCounts(),
 		decisions:    newDecisionLog(logger),
@@ -171,6 +171,9 @@
 		engine.logChanges()
 		engine.evidenceStep(&evidence.Event{})
 		engine.loadStep(&fleetload.Event{})
+		if engine.table != nil && engine.loadLog.admitted.away > 0 {
+			engine.logAdmitted() // it goes on rising when there is no news any more
+		}
 		if engine.table != nil && engine.table.Expires() != 0 && engine.last >= engine.table.Expires() {
 			engine.compile()
 		}
--- a/internal/tokennode/load.go
+++ b/internal/tokennode/load.go
@@ -21,7 +21,7 @@
 	engine.core.Step(engine.now(), &core.Event{Loads: engine.loadEffects.Services}, &engine.coreEffects)
 	engine.logChanges()
 	if engine.table != nil {
-		engine.logShares()
+		engine.logLoad()
 	}
 }
 
