--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -48,6 +48,7 @@
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
 	EventShareChanged     Event = "share_changed"
+	EventAdmittedChanged  Event = "admitted_changed"
 	EventMalformed        Event = "malformed_packets"
 	EventReloaded         Event = "reloaded"
 	EventReloadFailed     Event = "reload_failed"
@@ -61,7 +62,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -106,6 +107,7 @@
 	FieldAskedOthers    = "asked_others"
 	FieldCapacity       = "capacity"
 	FieldCapacityOthers = "capacity_others"
+	FieldAskedRefused   = "asked_refused"
 	FieldLoadAge        = "load_age_ms"
 	FieldBackendZone    = "backend_zone"
 	FieldSilence        = "silence_ms"
