Flows whose zones by share are all out of reach go to those in reach

Cause: weights by what the fleet knows may give all of a node's flows to zones that are cut off meanwhile; the choice then found nobody and openings were refused for want of a back end, though another zone's answered.

Ruled out: the hand alone (it falls back to the choice by rank, which has the same weights).

Change: without a choice by these weights, one by those of the table.

TestSharesOfAZoneOutOfReach fails on the code before: 19 of 250 openings go on (the probes), 250 with it, both ways of picking.

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -95,14 +95,24 @@
 func (a *tokenAffinity) deal(service *steering.Service, flow lb.FlowID) *steering.Host {
 	parts, weights := a.parts(service)
 	if a.core.settings.Picking != PickTurns || len(service.Ready) == 0 || steering.MostlyZero(a.factors) {
-		return service.Pick(flow, weights, a.factors)
+		return a.rank(service, flow, weights)
 	}
 	index := a.hands.of(a.core, service).Pick(parts,
 		func(index int) float64 { return max(0, a.factors[index]) }, // those out of reach get nothing
 		func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Identity)) },
 	)
 	if index < 0 {
-		return service.Pick(flow, weights, a.factors)
+		return a.rank(service, flow, weights)
 	}
 	return service.Ready[index]
 }
+
+// rank gives the first by rank of a service, by the weights of its table where all of
+// the zones that others go by are out of reach.
+func (a *tokenAffinity) rank(service *steering.Service, flow lb.FlowID, weights []float64) *steering.Host {
+	found := service.Pick(flow, weights, a.factors)
+	if found == nil && weights != nil {
+		found = service.Pick(flow, nil, a.factors)
+	}
+	return found
+}
--- a/internal/core/reach_test.go
+++ b/internal/core/reach_test.go
@@ -8,6 +8,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/view"
+	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
 // zonedCore is a core of zone za whose back ends are in zones zb and zc, as while
@@ -126,3 +127,23 @@
 		is.Equal(zone.Reached, zone.Zone != "zb")
 	}
 }
+
+// TestSharesOfAZoneOutOfReach: where all flows were to go to a zone that is cut off
+// meanwhile, those in reach get them.
+func TestSharesOfAZoneOutOfReach(t *testing.T) {
+	for _, picking := range []Picking{PickTurns, PickRank} {
+		is := is.New(t)
+		core := newZonedCore()
+		core.settings.Picking = picking
+		core.run(2 * time.Second)
+		affinity := core.affinity.(*tokenAffinity)
+		parts := zoneshare.Parts{"zb": 1}
+		affinity.shares["web"] = &share{parts: parts, weights: affinity.table.ServiceNamed("web").Weights(parts)}
+		is.Equal(core.run(time.Second)["zb"], 50)
+		core.silent = map[lb.Zone]bool{"zb": true}
+		core.run(time.Second)
+		counts := core.run(5 * time.Second)
+		is.Equal(counts["zb"]+counts["zc"], 250)
+		is.True(counts["zb"] <= 20)
+	}
+}
