Crowd in virtual time with the fleet's sums; own sight of room, later limit while the fleet is calm

Cause: the lab played nodes that know nothing of each other. Change: zones with uneven demand, plain sums told 0.3 to 0.6 s late, restart of half of the nodes. Tests seen to fail: without news (zones), CalmLimit 0 (calm).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -136,6 +136,15 @@
 	return admitted
 }
 
+// Calm tells whether nothing is near the limit.
+func (s *Service) Calm(settings *Settings) bool {
+	return len(s.parts) > 0 && !s.Refuses() && s.load < calmPart*settings.Limit
+}
+
+// calmPart is the part of the limit below which back ends that are half used are for certain: requests take
+// there what they take at idle ones, and a fifth of it more.
+const calmPart = 0.8
+
 // Refuses tells whether some openings are refused.
 func (s *Service) Refuses() bool {
 	return slices.ContainsFunc(s.parts, func(part Part) bool { return part.Admitted < 1 })
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -55,6 +55,13 @@
 	Classes []Class
 	// Load gives how many times the rates are asked for, at a time.
 	Load func(at time.Duration) float64
+	// Uneven is how many times more the callers of each zone ask for than those of the zone before.
+	// 0: the same.
+	Uneven float64
+	// News is how late the sums of what all nodes see come to each of them; 0: never.
+	News time.Duration
+	// Restart is when half of the nodes forget all; 0: never.
+	Restart time.Duration
 	// MostLoad is the largest value of Load.
 	MostLoad float64
 	Duration time.Duration
@@ -115,6 +122,10 @@
 	Shed    int
 	// Admitted and Offered are the openings of long flows by node.
 	Admitted, Offered []int
+	// Zones are the counts of the requests of each zone's callers, by class, but those of the first seconds.
+	Zones []map[string]Count
+	// Parts are the admitted parts of the least important class by node, at each tick.
+	Parts [][]float64
 	// HostBusy is the time that slots worked, by host.
 	HostBusy []time.Duration
 	// Times are how long answered requests took, from their first attempt.
--- a/internal/lab/crowd/request.go
+++ b/internal/lab/crowd/request.go
@@ -131,13 +131,11 @@
 	case !ran:
 		r.again()
 	case w.now-r.begun <= r.settings().Target:
-		r.ended = true
 		w.result.Times = append(w.result.Times, w.now-r.begun)
-		r.count().InTime++
+		r.end(Count{InTime: 1})
 	default:
-		r.ended = true
 		w.result.Times = append(w.result.Times, w.now-r.begun)
-		r.count().Late++
+		r.end(Count{Late: 1})
 	}
 }
 
@@ -156,8 +154,24 @@
 	if r.ended {
 		return
 	}
+	r.end(Count{Failed: 1})
+}
+
+// settled is from when on requests count in Result.Zones: what the fleet knows comes late at first.
+const settled = 3 * time.Second
+
+// end counts what became of the request.
+func (r *request) end(end Count) {
 	r.ended = true
-	r.count().Failed++
+	r.count().add(end)
+	if r.begun < settled {
+		return
+	}
+	end.Asked = 1
+	ends := r.world.result.Zones[r.caller.zone]
+	sum := ends[r.settings().Name]
+	sum.add(end)
+	ends[r.settings().Name] = sum
 }
 
 // serve has a host work on a request, queue it, or shed it at once.
--- a/internal/lab/crowd/run.go
+++ b/internal/lab/crowd/run.go
@@ -72,6 +72,7 @@
 	hosts    []host
 	callers  []caller
 	result   *Result
+	fleet    fleet
 }
 
 // Run plays a scenario.
@@ -80,8 +81,16 @@
 	w.every(tickInterval, func() {
 		for i := range w.nodes {
 			w.step(i, &core.Event{Tick: true})
+			w.fleet.note(w.nodes[i].effects.Samples, w.zoneOf(i))
 		}
+		w.noteParts()
 	})
+	if scenario.News > 0 {
+		w.every(newsInterval, w.tell)
+	}
+	if scenario.Restart > 0 {
+		w.after(scenario.Restart, w.restart)
+	}
 	for i := range scenario.Classes {
 		w.ask(i)
 	}
@@ -108,25 +117,19 @@
 			Classes: make(map[string][]Count),
 			Refused: make([]int, seconds), Admitted: make([]int, scenario.Nodes), Offered: make([]int, scenario.Nodes),
 			HostBusy: make([]time.Duration, scenario.Hosts),
+			Zones:    make([]map[string]Count, scenario.Zones),
 		},
 	}
 	for _, class := range scenario.Classes {
 		w.result.Classes[class.Name] = make([]Count, seconds)
 	}
-	listing := w.listing()
+	for zone := range w.result.Zones {
+		w.result.Zones[zone] = make(map[string]Count)
+	}
 	for i := range w.nodes {
 		zone := i % scenario.Zones
 		w.byZone[zone] = append(w.byZone[zone], i)
-		settings := core.DefaultSettings(nodeName(i), zoneName(zone))
-		settings.Affinity = core.AffinityToken
-		settings.Overload.Off = scenario.Policy != Adaptive
-		if scenario.Adjust != nil {
-			scenario.Adjust(&settings)
-		}
-		w.nodes[i] = node{core: core.New(settings), underWay: make([]int, scenario.Hosts)}
-		replica := view.NewReplica()
-		replica.ApplyListing(0, listing)
-		w.step(i, &core.Event{Table: steering.Compile(replica, zoneName(zone), 0)})
+		w.start(i)
 	}
 	w.meet()
 	for i := range w.callers {
@@ -151,6 +154,31 @@
 
 func nodeName(index int) lb.NodeID { return lb.NodeID(fmt.Sprintf("n%d", index)) }
 
+// start starts a node, which knows nothing.
+func (w *world) start(index int) {
+	zone := w.zoneOf(index)
+	settings := core.DefaultSettings(nodeName(index), zone)
+	settings.Affinity = core.AffinityToken
+	settings.Overload.Off = w.scenario.Policy != Adaptive
+	if w.scenario.Adjust != nil {
+		w.scenario.Adjust(&settings)
+	}
+	w.nodes[index] = node{core: core.New(settings), underWay: make([]int, w.scenario.Hosts)}
+	replica := view.NewReplica()
+	replica.ApplyListing(w.now, w.listing())
+	w.step(index, &core.Event{Table: steering.Compile(replica, zone, w.now)})
+}
+
+// restart has every other node forget all.
+func (w *world) restart() {
+	for index := 0; index < len(w.nodes); index += 2 {
+		w.start(index)
+	}
+	w.meet()
+}
+
+func (w *world) zoneOf(index int) lb.Zone { return zoneName(index % w.scenario.Zones) }
+
 func zoneName(zone int) lb.Zone { return lb.Zone(fmt.Sprintf("zone-%d", zone)) }
 
 // firstPort is the front end of the first class; the others follow.
@@ -199,15 +227,32 @@
 	return n.effects.Decision
 }
 
+// caller draws one of the first callers, more of them from the later zones where these ask for more.
+func (w *world) caller(count int) *caller {
+	if w.scenario.Uneven == 0 {
+		return &w.callers[w.random.IntN(count)]
+	}
+	total := 0.0
+	for zone := range w.scenario.Zones {
+		total += math.Pow(w.scenario.Uneven, float64(zone))
+	}
+	point, zone := w.random.Float64()*total, 0
+	for ; zone < w.scenario.Zones-1; zone++ {
+		if point -= math.Pow(w.scenario.Uneven, float64(zone)); point < 0 {
+			break
+		}
+	}
+	return &w.callers[w.random.IntN(count/w.scenario.Zones)*w.scenario.Zones+zone]
+}
+
 // ask has a caller begin a request of a class now and then.
 func (w *world) ask(class int) {
 	load := w.scenario.Load(w.now)
 	wait := time.Duration(w.random.ExpFloat64() / (w.scenario.Classes[class].Rate * max(load, 0.01)) * float64(time.Second))
 	w.after(wait, func() {
 		callers := int(math.Ceil(float64(w.scenario.Callers) * max(load, 1)))
-		r := &request{world: w, class: class, caller: &w.callers[w.random.IntN(min(callers, len(w.callers)))], begun: w.now}
-		count := r.count()
-		count.Asked++
+		r := &request{world: w, class: class, caller: w.caller(min(callers, len(w.callers))), begun: w.now}
+		r.count().Asked++
 		r.try()
 		w.ask(class)
 	})
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -65,6 +65,9 @@
 	// LateLimit is by how much the limits rise while the fleet's parts are known: a node
 	// then decides by its own sight only where that is far beyond chance.
 	LateLimit float64
+	// CalmLimit is by how much they rise while the fleet is known to be calm: what one node sees of
+	// a crowd is then more likely chance, or its news come first, and the crowd passes it soon.
+	CalmLimit float64
 	// PartsLife is how long the fleet's parts count after the sums they follow from.
 	PartsLife time.Duration
 	// Fleet are the parameters of the fleet's parts.
@@ -98,6 +101,7 @@
 		LateShare:     0.5,
 		LateRatio:     3,
 		LateLimit:     1.8,
+		CalmLimit:     0.3,
 		PartsLife:     time.Second,
 		Fleet:         admission.DefaultSettings(),
 		Forget:        5 * time.Second,
@@ -233,7 +237,7 @@
 // lets tells whether an opening is let in.
 func (c *Controller) lets(now time.Duration, s *service, l *level, identity Identity, draw uint64) bool {
 	load, known := c.Load(now, identity)
-	if known && load < c.settings.FreeLoad && !s.told(now, &c.settings) {
+	if known && load < c.settings.FreeLoad && !s.toldToRefuse(now, &c.settings) {
 		return true
 	}
 	if !known {
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -112,7 +112,8 @@
 // calmPressure is well below the pressure at which anything is refused.
 const calmPressure = 0.8
 
-// free tells whether the back ends are known to have room.
+// free tells whether the back ends are known to have room, whatever is told: what a node sees is chance
+// in part, but it is news of now, and fills what the fleet's older news leave unused.
 func (s *service) free(settings *Settings) bool {
 	return s.seen >= enoughSeen && s.pressure < settings.FreeLoad
 }
@@ -124,8 +125,11 @@
 // each level below that has openings.
 func (s *service) limit(now time.Duration, l *level, settings *Settings) float64 {
 	limit := settings.Limit
-	if s.told(now, settings) && s.fleet.Refuses() {
+	switch {
+	case s.toldToRefuse(now, settings):
 		limit += settings.LateLimit
+	case s.told(now, settings) && s.fleet.Calm(&settings.Fleet):
+		limit += settings.CalmLimit
 	}
 	for _, other := range s.levels {
 		if other.priority > l.priority && now-other.seen <= settings.Forget {
@@ -142,15 +146,19 @@
 func (s *service) admitted(now time.Duration, l *level, pressure float64, settings *Settings) float64 {
 	over := pressure - s.limit(now, l, settings)
 	log := l.log - settings.Damping*max(0, over)
-	if s.free(settings) {
+	switch {
+	case s.free(settings):
 		return 1
-	}
-	part := max(settings.Least, math.Exp(min(log, 0)))
-	if s.told(now, settings) {
+	case s.toldToRefuse(now, settings):
 		// The fleet sees answers, whatever this node lets in: Least would add up where flows are kept.
-		part = min(part, s.fleet.PartOf(l.priority))
+		return min(s.fleet.PartOf(l.priority), math.Exp(min(log, 0)))
 	}
-	return part
+	return max(settings.Least, math.Exp(min(log, 0)))
+}
+
+// toldToRefuse tells whether the fleet's parts are known, and less than all is let in by them.
+func (s *service) toldToRefuse(now time.Duration, settings *Settings) bool {
+	return s.told(now, settings) && s.fleet.Refuses()
 }
 
 // told tells whether the parts that follow from the fleet's sums are known, and recent.
