--- a/cmd/robinlab/soak.go
+++ b/cmd/robinlab/soak.go
@@ -23,7 +23,7 @@
 type soakCommand struct {
 	Seed     uint64        `help:"Seed of the faults; 0 draws one."`
 	Duration time.Duration `help:"How long faults are injected." default:"2m"`
-	Seeds    string        `help:"File of seeds that once failed: each is played instead, one line each, SEED CAUSE." type:"existingfile"`
+	Seeds    string        `help:"File of seeds that once failed: each is played instead, one line each, SEED [only=KIND,...] CAUSE." type:"existingfile"`
 	Only     []string      `help:"Kinds of fault that are drawn, separated by commas; empty: all." placeholder:"KIND"`
 	Nodes    int           `help:"Balancers; 0 is the usual number." default:"0"`
 	Zones    int           `help:"Zones of the balancers; 0 is the usual number." default:"0"`
@@ -38,20 +38,20 @@
 	if command.Nodes > 0 && command.Zones > command.Nodes {
 		return errors.Newf("--zones %d: there are only %d nodes", command.Zones, command.Nodes)
 	}
-	_, err := command.kinds()
+	_, err := kindsOf(command.Only)
 	return err
 }
 
-// kinds gives the kinds of fault that are drawn.
-func (command *soakCommand) kinds() ([]soak.Fault, error) {
-	if len(command.Only) == 0 {
+// kindsOf gives the kinds of fault with these names; all if there are none.
+func kindsOf(names []string) ([]soak.Fault, error) {
+	if len(names) == 0 {
 		return faults.All(), nil
 	}
 	var kinds []soak.Fault
-	for _, name := range command.Only {
+	for _, name := range names {
 		index := slices.IndexFunc(faults.All(), func(kind soak.Fault) bool { return kind.Name() == name })
 		if index < 0 {
-			return nil, errors.Newf("--only %q: no kind of fault", name)
+			return nil, errors.Newf("only %q: no kind of fault", name)
 		}
 		kinds = append(kinds, faults.All()[index])
 	}
@@ -65,8 +65,9 @@
 		return err
 	}
 	var failed, unchecked []uint64
-	for _, seed := range seeds {
-		report, err := command.play(ctx, seed)
+	for _, played := range seeds {
+		seed := played.seed
+		report, err := command.play(ctx, played)
 		if err != nil {
 			return err
 		}
@@ -90,7 +91,8 @@
 	return nil
 }
 
-func (command *soakCommand) play(ctx context.Context, seed uint64) (*soak.Report, error) {
+func (command *soakCommand) play(ctx context.Context, played soakSeed) (*soak.Report, error) {
+	seed := played.seed
 	settings, err := soakSettings(filepath.Join(command.Out, strconv.FormatUint(seed, 10)))
 	if err != nil {
 		return nil, err
@@ -100,7 +102,7 @@
 	settings.Size.Nodes = cmp.Or(command.Nodes, settings.Size.Nodes)
 	settings.Size.Zones = cmp.Or(command.Zones, settings.Size.Zones)
 	fmt.Printf("soak with seed %d for %s\n", seed, command.Duration)
-	kinds, err := command.kinds()
+	kinds, err := kindsOf(played.only)
 	if err != nil {
 		return nil, err
 	}
@@ -122,37 +124,53 @@
 	}, err
 }
 
+// soakSeed is one soak to be played.
+type soakSeed struct {
+	seed uint64
+	only []string // kinds of fault; empty: all
+}
+
 // seeds gives those to be played.
-func (command *soakCommand) seeds() ([]uint64, error) {
+func (command *soakCommand) seeds() ([]soakSeed, error) {
 	if command.Seeds != "" {
 		return readSeeds(command.Seeds)
 	}
 	if command.Seed == 0 {
-		return []uint64{uint64(rand.Uint32())}, nil
+		return []soakSeed{{uint64(rand.Uint32()), command.Only}}, nil
 	}
-	return []uint64{command.Seed}, nil
+	return []soakSeed{{command.Seed, command.Only}}, nil
 }
 
+// onlyMark begins the kinds of fault of a seed that was played with --only.
+const onlyMark = "only="
+
 // readSeeds reads a file of seeds. Empty lines and those that begin with # are passed over.
-func readSeeds(path string) ([]uint64, error) {
+func readSeeds(path string) ([]soakSeed, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "seeds")
 	}
 	defer file.Close()
-	var seeds []uint64
+	var seeds []soakSeed
 	scanner := bufio.NewScanner(file)
 	for line := 1; scanner.Scan(); line++ {
 		text := strings.TrimSpace(scanner.Text())
 		if text == "" || strings.HasPrefix(text, "#") {
 			continue
 		}
-		number, _, _ := strings.Cut(text, " ")
+		number, rest, _ := strings.Cut(text, " ")
 		seed, err := strconv.ParseUint(number, 10, 64)
 		if err != nil || seed == 0 {
 			return nil, errors.Newf("%s: line %d: seed %q is no number above 0", path, line, number)
 		}
-		seeds = append(seeds, seed)
+		played := soakSeed{seed: seed}
+		if first, _, _ := strings.Cut(rest, " "); strings.HasPrefix(first, onlyMark) {
+			played.only = strings.Split(strings.TrimPrefix(first, onlyMark), ",")
+		}
+		if _, err := kindsOf(played.only); err != nil {
+			return nil, errors.Newf("%s: line %d: %v", path, line, err)
+		}
+		seeds = append(seeds, played)
 	}
 	return seeds, errors.Wrap(scanner.Err(), path)
 }
