Openings wait for room, and go where a back end has just become free

Cause: a caller whose opening is refused tries again at once; three tries are gone in 10 ms, and room that frees up after 20 ms goes to whoever comes then. No field of a reset on this path can say when to come back. Change: internal/waiting, pure: a bounded queue of first copies (by priority, then by time left; a fifth of the objective, 120 ms at the most; what cannot be met is refused at once) and rooms: a request that ended about as quickly as at an idle back end shows that there is room where it ended. One node alone sees that; one opening takes it, within 20 ms, while the service is pressed. core: ActionHold, Event.Look, Event.Close, Effects.Released; the queue keeps a copy of the 34 bytes itself, so that there is one place and one lock for what is held, and the data plane writes what is decided. Tests seen to fail, each with its rule taken out: lower bound of Quick; a late one refused in place of dropped; a repeated datagram or a copy decided beside the one that waits; Close that lets wait or hold; datagram not kept; back end taken of which something bad is known; old view while no back end is left; no write at a full batch; refusals counted while held; order, due, capacity, first without hope, slots not freed, rooms that last, are taken twice, or are given to flows of many requests. An earlier form took the quick refusals of full back ends for room.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -39,6 +39,7 @@
 		Region:               raw.Region,
 		Affinity:             checker.affinity("affinity", raw.Affinity),
 		Admission:            checker.admission("admission", raw.Admission),
+		Waiting:              checker.waiting("waiting", raw.Waiting),
 		DataAddress:          checker.address("data_address", raw.DataAddress),
 		ControlAddress:       checker.address("control_address", raw.ControlAddress),
 		AdminAddress:         checker.address("admin_address", raw.AdminAddress),
@@ -132,6 +133,16 @@
 	return ""
 }
 
+// waiting checks the name of a way of waiting.
+func (checker *checker) waiting(field, value string) Waiting {
+	switch waiting := Waiting(value); waiting {
+	case WaitingPriority, WaitingOff:
+		return waiting
+	}
+	checker.report(field, value, "is neither %s nor %s", WaitingPriority, WaitingOff)
+	return WaitingOff
+}
+
 // admission checks the name of a way of admission.
 func (checker *checker) admission(field, value string) Admission {
 	switch admission := Admission(value); admission {
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -13,6 +13,7 @@
 	Region               string   `yaml:"region"`
 	Affinity             string   `yaml:"affinity"`
 	Admission            string   `yaml:"admission"`
+	Waiting              string   `yaml:"waiting"`
 	DataAddress          string   `yaml:"data_address"`
 	ControlAddress       string   `yaml:"control_address"`
 	AdminAddress         string   `yaml:"admin_address"`
@@ -83,6 +84,7 @@
 	return document{
 		Affinity:     string(core.AffinityChain),
 		Admission:    string(AdmissionAdaptive),
+		Waiting:      string(WaitingPriority),
 		AdminAddress: DefaultAdminAddress,
 		LogLevel:     DefaultLogLevel,
 		Limits: limitsDocument{
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -21,6 +21,8 @@
 	Affinity core.Affinity
 	// Admission is which openings are let in under overload (AffinityToken).
 	Admission Admission
+	// Waiting is what becomes of openings that admission turns away (AffinityToken).
+	Waiting Waiting
 
 	// DataAddress receives Geneve over UDP from the fabric and from peers.
 	DataAddress netip.AddrPort
@@ -59,6 +61,18 @@
 	AdmissionOff Admission = "off"
 )
 
+// Waiting is what becomes of openings for which there is no room just now.
+type Waiting string
+
+// The ways of waiting.
+const (
+	// WaitingPriority holds first copies for a part of their objective, as package
+	// waiting does, and lets the more important go first.
+	WaitingPriority Waiting = "priority"
+	// WaitingOff refuses them at once.
+	WaitingOff Waiting = "off"
+)
+
 // Limits bound what the balancer sends.
 type Limits struct {
 	// ControlBytesPerSecond bounds all messages to peers.
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -18,6 +18,7 @@
 	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/turns"
+	"robinpulley.example/robinpulley/internal/waiting"
 )
 
 // PacketKind says what a packet tells about its flow.
@@ -52,6 +53,9 @@
 	// whether it carries data, where the path tells.
 	Acknowledged uint32
 	HasData      bool
+	// Datagram is the packet as it came, where the path may hold it: ActionHold
+	// keeps a copy. It holds only during the step.
+	Datagram []byte
 }
 
 // Action is what is to be done with the packet of the event.
@@ -67,6 +71,8 @@
 	ActionRelay
 	// ActionRefuse: answer the caller with Refusal (TCP RST, ICMP for UDP).
 	ActionRefuse
+	// ActionHold: the core keeps the packet, and decides later; see Effects.Released.
+	ActionHold
 )
 
 // Reason says why a packet was dropped or refused; it labels metrics.
@@ -91,6 +97,7 @@
 	ReasonNoView         Reason = "no-view"         // this node knows no configuration yet
 	ReasonOverload       Reason = "overload"        // the service has more work than it can do in time
 	ReasonUnknownToken   Reason = "unknown-token"   // the token names no back end known here for the front end
+	ReasonCopied         Reason = "copied"          // another datagram of the same flow is decided in its place
 )
 
 // Decision is the effect on the packet of the event.
@@ -109,6 +116,8 @@
 	Token steering.Token
 	// Identity names the back end that is meant, on paths whose packets do so.
 	Identity uint64
+	// Waited is how long the packet was held before this decision.
+	Waited time.Duration
 }
 
 func (decision *Decision) drop(reason Reason) {
@@ -149,6 +158,9 @@
 	Samples []fleetload.Sample
 	// Reach are zones that are reached no more, or are again. They hold until the next step.
 	Reach []reach.Change
+	// Released are openings that were held and are now decided. They hold until
+	// the next step.
+	Released []Released
 	// Unsure is set while the core distrusts its view and waits for ContactRegained.
 	Unsure bool
 }
@@ -181,6 +193,9 @@
 	// Heard tells, with a tick, when balancers of zones were last heard, for AffinityToken.
 	Heard []ZoneHeard
 	Leave bool // planned stop begins
+	// Look decides anew on openings that wait, and Close decides on all of them
+	// for good and holds no more: the last step of a planned stop.
+	Look, Close bool
 	// Contact tells whether this node has lately exchanged placements with a
 	// peer. ContactRegained is valid only after an exchange that began after
 	// the contact was lost or Effects.Unsure was first set.
@@ -266,6 +281,8 @@
 	Picking Picking
 	// Turns are the parameters of PickTurns.
 	Turns turns.Settings
+	// Waiting are those of openings that wait for room, for AffinityToken.
+	Waiting waiting.Settings
 	// ColdStart bounds the new flows of back ends that have just started, for AffinityToken.
 	ColdStart coldstart.Settings
 }
@@ -285,6 +302,7 @@
 		Overload:               overload.DefaultSettings(),
 		Picking:                PickTurns,
 		Turns:                  turns.DefaultSettings(),
+		Waiting:                waiting.DefaultSettings(),
 		ColdStart:              coldstart.DefaultSettings(self, zone),
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,9 @@
 	heard(zones []ZoneHeard)
 	reached() []reach.Change
 	zones() []reach.Status
+	look(all bool)
+	takeReleased() []Released
+	waits() int
 }
 
 // New gives a core that knows of no other member and no service.
@@ -124,6 +127,8 @@
 		core.affinity.setLoads(event.Loads)
 	case event.Leave:
 		core.leave()
+	case event.Look || event.Close:
+		core.affinity.look(event.Close)
 	}
 	core.setContact(event.Contact)
 	if event.Tick {
@@ -136,6 +141,7 @@
 	effects.Outcomes = core.affinity.outcomes()
 	effects.Overload = core.affinity.overloads()
 	effects.Reach = core.affinity.reached()
+	effects.Released = core.affinity.takeReleased()
 	effects.Unsure = !core.sure
 	effects.HandoverDone = core.leaving && core.handover.idle()
 }
@@ -143,6 +149,9 @@
 // Zones gives which zones' back ends are reached, for AffinityToken.
 func (core *Core) Zones() []reach.Status { return core.affinity.zones() }
 
+// Waiting is how many openings are held, for AffinityToken.
+func (core *Core) Waiting() int { return core.affinity.waits() }
+
 // Pressures gives what is known of the load of services, for AffinityToken.
 func (core *Core) Pressures() []overload.Status { return core.affinity.pressures() }
 
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -61,6 +61,13 @@
 
 func (chainAffinity) zones() []reach.Status { return nil }
 
+// look, takeReleased and waits do nothing: nothing is held for room here.
+func (chainAffinity) look(bool) {}
+
+func (chainAffinity) takeReleased() []Released { return nil }
+
+func (chainAffinity) waits() int { return 0 }
+
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core.Core, packet: packet, decision: decision}
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -10,6 +10,8 @@
 	Relayed   uint64
 	Dropped   uint64
 	Refused   uint64
+	// Waited are openings that were held; they count above when they are decided.
+	Waited Waits
 	// ByReason counts dropped and refused packets, in the order of Reasons.
 	ByReason [reasonCount]uint64
 
@@ -29,14 +31,14 @@
 }
 
 // reasonCount is the number of reasons.
-const reasonCount = 17
+const reasonCount = 18
 
 // Reasons lists every reason, in the order of Stats.ByReason.
 var Reasons = [reasonCount]Reason{
 	ReasonUnknownService, ReasonNoBackend, ReasonBackendFailed, ReasonAdmission, ReasonTupleReuse,
 	ReasonUnknownPeer, ReasonWrongService, ReasonViewsDiffer, ReasonStray, ReasonPaused, ReasonDraining,
 	ReasonNoView, ReasonUnknownToken, ReasonOverload, ReasonEvacuated, ReasonCold,
-	ReasonUnreachable,
+	ReasonUnreachable, ReasonCopied,
 }
 
 // count adds a decision to the counters.
@@ -49,6 +51,8 @@
 	case ActionDrop:
 		core.stats.Dropped++
 		core.countReason(decision.Reason)
+	case ActionHold:
+		core.stats.Waited.Held++
 	case ActionRefuse:
 		core.stats.Refused++
 		core.countReason(decision.Reason)
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -11,6 +11,7 @@
 	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/waiting"
 	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
@@ -25,8 +26,13 @@
 	// cold says which back ends that have just started this node may use.
 	cold *coldstart.Limiter
 	// reach says which zones' back ends this node reaches, and zoneOf where they are.
-	reach  *reach.Tracker
-	zoneOf map[observe.Identity]lb.Zone
+	reach    *reach.Tracker
+	zoneOf   map[observe.Identity]lb.Zone
+	waiting  *waiting.Queue[heldOpening]
+	rooms    *waiting.Rooms
+	looking  bool // openings that wait are decided anew
+	closed   bool // nothing is held any more
+	released []Released
 	// factors are observer.Factor of the ready hosts of the service at hand.
 	factors []float64
 	// loads is what the fleet knows of services, and shares where their flows go by it.
@@ -52,6 +58,8 @@
 	affinity.overload = overload.New(core.settings.Overload)
 	affinity.cold = coldstart.New(core.settings.ColdStart)
 	affinity.reach = reach.New(reach.DefaultSettings(core.settings.Zone))
+	affinity.waiting = waiting.New[heldOpening](core.settings.Waiting)
+	affinity.rooms = waiting.NewRooms(core.settings.Waiting)
 	return affinity
 }
 
@@ -66,6 +74,8 @@
 	a.cold.Forget(func(identity coldstart.Identity) bool { return present[observe.Identity(identity)] })
 	a.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
 	a.overload.Forget(a.core.now, func(identity overload.Identity) bool { return present[observe.Identity(identity)] }, table.HasService)
+	a.waiting.Forget(table.HasService)
+	a.rooms.Forget(table.HasService)
 	for name, known := range a.shares {
 		service := table.ServiceNamed(name)
 		if service == nil {
@@ -173,7 +183,9 @@
 	case a.table == nil:
 		decision.drop(ReasonNoView)
 	case packet.Kind == PacketOpening:
-		a.open(packet, decision)
+		if !a.superseded(packet, decision) {
+			a.open(packet, decision)
+		}
 	default:
 		a.follow(packet, decision)
 	}
@@ -195,14 +207,21 @@
 		return
 	}
 	frontend := packet.Key.Frontend()
-	if !placed && !a.admit(packet, service, &frontend, host) {
-		a.refuse(packet, decision, flow, ReasonOverload)
-		decision.Pressure = a.overload.Pressure(service.Name)
-		return
+	if !placed {
+		if host = a.withRoom(packet, service, &frontend, host); host == nil {
+			a.turnAway(packet, service, decision)
+			return
+		}
+		a.noteOpened(service, &frontend)
 	}
+	a.place(packet, decision, &frontend, host)
+}
+
+// place forwards an opening to a back end.
+func (a *tokenAffinity) place(packet *Packet, decision *Decision, frontend *lb.FrontendKey, host *steering.Host) {
 	forwardTo(decision, host)
-	decision.Token = host.Token(&frontend)
-	a.observer.Opened(a.core.now, flow, observe.Identity(host.Identity))
+	decision.Token = host.Token(frontend)
+	a.observer.Opened(a.core.now, packet.Key.ID(), observe.Identity(host.Identity))
 	if host.Cold {
 		a.cold.Sent(a.core.now, coldstart.Identity(host.Identity))
 	}
@@ -322,6 +341,7 @@
 	objective, _ := a.table.Objective(&frontend)
 	if answered {
 		a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
+		a.rooms.Answered(a.core.now, host.Service, objective, host.Identity, a.overload.Quick(host.Service, objective, took))
 	}
 	if begun {
 		a.overload.Begun(a.core.now, host.Service, objective)
--- a/internal/dataplane/allocs_test.go
+++ b/internal/dataplane/allocs_test.go
@@ -49,6 +49,7 @@
 		"forward": {Action: core.ActionForward, Host: peer, Identity: 7, Token: 9},
 		"relay":   {Action: core.ActionRelay, Peer: "n2", Relay: lb.Relay{Hop: lb.HopTail}},
 		"refuse":  {Action: core.ActionRefuse, Refusal: lb.Refusal{Verdict: lb.NotRun}},
+		"hold":    {Action: core.ActionHold},
 		"drop":    {Action: core.ActionDrop, Reason: core.ReasonUnknownToken},
 	}
 	for _, codec := range codecs {
--- a/internal/dataplane/counters.go
+++ b/internal/dataplane/counters.go
@@ -26,6 +26,8 @@
 	Forwarded uint64
 	Relayed   uint64
 	Refused   uint64
+	// Held were kept by the core. They count above when they are released.
+	Held uint64
 	// Reasons counts drops and refusals by the core's reason, in order of
 	// action and reason.
 	Reasons []ReasonCount
@@ -60,6 +62,7 @@
 	for _, worker := range plane.workers {
 		worker.counters.addTo(&sum)
 	}
+	plane.releaser.counters.addTo(&sum)
 	return sum
 }
 
@@ -69,6 +72,7 @@
 	fromFabric, fromPeers           atomic.Uint64
 	malformed                       [packet.CauseCount]atomic.Uint64
 	forwarded, relayed, refused     atomic.Uint64
+	held                            atomic.Uint64
 	unanswered, unknownPeer         atomic.Uint64
 	unsendable, wrongService, loops atomic.Uint64
 	readErrors, writeErrors         atomic.Uint64
@@ -101,6 +105,7 @@
 	sum.Forwarded += counters.forwarded.Load()
 	sum.Relayed += counters.relayed.Load()
 	sum.Refused += counters.refused.Load()
+	sum.Held += counters.held.Load()
 	sum.Unanswered += counters.unanswered.Load()
 	sum.UnknownPeer += counters.unknownPeer.Load()
 	sum.Unsendable += counters.unsendable.Load()
--- a/internal/dataplane/dataplane.go
+++ b/internal/dataplane/dataplane.go
@@ -77,6 +77,9 @@
 	socket  *net.UDPConn
 	local   netip.AddrPort
 	workers []*worker
+	// releaser writes what was held, one call of Release at a time.
+	releaser  *worker
+	releasing sync.Mutex
 }
 
 // New opens the socket. Run must follow, or Close.
@@ -108,6 +111,7 @@
 	for range max(plane.options.Readers, 1) {
 		plane.workers = append(plane.workers, newWorker(plane))
 	}
+	plane.releaser = newReleaser(plane)
 	return nil
 }
 
@@ -150,6 +154,14 @@
 	_ = plane.socket.SetReadDeadline(time.Now().Add(linger))
 }
 
+// Release does what was decided on openings that were held (core.ActionHold). It
+// may be called at any time until the socket is closed; the slice holds during the call.
+func (plane *Plane) Release(released []core.Released) {
+	plane.releasing.Lock()
+	defer plane.releasing.Unlock()
+	plane.releaser.release(released)
+}
+
 // Close closes the socket.
 func (plane *Plane) Close() error {
 	err := plane.socket.Close()
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -34,6 +34,34 @@
 	return &worker{plane: plane, codec: codec, batch: newBatch(plane.socket, codec.DatagramSize())}
 }
 
+// newReleaser gives a worker that reads nothing.
+func newReleaser(plane *Plane) *worker {
+	return &worker{plane: plane, codec: plane.options.NewCodec(), batch: newBatch(plane.socket, 0)}
+}
+
+// release does what was decided on datagrams that were held.
+func (worker *worker) release(released []core.Released) {
+	for index := range released {
+		decoded, err := worker.codec.Decode(released[index].Datagram())
+		if err != nil {
+			worker.countMalformed(err)
+			continue
+		}
+		worker.packet = decoded
+		worker.decision = released[index].Decision
+		worker.act(&worker.decision)
+		if worker.batch.queued == batchSize {
+			worker.flush()
+		}
+	}
+	worker.flush()
+}
+
+func (worker *worker) flush() {
+	failed := worker.batch.write()
+	worker.counters.writeErrors.Add(uint64(failed))
+}
+
 // run reads, decides and writes until the socket is closed or its read
 // deadline has passed.
 func (worker *worker) run() {
@@ -50,8 +78,7 @@
 		for index := range count {
 			worker.handle(worker.batch.datagram(index))
 		}
-		failed := worker.batch.write()
-		worker.counters.writeErrors.Add(uint64(failed))
+		worker.flush()
 	}
 }
 
@@ -88,6 +115,8 @@
 	case core.ActionRefuse:
 		worker.counters.countReason(decision.Action, decision.Reason)
 		worker.refuse(decision)
+	case core.ActionHold: // the core has a copy, and gives it to Plane.Release
+		worker.counters.held.Add(1)
 	default:
 		worker.counters.countReason(core.ActionDrop, decision.Reason)
 	}
--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/waiting"
 )
 
 // Policy says how openings are let in.
@@ -62,6 +63,10 @@
 	Adjust func(settings *core.Settings)
 	// Slow says by how much longer a host takes for its work at a time; nil: by nothing.
 	Slow func(host int, at time.Duration) float64
+	// Waiting is what becomes of openings that are turned away.
+	Waiting waiting.Settings
+	// NewsDelay is how old what nodes see of open flows is, on top of the way to them.
+	NewsDelay time.Duration
 }
 
 // Names of the classes of Default.
@@ -82,6 +87,7 @@
 		Load:     func(time.Duration) float64 { return load },
 		MostLoad: load,
 		Duration: 20 * time.Second,
+		Waiting:  waiting.Settings{Off: true},
 	}
 }
 
@@ -119,6 +125,8 @@
 	HostBusy []time.Duration
 	// Times are how long answered requests took, from their first attempt.
 	Times []time.Duration
+	// Waits are those of all nodes.
+	Waits core.Waits
 }
 
 // Percentile gives the time that a part of the answered requests took at the most.
--- a/internal/lab/crowd/request.go
+++ b/internal/lab/crowd/request.go
@@ -51,19 +51,34 @@
 	zone := w.byZone[r.caller.zone]
 	f.node = zone[uint64(f.key.ID())%uint64(len(zone))]
 	w.after(hop, func() {
-		decision := w.step(f.node, &core.Event{Packet: &core.Packet{Key: f.key, Kind: core.PacketOpening, OpeningID: uint32(w.order)}})
-		forwarded := decision.Action == core.ActionForward && r.withinQueue(f.node, int(decision.Identity)-1)
-		r.noteOpening(f.node, forwarded)
-		if !forwarded {
-			w.after(hop, r.again)
+		decision := w.step(f.node, &core.Event{Packet: &core.Packet{
+			Key: f.key, Kind: core.PacketOpening, OpeningID: uint32(w.order), Datagram: anyDatagram,
+		}})
+		if decision.Action == core.ActionHold {
+			w.hold(f.node, f.key, func(decision core.Decision) { r.placed(f, decision) })
 			return
 		}
-		f.host = int(decision.Identity) - 1
-		f.token = decision.Token
-		w.after(3*hop, func() { r.send(f) })
+		r.placed(f, decision)
 	})
 }
 
+// anyDatagram stands for those of all openings.
+var anyDatagram = make([]byte, 34)
+
+// placed goes on once the node has decided on an opening.
+func (r *request) placed(f *flow, decision core.Decision) {
+	w := r.world
+	forwarded := decision.Action == core.ActionForward && r.withinQueue(f.node, int(decision.Identity)-1)
+	r.noteOpening(f.node, forwarded)
+	if !forwarded {
+		w.after(hop, r.again)
+		return
+	}
+	f.host = int(decision.Identity) - 1
+	f.token = decision.Token
+	w.after(3*hop, func() { r.send(f) })
+}
+
 func (r *request) noteOpening(node int, forwarded bool) {
 	w := r.world
 	if !forwarded {
@@ -103,9 +118,14 @@
 
 // later has the node see a packet of an open flow.
 func (w *world) later(f *flow, hasData bool) {
-	w.step(f.node, &core.Event{Packet: &core.Packet{
+	event := &core.Event{Packet: &core.Packet{
 		Key: f.key, Kind: core.PacketMiddle, Token: f.token, Acknowledged: f.acked, HasData: hasData,
-	}})
+	}}
+	if w.scenario.NewsDelay == 0 {
+		w.step(f.node, event)
+		return
+	}
+	w.after(w.scenario.NewsDelay, func() { w.step(f.node, event) })
 }
 
 // work draws the time at a slot: lognormal around the mean, with a deviation of half of it.
--- a/internal/lab/crowd/run.go
+++ b/internal/lab/crowd/run.go
@@ -29,6 +29,10 @@
 	effects core.Effects
 	// underWay counts this node's requests at each host, for QueueLimit.
 	underWay []int
+	// held are openings that wait, and what follows on the decision; looks tells
+	// that they are looked at.
+	held  map[lb.FlowKey]func(core.Decision)
+	looks bool
 }
 
 // host is one back end.
@@ -89,12 +93,23 @@
 		run, more := w.events.Next()
 		w.now = w.events.Now()
 		if !more || w.now > scenario.Duration {
-			return w.result
+			return w.finish()
 		}
 		run()
 	}
 }
 
+// finish adds what the nodes have counted.
+func (w *world) finish() *Result {
+	for i := range w.nodes {
+		waits := w.nodes[i].core.Stats().Waited
+		w.result.Waits.Held += waits.Held
+		w.result.Waits.Went += waits.Went
+		w.result.Waits.Time += waits.Time
+	}
+	return w.result
+}
+
 func newWorld(scenario Scenario) *world {
 	seconds := int(scenario.Duration/time.Second) + 1
 	w := &world{
@@ -124,6 +139,8 @@
 			scenario.Adjust(&settings)
 		}
 		w.nodes[i] = node{core: core.New(settings), underWay: make([]int, scenario.Hosts)}
+		settings.Waiting = scenario.Waiting
+		w.nodes[i] = node{core: core.New(settings), underWay: make([]int, scenario.Hosts), held: make(map[lb.FlowKey]func(core.Decision))}
 		replica := view.NewReplica()
 		replica.ApplyListing(0, listing)
 		w.step(i, &core.Event{Table: steering.Compile(replica, zoneName(zone), 0)})
@@ -196,7 +213,33 @@
 func (w *world) step(index int, event *core.Event) core.Decision {
 	n := &w.nodes[index]
 	n.core.Step(w.now, event, &n.effects)
-	return n.effects.Decision
+	decision := n.effects.Decision
+	for i := range n.effects.Released {
+		released := &n.effects.Released[i]
+		then := n.held[released.Packet.Key]
+		delete(n.held, released.Packet.Key)
+		then(released.Decision)
+	}
+	return decision
+}
+
+// hold has an opening wait at a node until it is decided.
+func (w *world) hold(index int, key lb.FlowKey, then func(core.Decision)) {
+	n := &w.nodes[index]
+	n.held[key] = then
+	if !n.looks {
+		n.looks = true
+		w.after(w.scenario.Waiting.Interval, func() { w.look(index) })
+	}
+}
+
+// look has a node look at what waits, as long as anything does.
+func (w *world) look(index int) {
+	n := &w.nodes[index]
+	w.step(index, &core.Event{Look: true})
+	if n.looks = n.core.Waiting() > 0; n.looks {
+		w.after(w.scenario.Waiting.Interval, func() { w.look(index) })
+	}
 }
 
 // ask has a caller begin a request of a class now and then.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -117,6 +117,10 @@
 	FieldProbes         = "probes"
 
 	FieldAdmission = "admission"
+	// FieldWaiting is what becomes of openings that admission turns away.
+	FieldWaiting = "waiting"
+	// FieldWaited is how long an opening was held before the decision, in milliseconds.
+	FieldWaited = "waited_ms"
 )
 
 // timeFormat of log lines: RFC 3339 in milliseconds.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -244,6 +244,37 @@
 	return part >= 1 || float64(draw>>11)/(1<<53) < part
 }
 
+// Quick tells whether a request that took so long had a back end with room, so
+// that there is room where it has ended. One that ended far too soon was refused
+// by a back end that is full.
+func (c *Controller) Quick(name lb.ServiceName, objective lb.Objective, took time.Duration) bool {
+	s := c.services[name]
+	if c.settings.Off || s == nil {
+		return false
+	}
+	kind := s.classes[objective]
+	if kind == nil || kind.idle.value == 0 || took.Seconds() < quickPart*kind.idle.value {
+		return false
+	}
+	return kind.load(took, &c.settings) < quickLoad
+}
+
+// quickLoad is that of a request which waited little at its back end.
+const quickLoad = 0.78
+
+// Pressed tells whether a service is near its limit.
+func (c *Controller) Pressed(name lb.ServiceName) bool {
+	return !c.settings.Off && c.Pressure(name) > calmPressure
+}
+
+// Held notes that the opening which Admit turned away last waits for room: it is not refused.
+func (c *Controller) Held(name lb.ServiceName) {
+	if s := c.services[name]; s != nil {
+		s.refused--
+		s.refusedEver--
+	}
+}
+
 // Pressure gives the time that requests of a service take over what they may;
 // 0: nothing is known.
 func (c *Controller) Pressure(name lb.ServiceName) float64 {
--- a/internal/tokennode/decisions.go
+++ b/internal/tokennode/decisions.go
@@ -76,6 +76,8 @@
 
 func kindOf(packet *core.Packet, decision *core.Decision) (noteKind, int) {
 	switch {
+	case decision.Action == core.ActionHold: // its line comes with what is decided later
+		return noteNone, 0
 	case decision.Action == core.ActionRefuse:
 		return noteRefused, failedLinesPerSecond
 	case decision.Action == core.ActionDrop:
@@ -116,6 +118,9 @@
 	if decision.Reason == core.ReasonOverload {
 		event = event.Float64(logging.FieldPressure, decision.Pressure)
 	}
+	if decision.Waited > 0 {
+		event = event.Int64(logging.FieldWaited, decision.Waited.Milliseconds())
+	}
 	if note.omitted > 0 {
 		event = event.Uint64(logging.FieldOmitted, note.omitted)
 	}
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -33,6 +33,11 @@
 	reads chan follower.Read
 	// publications has the snapshot that is to be written.
 	publications chan follower.Publication
+	// holding has one element after an opening was held.
+	holding chan struct{}
+	// released are what look gave last, and notes their lines; one call at a time.
+	released []core.Released
+	notes    []note
 	// viewed is closed when the first table is compiled.
 	viewed chan struct{}
 
@@ -83,6 +88,7 @@
 	deciding.PauseLimit = settings.Timings.PauseLimit
 	deciding.RetryAfter = settings.Timings.RetryAfter
 	deciding.Overload.Off = settings.Admission == config.AdmissionOff
+	deciding.Waiting.Off = deciding.Overload.Off || settings.Waiting == config.WaitingOff
 	deciding.ColdStart.Overage = settings.Limits.ColdOverage
 	deciding.ColdStart.Slack = settings.Limits.ColdSlack
 	following := follower.DefaultSettings(settings.Node, settings.Zone, incarnation).
@@ -100,6 +106,7 @@
 		logger:       logger,
 		reads:        make(chan follower.Read, 1),
 		publications: make(chan follower.Publication, 1),
+		holding:      make(chan struct{}, 1),
 		viewed:       make(chan struct{}),
 		core:         core.New(deciding),
 		member:       membership,
@@ -144,14 +151,23 @@
 	decision := engine.coreEffects.Decision
 	engine.logChanges()
 	engine.decisionTime.add(engine.clock() - begun)
-	note := engine.decisions.note(engine.last, packet, &decision)
+	note := engine.note(packet, &decision)
+	engine.mutex.Unlock()
+	engine.decisions.write(&note, packet, &decision)
+	if decision.Action == core.ActionHold {
+		engine.wakeLooking()
+	}
+	return decision
+}
+
+// note says what is to be written of a decision.
+func (engine *engine) note(packet *core.Packet, decision *core.Decision) note {
+	note := engine.decisions.note(engine.last, packet, decision)
 	if note.kind != noteNone {
 		note.revision, note.version = engine.viewOf()
 		note.age, _ = engine.follower.Age(engine.last)
 	}
-	engine.mutex.Unlock()
-	engine.decisions.write(&note, packet, &decision)
-	return decision
+	return note
 }
 
 func (engine *engine) viewOf() (revision int64, version uint64) {
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -122,12 +122,27 @@
 		"Part of this node's new flows of a service that the back ends of its own zone get.", "service")
 )
 
+// The metrics of openings that wait for room.
+var (
+	metricWaiting = metrics.New(prometheus.GaugeValue, "openings_waiting",
+		"Openings that are held until there is room for them.")
+	metricHeld = metrics.New(prometheus.CounterValue, "openings_held_total",
+		"Openings that were held since there was no room for them when they came.")
+	metricWent = metrics.New(prometheus.CounterValue, "openings_let_go_total",
+		"Openings that were held and then forwarded; the other ones were refused, or dropped for a copy.")
+	metricFreed = metrics.New(prometheus.CounterValue, "openings_to_freed_total",
+		"Openings that went to a back end which had just become free.")
+	metricWaitTime = metrics.New(prometheus.CounterValue, "openings_waited_seconds_total",
+		"How long openings that were held have waited, all together.")
+)
+
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
 	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 	metricAsked, metricAskedRefused, metricCapacity, metricLoad, metricLoadAge, metricHome,
+	metricWaiting, metricHeld, metricWent, metricFreed, metricWaitTime,
 }
 
 // collector reads the counters of a node when metrics are asked for, so that
@@ -149,6 +164,7 @@
 	output.pressures(state.pressures)
 	report := node.engine.loadReport()
 	output.loads(&report)
+	output.waits(&state)
 	output.Add(metricReady, readyValue(node))
 	output.plane(node.endpoints.Plane.Counters())
 }
@@ -276,6 +292,7 @@
 	members   int
 	leaving   int
 
+	waiting      int
 	pressures    []overload.Status
 	decisionTime times
 	callTime     times
@@ -297,6 +314,7 @@
 		members:   engine.others + 1,
 		leaving:   engine.leaving,
 
+		waiting:      engine.core.Waiting(),
 		pressures:    engine.core.Pressures(),
 		decisionTime: engine.decisionTime,
 		callTime:     engine.callTime,
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -51,6 +51,7 @@
 	opened atomic.Bool // all endpoints are open
 	// settings are those in force: Options.Settings, or what was read again since.
 	settings   atomic.Pointer[config.Settings]
+	looking    sync.Mutex    // one look at the openings that wait at a time
 	unready    atomic.Bool   // routers are told not to send packets here any more
 	reload     chan struct{} // has one element after a request
 	background sync.WaitGroup
@@ -157,8 +158,10 @@
 	node.logger.Info().
 		Str(logging.FieldEvent, string(logging.EventStarting)).
 		Str(logging.FieldAdmission, string(node.options.Settings.Admission)).
+		Str(logging.FieldWaiting, string(node.options.Settings.Waiting)).
 		Send()
 	node.background.Go(func() { node.tickUntil(running) })
+	node.background.Go(func() { node.lookUntil(running) })
 	node.background.Go(func() { node.reloadUntil(running) })
 	node.background.Go(func() { node.joinSeeds(running) })
 	node.background.Go(func() { node.reportMalformed(running) })
--- a/internal/tokennode/stop.go
+++ b/internal/tokennode/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/lifecycle"
 	"robinpulley.example/robinpulley/internal/logging"
 )
@@ -79,6 +80,7 @@
 
 // endPlanned tells the others that this node ends.
 func (node *Node) endPlanned(reason lifecycle.Reason) {
+	node.look(&core.Event{Close: true})
 	node.engine.end()
 	time.Sleep(endLinger)
 	node.life.Stopped(reason)
--- /dev/null
+++ b/internal/tokennode/waiting.go
@@ -0,0 +1,77 @@
+package tokennode
+
+import (
+	"context"
+	"time"
+
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/waiting"
+)
+
+// wakeLooking has openings that wait looked at from now on.
+func (engine *engine) wakeLooking() {
+	select {
+	case engine.holding <- struct{}{}:
+	default: // asked for already
+	}
+}
+
+// look gives an event about the openings that wait, and what has been decided on
+// them, which holds until the next call; more tells that some wait on.
+func (engine *engine) look(event *core.Event) (released []core.Released, more bool) {
+	engine.mutex.Lock()
+	engine.core.Step(engine.now(), event, &engine.coreEffects)
+	engine.released = append(engine.released[:0], engine.coreEffects.Released...)
+	engine.logChanges()
+	engine.notes = engine.notes[:0]
+	for index := range engine.released {
+		engine.notes = append(engine.notes, engine.note(&engine.released[index].Packet, &engine.released[index].Decision))
+	}
+	more = engine.core.Waiting() > 0
+	engine.mutex.Unlock()
+	for index := range engine.released {
+		engine.decisions.write(&engine.notes[index], &engine.released[index].Packet, &engine.released[index].Decision)
+	}
+	return engine.released, more
+}
+
+// look decides on the openings that wait and sends them on or refuses them.
+func (node *Node) look(event *core.Event) (more bool) {
+	node.looking.Lock()
+	defer node.looking.Unlock()
+	released, more := node.engine.look(event)
+	node.endpoints.Plane.Release(released)
+	return more
+}
+
+// lookUntil looks at the openings that wait, while there are any, until ctx ends.
+func (node *Node) lookUntil(ctx context.Context) {
+	ticker := time.NewTicker(waiting.DefaultSettings().Interval)
+	defer ticker.Stop()
+	for {
+		ticker.Stop() // a node at rest is not woken
+		select {
+		case <-ctx.Done():
+			return
+		case <-node.engine.holding:
+		}
+		ticker.Reset(waiting.DefaultSettings().Interval)
+		for more := true; more; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			more = node.look(&core.Event{Look: true})
+		}
+	}
+}
+
+func (output sampler) waits(state *engineState) {
+	waited := &state.stats.Waited
+	output.Add(metricWaiting, float64(state.waiting))
+	output.Count(metricHeld, waited.Held)
+	output.Count(metricWent, waited.Went)
+	output.Count(metricFreed, waited.Freed)
+	output.Add(metricWaitTime, waited.Time.Seconds())
+}
--- /dev/null
+++ b/internal/waiting/room.go
@@ -0,0 +1,129 @@
+package waiting
+
+import (
+	"time"
+
+	"robinpulley.example/robinpulley/internal/lb"
+)
+
+// Rooms remembers for a short time which back ends have just become free, as far
+// as this node has seen. The end of a request is seen by one node alone, so that no
+// two of them send to the same room. Room for a request is none for a flow that
+// brings many: what short flows are is seen, too.
+type Rooms struct {
+	settings Settings
+	rooms    []room
+	next     int
+	kinds    map[kindKey]*kind
+}
+
+// room is one request that a back end can take.
+type room struct {
+	service  lb.ServiceName
+	identity uint64
+	at       time.Duration
+	taken    bool
+}
+
+// kindKey names a kind of request.
+type kindKey struct {
+	service   lb.ServiceName
+	objective lb.Objective
+}
+
+// kind counts the flows of a kind that this node has placed, and the requests
+// whose answers it has seen. Both are halved now and then.
+type kind struct {
+	flows, requests float64
+}
+
+// Bounds of what is remembered.
+const (
+	// mostRooms are remembered: a node that sees 400 requests end a second sees 8 in RoomLife.
+	mostRooms = 16
+	// fewestFlows tell whether flows are short, and mostFlows are counted until both are halved.
+	fewestFlows, mostFlows = 8, 64
+	// shortFlow is the most requests a flow that a short one brings: one, and some
+	// whose opening went through another node.
+	shortFlow = 1.5
+	// mostKinds are remembered.
+	mostKinds = 256
+)
+
+// NewRooms gives rooms of which none is known.
+func NewRooms(settings Settings) *Rooms {
+	rooms := &Rooms{settings: settings, rooms: make([]room, mostRooms), kinds: make(map[kindKey]*kind)}
+	for index := range rooms.rooms {
+		rooms.rooms[index].taken = true
+	}
+	return rooms
+}
+
+// Opened notes that this node has placed a flow.
+func (r *Rooms) Opened(service lb.ServiceName, objective lb.Objective) {
+	if r.settings.Off {
+		return
+	}
+	k := r.kind(service, objective)
+	k.flows++
+	if k.flows >= mostFlows {
+		k.flows, k.requests = k.flows/2, k.requests/2
+	}
+}
+
+// Answered notes that a back end has answered a request, and, if it was quick,
+// that it has room for another.
+func (r *Rooms) Answered(now time.Duration, service lb.ServiceName, objective lb.Objective, identity uint64, quick bool) {
+	if r.settings.Off {
+		return
+	}
+	r.kind(service, objective).requests++
+	if !quick {
+		return
+	}
+	r.rooms[r.next] = room{service: service, identity: identity, at: now}
+	r.next = (r.next + 1) % len(r.rooms)
+}
+
+// Take gives the back end of a service that has become free last, once.
+func (r *Rooms) Take(now time.Duration, service lb.ServiceName, objective lb.Objective) (identity uint64, found bool) {
+	if r.settings.Off || !r.short(service, objective) {
+		return 0, false
+	}
+	for step := range r.rooms {
+		known := &r.rooms[(r.next-1-step+2*len(r.rooms))%len(r.rooms)]
+		if !known.taken && known.service == service && now-known.at <= r.settings.RoomLife {
+			known.taken = true
+			return known.identity, true
+		}
+	}
+	return 0, false
+}
+
+// short tells whether flows of a kind are known to bring one request.
+func (r *Rooms) short(service lb.ServiceName, objective lb.Objective) bool {
+	k := r.kinds[kindKey{service, objective}]
+	return k != nil && k.flows >= fewestFlows && k.requests <= shortFlow*k.flows
+}
+
+func (r *Rooms) kind(service lb.ServiceName, objective lb.Objective) *kind {
+	key := kindKey{service, objective}
+	known := r.kinds[key]
+	if known == nil {
+		if len(r.kinds) >= mostKinds {
+			clear(r.kinds) // operators have changed objectives many times
+		}
+		known = &kind{}
+		r.kinds[key] = known
+	}
+	return known
+}
+
+// Forget drops what is known of services but those to keep.
+func (r *Rooms) Forget(keep func(lb.ServiceName) bool) {
+	for key := range r.kinds {
+		if !keep(key.service) {
+			delete(r.kinds, key)
+		}
+	}
+}
