--- a/internal/lab/crowd/crowd.go
+++ b/internal/lab/crowd/crowd.go
@@ -63,7 +63,8 @@
 	Adjust func(settings *core.Settings)
 	// Slow says by how much longer a host takes for its work at a time; nil: by nothing.
 	Slow func(host int, at time.Duration) float64
-	// Waiting is what becomes of openings that are turned away.
+	// Waiting is what becomes of openings that are turned away; without a
+	// capacity they are refused at once.
 	Waiting waiting.Settings
 	// NewsDelay is how old what nodes see of open flows is, on top of the way to them.
 	NewsDelay time.Duration
@@ -87,7 +88,6 @@
 		Load:     func(time.Duration) float64 { return load },
 		MostLoad: load,
 		Duration: 20 * time.Second,
-		Waiting:  waiting.Settings{Off: true},
 	}
 }
 
--- a/internal/lab/crowd/run.go
+++ b/internal/lab/crowd/run.go
@@ -105,6 +105,7 @@
 		waits := w.nodes[i].core.Stats().Waited
 		w.result.Waits.Held += waits.Held
 		w.result.Waits.Went += waits.Went
+		w.result.Waits.Freed += waits.Freed
 		w.result.Waits.Time += waits.Time
 	}
 	return w.result
@@ -140,6 +141,7 @@
 		}
 		w.nodes[i] = node{core: core.New(settings), underWay: make([]int, scenario.Hosts)}
 		settings.Waiting = scenario.Waiting
+		settings.Waiting.Off = settings.Waiting.Off || settings.Waiting.Capacity == 0
 		w.nodes[i] = node{core: core.New(settings), underWay: make([]int, scenario.Hosts), held: make(map[lb.FlowKey]func(core.Decision))}
 		replica := view.NewReplica()
 		replica.ApplyListing(0, listing)
