Waiting for room: tests of the node's wiring, and of openings that wait while nothing is reached

Cause: nothing tested what wakes the looks, the line with the time waited, the planned stop at the engine, and a lost zone while openings wait. Seen to fail: wake-up left out, waited_ms left out, what is given out not begun anew, Close without a lasting end, outOfReach not asked. Ruled out: a second run of the whole node under load, which would be timed.

--- a/internal/core/waiting_test.go
+++ b/internal/core/waiting_test.go
@@ -9,6 +9,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
+	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/view"
 	"robinpulley.example/robinpulley/internal/waiting"
 )
@@ -205,3 +206,28 @@
 	}
 	is.Equal(core.Waiting(), 128)
 }
+
+// TestWhatWaitsIsRefusedOutOfReach: an opening that waits while all zones with back
+// ends are lost is decided at the next look as one that comes is: refused, but for a probe.
+func TestWhatWaitsIsRefusedOutOfReach(t *testing.T) {
+	is := is.New(t)
+	core, now := holding(t, 3)
+	tracker := core.affinity.(*tokenAffinity).reach
+	sent := now
+	now += 5 * time.Millisecond
+	for identity := range reach.Identity(4) {
+		tracker.Unanswered(sent+300*time.Millisecond, "", identity+1, sent+time.Duration(identity))
+	}
+	tracker.Tick(sent + 300*time.Millisecond)
+	is.True(!tracker.Reaches(""))
+	released := core.look(now)
+	is.Equal(len(released), 3)
+	refused := 0
+	for _, one := range released {
+		if one.Decision.Action == ActionRefuse {
+			is.Equal(one.Decision.Reason, ReasonUnreachable)
+			refused++
+		}
+	}
+	is.True(refused >= 2)
+}
--- /dev/null
+++ b/internal/tokennode/waiting_test.go
@@ -0,0 +1,118 @@
+package tokennode
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"robinpulley.example/robinpulley/internal/core"
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/view"
+)
+
+// overloadedEngine gives an engine whose only service has more work than it can do
+// in time: its requests take 300 ms in place of 20.
+func overloadedEngine(t *testing.T, logger zerolog.Logger, now *time.Duration) *engine {
+	e := viewedEngine(t, logger, now)
+	listing := &view.Listing{Revision: 40, Configuration: &view.StoredConfiguration{Revision: 40, Configuration: view.Configuration{
+		Version: 2,
+		Routes: []view.Route{{
+			Frontend: lb.Frontend{Address: floodFront, Protocol: lb.TCP}, Targets: []view.Target{{Service: "web", Weight: 1}},
+			Objective: lb.Objective{Priority: 1, TargetMillis: 400},
+		}},
+	}}}
+	for index := range 4 {
+		listing.Backends = append(listing.Backends, view.StoredBackend{Revision: 40, Backend: view.Backend{
+			Name: lb.BackendName(fmt.Sprintf("i-%d", index)), Identity: uint64(index + 1), Service: "web", State: lb.BackendActive,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(7000+index)), Created: int64(index + 2),
+		}})
+	}
+	replica := view.NewReplica()
+	replica.ApplyListing(*now, listing)
+	e.core.Step(*now, &core.Event{Table: steering.Compile(replica, "za", *now)}, &e.coreEffects)
+	number := 0
+	answer := func(flows int, took time.Duration) {
+		for range flows {
+			number++
+			*now += 5 * time.Millisecond
+			packet := opening(number, floodFront)
+			decision := e.decide(packet)
+			if decision.Action != core.ActionForward {
+				continue
+			}
+			packet.Kind, packet.Token, packet.HasData, packet.Acknowledged = core.PacketMiddle, decision.Token, true, 1
+			e.decide(packet)
+			*now += took
+			packet.HasData, packet.Acknowledged = false, 2
+			e.decide(packet)
+			e.core.Step(*now, &core.Event{Tick: true}, &e.coreEffects)
+		}
+	}
+	answer(200, 20*time.Millisecond)
+	answer(60, 300*time.Millisecond)
+	return e
+}
+
+// holdSome has openings come until some wait.
+func holdSome(t *testing.T, e *engine, count int) {
+	for number := range 5000 {
+		packet := opening(100_000+number, floodFront)
+		packet.Datagram = make([]byte, 34)
+		e.decide(packet)
+		if e.core.Waiting() == count {
+			return
+		}
+	}
+	t.Fatalf("%d openings wait", e.core.Waiting())
+}
+
+// TestHeldOpeningsAreLookedAt: the first one wakes who looks, what is decided at a
+// look is given out once, and its line says how long it waited.
+func TestHeldOpeningsAreLookedAt(t *testing.T) {
+	is := is.New(t)
+	var lines bytes.Buffer
+	now := time.Duration(0)
+	e := overloadedEngine(t, zerolog.New(&lines), &now)
+	is.Equal(len(e.holding), 0)
+	holdSome(t, e, 3)
+	is.Equal(len(e.holding), 1)
+	now += 10 * time.Millisecond
+	released, more := e.look(&core.Event{Look: true})
+	is.Equal(len(released), 0)
+	is.True(more)
+	lines.Reset()
+	now += 75 * time.Millisecond
+	released, more = e.look(&core.Event{Look: true})
+	is.Equal(len(released), 3)
+	is.True(!more)
+	is.True(strings.Contains(lines.String(), `"waited_ms":85`))
+	released, _ = e.look(&core.Event{Look: true})
+	is.Equal(len(released), 0)
+	state := e.state()
+	is.Equal(state.waiting, 0)
+	is.Equal(state.stats.Waited.Held, uint64(3))
+	is.Equal(state.stats.Waited.Time, 255*time.Millisecond)
+}
+
+// TestPlannedStopDecidesAllThatWaits at once, and holds nothing after it.
+func TestPlannedStopDecidesAllThatWaits(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	e := overloadedEngine(t, zerolog.Nop(), &now)
+	holdSome(t, e, 5)
+	released, more := e.look(&core.Event{Close: true})
+	is.Equal(len(released), 5)
+	is.True(!more)
+	for number := range 200 {
+		packet := opening(200_000+number, floodFront)
+		packet.Datagram = make([]byte, 34)
+		is.True(e.decide(packet).Action != core.ActionHold)
+	}
+}
