Openings that wait or find room are told to the fleet as what they become

Cause: since admission over the fleet was merged, Admit tells the fleet of each opening that it turns away as refused work, and counts those that it lets in to tell long flows from short ones. An opening that waited was told as refused and again as begun, and one that went to a freed back end was not counted as opened, so that its request passed for one on a flow that was open before. Change: overload.Held takes the refusal back also from what the fleet is told, Refused counts it when the wait is over, Opened counts what found room. Tests seen to fail: TestHeldIsNotRefused without the meter's part, TestOpeningsThatFoundRoomAreNoLongFlows without the count.

--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -50,10 +50,12 @@
 	admitted := a.admit(packet, service, frontend, host)
 	if packet.Copies == 0 && !host.Cold && a.reach.Reaches(host.Zone) && a.overload.Pressed(service.Name) {
 		if freed := a.freed(service, frontend); freed != nil {
+			a.core.stats.Waited.Freed++
 			if !admitted {
-				a.overload.Held(service.Name)
+				objective, _ := a.table.Objective(frontend)
+				a.overload.Held(a.core.now, service.Name, objective)
+				a.overload.Opened(a.core.now, service.Name, objective)
 			}
-			a.core.stats.Waited.Freed++
 			return freed
 		}
 	}
@@ -111,7 +113,7 @@
 	held.Kept.packet = *packet
 	held.Kept.packet.Datagram = nil
 	held.Kept.datagram.Keep(packet.Datagram)
-	a.overload.Held(service.Name)
+	a.overload.Held(a.core.now, service.Name, objective)
 	decision.Action = ActionHold
 	return true
 }
@@ -167,17 +169,19 @@
 // all that wait would go at the moment at which it lets in more.
 func (a *tokenAffinity) openAgain(packet *Packet, decision *Decision, chance waiting.Chance) bool {
 	service := a.table.Service(&packet.Key)
+	frontend := packet.Key.Frontend()
+	objective, _ := a.table.Objective(&frontend)
 	if service == nil || len(service.Ready) == 0 || a.outOfReach(service) || !a.overload.Pressed(service.Name) {
 		a.open(packet, decision)
 		if decision.Reason == ReasonOverload && chance == waiting.ChanceMore {
-			a.overload.Held(decision.Service)
+			a.overload.Held(a.core.now, decision.Service, objective)
 			return false
 		}
 		return true
 	}
-	frontend := packet.Key.Frontend()
 	if host := a.freed(service, &frontend); host != nil {
 		a.core.stats.Waited.Freed++
+		a.overload.Opened(a.core.now, service.Name, objective)
 		a.noteOpened(service, &frontend)
 		a.place(packet, decision, &frontend, host)
 		return true
@@ -186,6 +190,7 @@
 		return false
 	}
 	decision.Service = service.Name
+	a.overload.Refused(a.core.now, service.Name, objective)
 	a.turnAway(packet, service, decision)
 	return true
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -229,9 +229,7 @@
 		l.opened++
 		return true
 	}
-	s.refused++
-	s.refusedEver++
-	c.meter.Refused(name, objective.Priority, s.class(objective).idle.value)
+	c.Refused(now, name, objective)
 	return false
 }
 
@@ -272,12 +270,26 @@
 	return !c.settings.Off && c.Pressure(name) > calmPressure
 }
 
-// Held notes that the opening which Admit turned away last waits for room: it is not refused.
-func (c *Controller) Held(name lb.ServiceName) {
-	if s := c.services[name]; s != nil {
-		s.refused--
-		s.refusedEver--
-	}
+// Held takes back that an opening was refused, which Admit has just turned away: it
+// waits for room, or has found it.
+func (c *Controller) Held(now time.Duration, name lb.ServiceName, objective lb.Objective) {
+	s := c.service(now, name)
+	s.refused--
+	s.refusedEver--
+	c.meter.Refused(name, objective.Priority, -s.class(objective).idle.value)
+}
+
+// Refused notes that an opening is refused for want of room, by Admit or after it waited.
+func (c *Controller) Refused(now time.Duration, name lb.ServiceName, objective lb.Objective) {
+	s := c.service(now, name)
+	s.refused++
+	s.refusedEver++
+	c.meter.Refused(name, objective.Priority, s.class(objective).idle.value)
+}
+
+// Opened notes that an opening which Admit did not let in goes where there is room.
+func (c *Controller) Opened(now time.Duration, name lb.ServiceName, objective lb.Objective) {
+	c.service(now, name).level(objective.Priority, &c.settings).opened++
 }
 
 // Pressure gives the time that requests of a service take over what they may;
--- a/internal/overload/quick_test.go
+++ b/internal/overload/quick_test.go
@@ -45,11 +45,43 @@
 	}
 	is.True(c.Pressed("web"))
 	is.True(!c.Pressed("docs"))
-	for !c.Admit(now, "web", objective, 1, ^uint64(0)) {
-		c.Held("web")
-		break
-	}
+	c.Samples()
+	is.True(!c.Admit(now, "web", objective, 1, ^uint64(0)))
+	c.Held(now, "web", objective)
 	is.Equal(c.Status(now)[0].Refused, uint64(0))
+	is.Equal(refusedWork(c), 0.0)
 	is.True(!c.Admit(now, "web", objective, 1, ^uint64(0)))
 	is.Equal(c.Status(now)[0].Refused, uint64(1))
+	is.True(refusedWork(c) > 0)
+	c.Refused(now, "web", objective) // after it waited
+	is.Equal(c.Status(now)[0].Refused, uint64(2))
+	is.True(refusedWork(c) > 0)
+}
+
+// refusedWork is what the nodes are told of refused work since the last call.
+func refusedWork(c *Controller) float64 {
+	work := 0.0
+	for _, sample := range c.Samples() {
+		for _, level := range sample.Levels {
+			work += level.Refused
+		}
+	}
+	return work
+}
+
+// TestOpeningsThatFoundRoomAreNoLongFlows: they count as opened, so that the requests
+// on them are not taken for those of flows that were open before.
+func TestOpeningsThatFoundRoomAreNoLongFlows(t *testing.T) {
+	is := is.New(t)
+	c := New(DefaultSettings())
+	objective := lb.Objective{Priority: 1, TargetMillis: 400}
+	for range 100 {
+		c.Opened(0, "web", objective)
+		c.Begun(0, "web", objective)
+	}
+	is.Equal(c.services["web"].held(1), 0.0)
+	for range 100 {
+		c.Begun(0, "web", objective)
+	}
+	is.True(c.services["web"].held(1) > 0.4)
 }
