Speeds of back ends, learned by the nodes together

Cause: a back end that is slower than the others was seen by each node for itself only (four times the typical time, by a mean of its own answers). The factor lowers the weight at all nodes, beside what each sees itself.

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -91,20 +91,20 @@
 }
 
 // deal gives the back end of a new flow of a service: the next by turns, or the first
-// by rank where that is the setting, this node's hand has none, or most are silent.
+// by rank among all where that is the setting or most of this node's hand is silent.
 func (a *tokenAffinity) deal(service *steering.Service, flow lb.FlowID) *steering.Host {
 	parts, weights := a.parts(service)
-	if a.core.settings.Picking != PickTurns || len(service.Ready) == 0 || steering.MostlyZero(a.factors) {
-		return a.rank(service, flow, weights)
-	}
-	index := a.hands.of(a.core, service).Pick(parts,
-		func(index int) float64 { return max(0, a.factors[index]) }, // those out of reach get nothing
-		func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Identity)) },
-	)
-	if index < 0 {
-		return a.rank(service, flow, weights)
+	if a.core.settings.Picking == PickTurns {
+		index := a.hands.of(a.core, service).Pick(parts,
+			func(index int) float64 { return max(0, a.factor(service, service.Ready[index])) }, // those out of reach get nothing
+			func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Identity)) },
+		)
+		if index >= 0 {
+			return service.Ready[index]
+		}
 	}
-	return service.Ready[index]
+	a.weigh(service)
+	return a.rank(service, flow, weights)
 }
 
 // rank gives the first by rank of a service, by the weights of its table where all of
--- /dev/null
+++ b/internal/core/hands_test.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/view"
+)
+
+// zoneNodes and zoneHosts are those of handCore.
+const zoneNodes, zoneHosts = 24, 40
+
+// handCore is one of the nodes of zone-1, before hosts of three zones.
+func handCore(rank int) *Core {
+	settings := DefaultSettings(lb.NodeID(fmt.Sprintf("n%d", rank)), "zone-1")
+	settings.Affinity = AffinityToken
+	core := New(settings)
+	var backends []view.StoredBackend
+	for index := range 3 * zoneHosts {
+		backend := tokenBackend(lb.BackendName(fmt.Sprintf("h-%d", index)), "web", uint64(index+1), lb.BackendActive)
+		backend.Backend.Zone = lb.Zone(fmt.Sprintf("zone-%d", index%3))
+		backend.Backend.Slots = 2
+		backends = append(backends, backend)
+	}
+	replica := view.NewReplica()
+	replica.ApplyListing(0, tokenListing(500, backends...))
+	var effects Effects
+	core.Step(0, &Event{Table: steering.Compile(replica, "zone-1", 0)}, &effects)
+	var members []Member
+	for index := range zoneNodes {
+		members = append(members, Member{ID: lb.NodeID(fmt.Sprintf("n%d", index)), Zone: "zone-1"})
+	}
+	core.Step(0, &Event{Members: members}, &effects)
+	return core
+}
+
+func handOpening(number int) Packet {
+	source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(number >> 8), byte(number)}), 4000)
+	return Packet{Key: lb.NewFlowKey(source, tokenFrontend(443), lb.TCP), Kind: PacketOpening, OpeningID: 7}
+}
+
+// TestNodesDealToHandsOfTheirOwn: few hosts of the own zone each, all of them together.
+func TestNodesDealToHandsOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	all := map[uint64]int{}
+	for rank := range zoneNodes {
+		core := handCore(rank)
+		own := map[uint64]int{}
+		var effects Effects
+		for number := range 400 {
+			packet := handOpening(number)
+			core.Step(time.Millisecond, &Event{Packet: &packet}, &effects)
+			if (effects.Decision.Identity-1)%3 == 1 {
+				own[effects.Decision.Identity]++
+				all[effects.Decision.Identity]++
+			}
+		}
+		is.True(len(own) >= 8 && len(own) <= 12)
+	}
+	is.Equal(len(all), zoneHosts)
+	for _, count := range all {
+		is.True(count > 150 && count < 320) // 24 nodes, 400 openings, 40 hosts: 235 of the own zone
+	}
+}
+
+// TestCopiesStayWhileTurnsGoOn: a copy of an opening goes where the first went,
+// whatever came in between, and whoever has joined the zone since.
+func TestCopiesStayWhileTurnsGoOn(t *testing.T) {
+	is := is.New(t)
+	core := handCore(3)
+	var effects Effects
+	var hosts []uint64
+	for number := range 50 {
+		packet := handOpening(number)
+		core.Step(time.Millisecond, &Event{Packet: &packet}, &effects)
+		hosts = append(hosts, effects.Decision.Identity)
+	}
+	core.Step(2*time.Millisecond, &Event{Members: []Member{{ID: "n3", Zone: "zone-1"}, {ID: "n9", Zone: "zone-1"}}}, &effects)
+	for number := range 50 {
+		packet := handOpening(number)
+		packet.Copies = 1
+		core.Step(50*time.Millisecond, &Event{Packet: &packet}, &effects)
+		is.Equal(effects.Decision.Identity, hosts[number])
+	}
+}
+
+// BenchmarkOpeningByToken places openings among 120 back ends of three zones, at
+// one of 24 nodes of its zone.
+func BenchmarkOpeningByToken(b *testing.B) {
+	core := handCore(1)
+	var effects Effects
+	packets := make([]Packet, 4096)
+	for index := range packets {
+		packets[index] = handOpening(index)
+	}
+	now, index := time.Duration(0), 0
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Microsecond
+		index++
+		packet := &packets[index%len(packets)]
+		core.Step(now, &Event{Packet: packet}, &effects)
+		packet.Kind, packet.Token, packet.HasData = PacketMiddle, effects.Decision.Token, true
+		core.Step(now, &Event{Packet: packet}, &effects)
+		packet.Kind, packet.Token = PacketOpening, 0
+	}
+}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -10,6 +10,7 @@
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/rendezvous"
+	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/waiting"
 	"robinpulley.example/robinpulley/internal/zoneshare"
@@ -42,6 +43,8 @@
 	sampleAt time.Duration
 	// hands deals the new flows of each service; see hands.go.
 	hands hands
+	// answers are those since the last step, for package speed.
+	answers []speed.Answer
 }
 
 // share is where this node's new flows of a service go, by what the fleet knows.
@@ -162,6 +165,15 @@
 
 func (a *tokenAffinity) avoid(identities []observe.Identity) { a.observer.Avoid(identities) }
 
+func (a *tokenAffinity) slow(factors []speed.Factor) { a.observer.SetSpeeds(factors) }
+
+// times gives the answers since the last call. It holds until the next call of any method.
+func (a *tokenAffinity) times() []speed.Answer {
+	answers := a.answers
+	a.answers = a.answers[:0]
+	return answers
+}
+
 func (a *tokenAffinity) changes() []observe.Change { return a.observer.Changes() }
 
 func (a *tokenAffinity) overloads() []overload.Change { return a.overload.Changes() }
@@ -265,7 +277,6 @@
 			return host, false
 		}
 	}
-	a.weigh(service)
 	if host := a.probe(service, flow); host != nil {
 		return host, false
 	}
@@ -276,8 +287,8 @@
 	if first == nil || !a.overload.Crowded(a.core.now, overload.Identity(first.Identity)) {
 		return first, false
 	}
-	other := service.PickOther(flow, a.factors)
-	if other != nil && a.overload.Prefer(a.core.now, service.Name, overload.Identity(other.Identity), overload.Identity(first.Identity)) {
+	other := service.PickOther(flow, nil)
+	if other != nil && a.factor(service, other) > 0 && a.overload.Prefer(a.core.now, service.Name, overload.Identity(other.Identity), overload.Identity(first.Identity)) {
 		return other, false
 	}
 	return first, false
@@ -296,12 +307,16 @@
 func (a *tokenAffinity) weigh(service *steering.Service) {
 	a.factors = a.factors[:0]
 	for _, host := range service.Ready {
-		factor := steering.FactorUnreached
-		if a.reach.All() || a.reach.Reaches(host.Zone) {
-			factor = a.observer.Factor(a.core.now, service.Name, observe.Identity(host.Identity))
-		}
-		a.factors = append(a.factors, factor)
+		a.factors = append(a.factors, a.factor(service, host))
+	}
+}
+
+// factor is by how much this node lowers the weight of a host.
+func (a *tokenAffinity) factor(service *steering.Service, host *steering.Host) float64 {
+	if !a.reach.All() && !a.reach.Reaches(host.Zone) {
+		return steering.FactorUnreached
 	}
+	return a.observer.Factor(a.core.now, service.Name, observe.Identity(host.Identity))
 }
 
 // admit asks whether an opening may go to a back end. Copies may always: an
@@ -340,7 +355,7 @@
 	}
 	objective, _ := a.table.Objective(&frontend)
 	if answered {
-		a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
+		a.answered(host, objective, took)
 		a.rooms.Answered(a.core.now, host.Service, objective, host.Identity, a.overload.Quick(host.Service, objective, took))
 	}
 	if begun {
@@ -348,6 +363,14 @@
 	}
 }
 
+// answered takes the time that a request at a host took.
+func (a *tokenAffinity) answered(host *steering.Host, objective lb.Objective, took time.Duration) {
+	log, known := a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
+	if known {
+		a.answers = append(a.answers, speed.Answer{Service: host.Service, Identity: speed.Identity(host.Identity), Log: log})
+	}
+}
+
 func forwardTo(decision *Decision, host *steering.Host) {
 	decision.Action = ActionForward
 	decision.Service = host.Service
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/speed"
 )
 
 const (
@@ -153,3 +154,37 @@
 	is.Equal(observer.Signs(), []Sign{{Identity: first, Missing: true, Sent: 10 * ms}})
 	is.Equal(len(observer.Signs()), 0)
 }
+
+// TestSlowBackendsOfTheFleet: what the nodes together take for slow gets less, and
+// its part again when they no longer do.
+func TestSlowBackendsOfTheFleet(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.SetSpeeds([]speed.Factor{{Identity: 7, Factor: 0.25}})
+	is.Equal(observer.Factor(0, "web", 7), 0.25)
+	is.Equal(observer.Factor(0, "web", 8), 1.0)
+	observer.SetSpeeds([]speed.Factor{})
+	is.Equal(observer.Factor(0, "web", 7), 1.0)
+}
+
+// TestBusyCountsWhatIsUnderWay: openings and requests, until they are answered or forgotten.
+func TestBusyCountsWhatIsUnderWay(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Opened(0, 1, 7)
+	observer.Opened(0, 1, 7) // a copy
+	observer.Opened(0, 2, 7)
+	is.Equal(observer.Busy(7), 2)
+	observer.Opened(0, 2, 8) // a copy that goes elsewhere
+	is.Equal(observer.Busy(7), 1)
+	is.Equal(observer.Busy(8), 1)
+	observer.Later(time.Millisecond, 1, "web", 7, 10, true)
+	is.Equal(observer.Busy(7), 1) // its request
+	observer.Later(50*time.Millisecond, 1, "web", 7, 500, false)
+	is.Equal(observer.Busy(7), 0)
+	observer.Later(60*time.Millisecond, 1, "web", 7, 500, true)
+	is.Equal(observer.Busy(7), 1)
+	observer.Tick(10 * time.Second)
+	is.Equal(observer.Busy(7), 0)
+	is.Equal(observer.Busy(8), 0)
+}
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -151,7 +151,8 @@
 	switch m.(type) {
 	case message.ViewDigest:
 		return digestLifetime
-	case message.OutcomeReport, message.OutcomeVerdict, message.LoadReport, message.LoadState:
+	case message.OutcomeReport, message.OutcomeVerdict, message.LoadReport, message.LoadState,
+		message.SpeedReport, message.SpeedState:
 		return outcomeLifetime
 	case message.ViewDelta, message.ViewWant:
 		return deltaLifetime
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -65,6 +65,7 @@
 	cards  []card
 	share  float64 // of this node's flows, at the pick at hand
 	factor float64 // mean of its cards', of the pick at hand
+	silent float64 // part of its cards' turns that take no flows, likewise
 }
 
 // Dealer deals the flows of one node to one service. It is not safe for concurrent use.
@@ -147,11 +148,11 @@
 const mostOwed = 2
 
 // Pick gives the place, in the list that the hand was dealt from, of the back end
-// whose turn it is; -1: none. parts are those of zones of this node's flows, factor is by how much the weight of one is lowered,
+// whose turn it is; -1: there is none, or most of a zone's hand whose turn it is take no flows. parts are those of zones of this node's flows, factor is by how much the weight of one is lowered,
 // from 0 to 1, and busy how many requests of this node are under way there.
 func (d *Dealer) Pick(parts map[lb.Zone]float64, factor func(index int) float64, busy func(index int) int) int {
 	best := d.pickGroup(parts, factor)
-	if best == nil {
+	if best == nil || best.silent > mostSilent {
 		return -1
 	}
 	var chosen *card
@@ -174,16 +175,23 @@
 	return chosen.index
 }
 
+// mostSilent is the part of a hand that may take no flows: with more of them the
+// rest would be crowded, and who sees so little may be at fault itself.
+const mostSilent = 0.5
+
 // pickGroup gives the zone whose turn it is; nil: no back end in any takes flows.
 func (d *Dealer) pickGroup(parts map[lb.Zone]float64, factor func(index int) float64) *group {
 	sum := 0.0
 	for index := range d.groups {
 		g := &d.groups[index]
-		g.factor, g.share = 0, parts[g.zone]
+		g.factor, g.silent, g.share = 0, 0, parts[g.zone]
 		for index := range g.cards {
 			c := &g.cards[index]
 			c.factor = factor(c.index)
 			g.factor += c.weight * c.factor
+			if c.factor == 0 {
+				g.silent += c.weight
+			}
 		}
 		if g.factor > 0 {
 			sum += g.share
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -137,6 +137,8 @@
 	is.True(math.Abs(float64(got[1])-100) <= 3)
 	is.True(math.Abs(float64(got[2])-200) <= 3)
 	is.Equal(d.Pick(one, func(int) float64 { return 0 }, idle), -1)
+	mostly := []float64{0, 0, 0, 0, 0, 1, 1, 1}
+	is.Equal(d.Pick(one, func(index int) float64 { return mostly[index] }, idle), -1)
 	is.Equal(New(DefaultSettings()).Pick(one, whole, idle), -1)
 }
 
