Hosts that have just started count for half until they are warm

Cause: where operators state no bound on starts, a back end that says that it is slow from its start got flows as a warm one. Ruled out: leaving it out (its work is missed under load), and waiting for what the nodes learn of its speed (a second and a half). Change: its size on the circle of hands is half of its slots until the time that it states; the table is built again then. Hands of services that are gone are forgotten, too: their number had no bound. Tests seen to fail: hosts never warming; hands of all services kept.

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 
 	"robinpulley.example/robinpulley/internal/lb"
@@ -24,6 +25,12 @@
 	dealt *steering.Service
 }
 
+// keep forgets the hands of services but those to keep, and has these dealt anew.
+func (h *hands) keep(service func(lb.ServiceName) bool) {
+	maps.DeleteFunc(h.dealers, func(name lb.ServiceName, _ *hand) bool { return !service(name) })
+	h.forget()
+}
+
 // forget has all hands dealt anew with their next flow.
 func (h *hands) forget() {
 	for _, hand := range h.dealers {
@@ -74,7 +81,7 @@
 	backends := make([]turns.Backend, len(service.Ready))
 	for index, host := range service.Ready {
 		backends[index] = turns.Backend{
-			Identity: turns.Identity(host.Identity), Zone: host.Zone, Size: host.Capacity(),
+			Identity: turns.Identity(host.Identity), Zone: host.Zone, Size: host.Size(),
 		}
 	}
 	known.dealer.Deal(backends, h.place, rendezvous.Mix(uint64(core.settings.Self.Hash())))
--- a/internal/core/hands_test.go
+++ b/internal/core/hands_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// TestHandsOfServicesThatAreGoneAreForgotten, so that their number is bounded.
+func TestHandsOfServicesThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	core.list(0, tokenListing(9, tokenBackend("i-1", "web", 1, lb.BackendActive), tokenBackend("i-2", "docs", 2, lb.BackendActive)))
+	core.send(0, tokenOpening(1, 443))
+	core.send(0, tokenOpening(1, 8443))
+	dealers := func() int { return len(core.affinity.(*tokenAffinity).hands.dealers) }
+	is.Equal(dealers(), 2)
+	replica := view.NewReplica()
+	listing := tokenListing(12, tokenBackend("i-1", "web", 1, lb.BackendActive))
+	listing.Configuration.Configuration.Routes = listing.Configuration.Configuration.Routes[:1]
+	replica.ApplyListing(time.Second, listing)
+	core.Step(time.Second, &Event{Table: steering.Compile(replica, "za", time.Second)}, &core.effects)
+	is.Equal(dealers(), 1)
+}
+
 // BenchmarkOpeningByToken places openings among 120 back ends of three zones, at
 // one of 24 nodes of its zone.
 func BenchmarkOpeningByToken(b *testing.B) {
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -68,7 +68,7 @@
 
 func (a *tokenAffinity) setTable(table *steering.Table) {
 	a.table = table
-	a.hands.forget()
+	a.hands.keep(table.HasService)
 	a.placeBackends(table)
 	present := make(map[observe.Identity]bool, len(table.Hosts()))
 	for _, host := range table.Hosts() {
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -62,3 +62,15 @@
 
 // capacity is what the host says that it works on at once; one if it does not say.
 func (h *Host) capacity() float64 { return float64(max(h.Slots, 1)) }
+
+// warmingPart is what a back end that has just started is taken to do, against what it does
+// when it is warm, until more is known of it: see package speed.
+const warmingPart = 0.5
+
+// Size is what the host can do against others of its service, as far as its own word goes.
+func (h *Host) Size() float64 {
+	if h.Warming {
+		return warmingPart * h.capacity()
+	}
+	return h.capacity()
+}
--- a/internal/steering/share_test.go
+++ b/internal/steering/share_test.go
@@ -220,3 +220,24 @@
 		is.Equal(service.PickOther(flow, []float64{out, out, out, out, out, out}), nil)
 	}
 }
+
+// TestWarmingHostsCountForLess, until they are warm, whatever they say that they work on at once.
+func TestWarmingHostsCountForLess(t *testing.T) {
+	is := is.New(t)
+	world := newWorld()
+	fill(world, 2)
+	for index := range world.listing.Backends {
+		world.listing.Backends[index].Backend.Slots = 4
+	}
+	world.listing.Backends[0].Backend.ColdMillis = 2000
+	replica := world.replica()
+	table := Compile(replica, zoneA, time.Second)
+	ready := table.service("web").Ready
+	is.Equal(len(ready), 2) // no bound is known
+	is.Equal(ready[0].Size(), 4*warmingPart)
+	is.Equal(ready[1].Size(), 4.0)
+	is.Equal(table.Expires(), 2*time.Second)
+	warm := Compile(replica, zoneA, table.Expires())
+	is.Equal(warm.service("web").Ready[0].Size(), 4.0)
+	is.Equal(warm.Expires(), time.Duration(0))
+}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -29,6 +29,9 @@
 	view.Backend
 	// Cold: it has just started and bears few new flows; see Service.Cold.
 	Cold bool
+	// Warming: it has just started and is slower than it will be, but no bound is known
+	// on its new flows.
+	Warming bool
 	// hash is this host's part of its tokens.
 	hash uint32
 	// rank is the key of the host in rendezvous hashing.
@@ -179,6 +182,10 @@
 		service.Cold = append(service.Cold, host)
 		t.expireBy(known.ColdUntil)
 	default:
+		if known.ColdUntil > now {
+			host.Warming = true
+			t.expireBy(known.ColdUntil)
+		}
 		service.Ready = append(service.Ready, host)
 	}
 }
@@ -387,6 +394,3 @@
 
 // splitKey makes the choice of a service independent of that of a host.
 const splitKey = 0x9e3779b97f4a7c15
-
-// Capacity is what the host works on at once.
-func (h *Host) Capacity() float64 { return h.capacity() }
