--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -85,7 +85,7 @@
 		HearingTime:  250 * time.Millisecond,
 		Sure:         3.5, // four, as they fade
 		Gain:         0.5,
-		Least:        1.0 / 12,
+		Least:        1.0 / 8,
 		Forgive:      1.0 / 16,
 		Entries:      24,
 		RenewTime:    time.Second,
