Speeds of back ends known by all nodes are taken out again

Ruled out: keeping a package of 800 lines, two messages and a log of their own for that. What stays of that part: hands and turns, factors asked for the hand only, warming hosts for half.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -16,7 +16,6 @@
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/reach"
-	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/turns"
 	"robinpulley.example/robinpulley/internal/waiting"
@@ -151,8 +150,6 @@
 	Backends []observe.Change
 	// Outcomes are how requests at back ends went. They hold until the next step.
 	Outcomes []observe.Outcome
-	// Answers are how long requests took. They hold until the next step.
-	Answers []speed.Answer
 	// Overload are services that have become overloaded, or are so no more. They
 	// hold until the next step.
 	Overload []overload.Change
@@ -188,9 +185,6 @@
 	// Avoid are the back ends that the nodes together take for failing, for
 	// AffinityToken; empty, not nil: none.
 	Avoid []observe.Identity
-	// Speeds are by how much slow back ends get less, for AffinityToken; empty, not
-	// nil: none is slow.
-	Speeds []speed.Factor
 	// Loads is what the fleet knows of the load of services, for AffinityToken; empty, not
 	// nil: nothing.
 	Loads map[lb.ServiceName]fleetload.Service
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,7 +9,6 @@
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/rendezvous"
-	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -69,8 +68,6 @@
 	changes() []observe.Change
 	outcomes() []observe.Outcome
 	avoid(identities []observe.Identity)
-	slow(factors []speed.Factor)
-	times() []speed.Answer
 	overloads() []overload.Change
 	pressures() []overload.Status
 	setLoads(loads map[lb.ServiceName]fleetload.Service)
@@ -128,8 +125,6 @@
 		core.affinity.avoid(event.Avoid)
 	case event.Loads != nil:
 		core.affinity.setLoads(event.Loads)
-	case event.Speeds != nil:
-		core.affinity.slow(event.Speeds)
 	case event.Leave:
 		core.leave()
 	case event.Look || event.Close:
@@ -144,7 +139,6 @@
 	}
 	effects.Backends = core.affinity.changes()
 	effects.Outcomes = core.affinity.outcomes()
-	effects.Answers = core.affinity.times()
 	effects.Overload = core.affinity.overloads()
 	effects.Reach = core.affinity.reached()
 	effects.Released = core.affinity.takeReleased()
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -6,7 +6,6 @@
 	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/reach"
-	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
@@ -47,10 +46,6 @@
 
 func (chainAffinity) avoid([]observe.Identity) {}
 
-func (chainAffinity) slow([]speed.Factor) {}
-
-func (chainAffinity) times() []speed.Answer { return nil }
-
 // overloads and pressures give nothing: this affinity has no overload control.
 func (chainAffinity) overloads() []overload.Change { return nil }
 
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -10,7 +10,6 @@
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/rendezvous"
-	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/waiting"
 	"robinpulley.example/robinpulley/internal/zoneshare"
@@ -43,8 +42,6 @@
 	sampleAt time.Duration
 	// hands deals the new flows of each service; see hands.go.
 	hands hands
-	// answers are those since the last step, for package speed.
-	answers []speed.Answer
 }
 
 // share is where this node's new flows of a service go, by what the fleet knows.
@@ -165,15 +162,6 @@
 
 func (a *tokenAffinity) avoid(identities []observe.Identity) { a.observer.Avoid(identities) }
 
-func (a *tokenAffinity) slow(factors []speed.Factor) { a.observer.SetSpeeds(factors) }
-
-// times gives the answers since the last call. It holds until the next call of any method.
-func (a *tokenAffinity) times() []speed.Answer {
-	answers := a.answers
-	a.answers = a.answers[:0]
-	return answers
-}
-
 func (a *tokenAffinity) changes() []observe.Change { return a.observer.Changes() }
 
 func (a *tokenAffinity) overloads() []overload.Change { return a.overload.Changes() }
@@ -355,7 +343,7 @@
 	}
 	objective, _ := a.table.Objective(&frontend)
 	if answered {
-		a.answered(host, objective, took)
+		a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
 		a.rooms.Answered(a.core.now, host.Service, objective, host.Identity, a.overload.Quick(host.Service, objective, took))
 	}
 	if begun {
@@ -363,14 +351,6 @@
 	}
 }
 
-// answered takes the time that a request at a host took.
-func (a *tokenAffinity) answered(host *steering.Host, objective lb.Objective, took time.Duration) {
-	log, known := a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
-	if known {
-		a.answers = append(a.answers, speed.Answer{Service: host.Service, Identity: speed.Identity(host.Identity), Log: log})
-	}
-}
-
 func forwardTo(decision *Decision, host *steering.Host) {
 	decision.Action = ActionForward
 	decision.Service = host.Service
--- a/internal/lab/crowd/fleet.go
+++ b/internal/lab/crowd/fleet.go
@@ -42,7 +42,9 @@
 			sum.Begun += level.Begun
 			sum.Refused += level.Refused
 			f.seen[zone][level.Priority] = sum
-			f.rates[zone][level.Priority] = f.rates[zone][level.Priority]
+			if _, known := f.rates[zone][level.Priority]; !known {
+				f.rates[zone][level.Priority] = fleetload.Level{}
+			}
 		}
 		for _, answers := range sample.Answers {
 			sum := f.answers[answers.Zone]
@@ -50,7 +52,9 @@
 			sum.Logs += answers.Logs
 			sum.Rejected += answers.Rejected
 			f.answers[answers.Zone] = sum
-			f.loads[answers.Zone] = f.loads[answers.Zone]
+			if _, known := f.loads[answers.Zone]; !known {
+				f.loads[answers.Zone] = fleetload.Answers{}
+			}
 		}
 	}
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -45,8 +45,6 @@
 	EventBackendTrusted   Event = "backend_trusted"
 	EventZoneUnreached    Event = "zone_unreached"
 	EventZoneReached      Event = "zone_reached"
-	EventBackendSlow      Event = "backend_slow"
-	EventBackendEven      Event = "backend_even"
 	EventOverloaded       Event = "overloaded"
 	EventOverloadEnded    Event = "overload_ended"
 	EventShareChanged     Event = "share_changed"
@@ -64,7 +62,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventBackendSlow, EventBackendEven, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
@@ -101,10 +99,6 @@
 	FieldGood      = "good"
 	FieldReporters = "reporters"
 	FieldOthers    = "others"
-	FieldFactor    = "factor"
-	FieldRatio     = "ratio"
-	FieldAnswers   = "answers"
-	FieldHeardAge  = "heard_age_ms"
 	FieldEvacuated = "evacuated_zones"
 
 	FieldHome           = "home"
--- a/internal/message/codec.go
+++ b/internal/message/codec.go
@@ -118,8 +118,6 @@
 	TypeOutcomeVerdict: decodeAs[OutcomeVerdict],
 	TypeLoadReport:     decodeAs[LoadReport],
 	TypeLoadState:      decodeAs[LoadState],
-	TypeSpeedReport:    decodeAs[SpeedReport],
-	TypeSpeedState:     decodeAs[SpeedState],
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
--- a/internal/message/validate.go
+++ b/internal/message/validate.go
@@ -60,10 +60,6 @@
 		return TypeOutcomeReport, validateOutcomeReport(message)
 	case OutcomeVerdict:
 		return TypeOutcomeVerdict, validateOutcomeVerdict(message)
-	case SpeedReport:
-		return TypeSpeedReport, validateSpeedReport(message)
-	case SpeedState:
-		return TypeSpeedState, validateSpeedState(message)
 	case LoadReport:
 		return TypeLoadReport, validateLoadReport(message)
 	case LoadState:
--- a/internal/observe/factor.go
+++ b/internal/observe/factor.go
@@ -53,9 +53,6 @@
 	if o.avoided[identity] {
 		factor = min(factor, avoidedFactor)
 	}
-	if slow, found := o.speeds[identity]; found {
-		factor = min(factor, slow)
-	}
 	return factor
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
-	"robinpulley.example/robinpulley/internal/speed"
 )
 
 // Identity names a back end's run, as packets do.
@@ -80,9 +79,7 @@
 	sizes     map[lb.FrontendKey]*sizes
 	outcomes  []Outcome
 	// avoided are back ends that the nodes together take for failing.
-	avoided map[Identity]bool
-	// speeds are the factors of back ends that the nodes together take for slow.
-	speeds   map[Identity]float64
+	avoided  map[Identity]bool
 	backends map[Identity]*health
 	typical  map[lb.ServiceName]float64 // seconds; what fast answers of a service take
 	sweepAt  time.Duration
@@ -292,14 +289,6 @@
 	}
 }
 
-// SetSpeeds sets by how much back ends get less that the nodes together take for slow.
-func (o *Observer) SetSpeeds(factors []speed.Factor) {
-	o.speeds = make(map[Identity]float64, len(factors))
-	for _, slow := range factors {
-		o.speeds[Identity(slow.Identity)] = slow.Factor
-	}
-}
-
 // Forget drops what is known of all back ends but those to keep.
 func (o *Observer) Forget(keep func(Identity) bool) {
 	for identity := range o.backends {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -152,12 +152,10 @@
 	c.meter.Begun(name, objective.Priority, s.class(objective).idle.value)
 }
 
-// Answered notes that a back end in a zone has answered a request after the time took. It
-// gives the logarithm of that time over what such requests take at idle back ends;
-// known tells whether that is known, and the answer no refusal.
-func (c *Controller) Answered(now time.Duration, name lb.ServiceName, objective lb.Objective, zone lb.Zone, identity Identity, took time.Duration) (log float64, known bool) {
+// Answered notes that a back end in a zone has answered a request after the time took.
+func (c *Controller) Answered(now time.Duration, name lb.ServiceName, objective lb.Objective, zone lb.Zone, identity Identity, took time.Duration) {
 	if c.settings.Off || took > c.settings.Longest {
-		return 0, false
+		return
 	}
 	s := c.service(now, name)
 	s.answers++
@@ -171,15 +169,11 @@
 	kind := s.class(objective)
 	if !kind.idle.add(now, took.Seconds(), &c.settings) {
 		c.meter.Rejected(name, zone)
-		return 0, false
+		return
 	}
 	load := kind.load(took, &c.settings)
 	b.answered(now, load)
 	c.meter.Answered(name, zone, math.Log(kind.late(took, &c.settings)))
-	if kind.idle.value == 0 {
-		return 0, false
-	}
-	return math.Log(max(took.Seconds(), shortestTime) / kind.idle.value), true
 }
 
 // Load gives how much a back end has to do, from the times that its requests
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -64,7 +64,7 @@
 func (h *Host) capacity() float64 { return float64(max(h.Slots, 1)) }
 
 // warmingPart is what a back end that has just started is taken to do, against what it does
-// when it is warm, until more is known of it: see package speed.
+// when it is warm: one that is slow for longer shows by its requests that are under way.
 const warmingPart = 0.5
 
 // Size is what the host can do against others of its service, as far as its own word goes.
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -17,7 +17,6 @@
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/member"
 	"robinpulley.example/robinpulley/internal/message"
-	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/transport"
 )
@@ -60,8 +59,6 @@
 	load            *fleetload.Core
 	loadEffects     fleetload.Effects
 	loadLog         loadLog
-	speed           *speed.Core
-	speedEffects    speed.Effects
 	judges          bool // this node judges back ends for its zone
 	zone            *availability.Zone
 	others          int // living members besides this node
@@ -117,7 +114,6 @@
 		evidence:     evidence.New(evidence.DefaultSettings(settings.Node)),
 		load:         fleetload.New(fleetload.DefaultSettings(settings.Node, settings.Zone)),
 		loadLog:      newLoadLog(),
-		speed:        speed.New(speed.DefaultSettings(settings.Node)),
 		zone:         availability.New(availability.DefaultSettings(settings.Node)),
 		calls:        newCallCounts(),
 		decisions:    newDecisionLog(logger),
@@ -190,7 +186,6 @@
 		engine.noteSamples() // before others step the core, which resets its effects
 		engine.logChanges()
 		engine.evidenceStep(&evidence.Event{})
-		engine.speedStep(&speed.Event{})
 		engine.loadStep(&fleetload.Event{})
 		if engine.table != nil && engine.loadLog.admitted.away > 0 {
 			engine.logAdmitted() // it goes on rising when there is no news any more
@@ -213,10 +208,6 @@
 			engine.loadStep(&fleetload.Event{Report: &received})
 		case message.LoadState:
 			engine.loadStep(&fleetload.Event{State: &received})
-		case message.SpeedReport:
-			engine.speedStep(&speed.Event{Report: &received})
-		case message.SpeedState:
-			engine.speedStep(&speed.Event{State: &received})
 		case message.Ping, message.PingAck, message.PingReq, message.Members:
 			engine.memberStep(&member.Event{Peer: &member.PeerEvent{
 				From: incoming.From, Address: incoming.Address, Message: incoming.Message,
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -36,7 +36,6 @@
 // logChanges logs what the core has begun to believe, and passes on what it has seen.
 func (engine *engine) logChanges() {
 	engine.noteOutcomes()
-	engine.noteAnswers()
 	engine.logBackends()
 	engine.logOverload()
 	engine.logReach()
--- a/internal/tokennode/evidence.go
+++ b/internal/tokennode/evidence.go
@@ -52,7 +52,6 @@
 		}
 	}
 	engine.evidenceStep(&evidence.Event{Services: services})
-	engine.giveSpeedServices()
 }
 
 // logEvidence logs the back ends that the nodes together avoid, or no longer, with what decided it.
--- a/internal/tokennode/load.go
+++ b/internal/tokennode/load.go
@@ -6,7 +6,6 @@
 	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/lb"
-	"robinpulley.example/robinpulley/internal/speed"
 	"robinpulley.example/robinpulley/internal/tree"
 )
 
@@ -49,7 +48,6 @@
 	engine.judges = place.First
 	engine.evidenceStep(&evidence.Event{Place: &place})
 	engine.loadStep(&fleetload.Event{Place: &place})
-	engine.speedStep(&speed.Event{Place: &place})
 	if begins {
 		engine.giveServices()
 	}
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -71,8 +71,6 @@
 		"1 for each zone with back ends that this node reaches, 0 for one that it does not.", "zone")
 	metricAvoided = metrics.New(prometheus.GaugeValue, "backends_avoided",
 		"Back ends that this node avoids since the nodes together take them for failing.")
-	metricSlow = metrics.New(prometheus.GaugeValue, "backends_slow",
-		"Back ends that this node gives fewer new flows since the nodes together take them for slow.")
 	metricRank = metrics.New(prometheus.GaugeValue, "reader_rank",
 		"Place of this node among those of its zone, by which they lose patience with an old view.")
 	metricReads = metrics.New(prometheus.GaugeValue, "reader",
@@ -141,7 +139,7 @@
 // allMetrics lists every metric.
 var allMetrics = []*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricEvacuated, metricReached, metricAvoided, metricSlow, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
+	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 	metricAsked, metricAskedRefused, metricCapacity, metricLoad, metricLoadAge, metricHome,
 	metricWaiting, metricHeld, metricWent, metricFreed, metricWaitTime,
@@ -204,7 +202,6 @@
 		output.Add(metricReached, reached, string(zone.Zone))
 	}
 	output.Add(metricAvoided, float64(state.avoided))
-	output.Add(metricSlow, float64(state.slow))
 	output.Add(metricRank, float64(state.rank))
 	output.Add(metricReads, state.reads)
 	output.Add(metricMembers, float64(state.members))
@@ -289,7 +286,6 @@
 	evacuated []lb.Zone
 	avoided   int
 	reached   []reach.Status
-	slow      int
 	age       float64 // seconds
 	rank      int
 	reads     float64 // 1: this node reads for the others
@@ -314,7 +310,6 @@
 		evacuated: engine.follower.Replica().Evacuated(),
 		avoided:   engine.evidence.Avoided(),
 		reached:   engine.core.Zones(),
-		slow:      engine.speed.Slow(),
 		rank:      engine.follower.Rank(),
 		members:   engine.others + 1,
 		leaving:   engine.leaving,
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -151,8 +151,7 @@
 	switch m.(type) {
 	case message.ViewDigest:
 		return digestLifetime
-	case message.OutcomeReport, message.OutcomeVerdict, message.LoadReport, message.LoadState,
-		message.SpeedReport, message.SpeedState:
+	case message.OutcomeReport, message.OutcomeVerdict, message.LoadReport, message.LoadState:
 		return outcomeLifetime
 	case message.ViewDelta, message.ViewWant:
 		return deltaLifetime
