--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -1,7 +1,8 @@
 // Package overload decides which openings a balancer lets in while the back
-// ends of a service have more work than they can do in time. It goes by the
+// ends of a service have more work than they can do in time. It goes by the part
+// that follows from what all balancers see together (package admission), and by the
 // time that requests take, as this balancer sees it: the work of the other
-// balancers shows in it, so that nothing needs to be told between them. Flows
+// balancers shows in it, so that it holds where nothing is told. Flows
 // that are open are never touched. The package has no I/O and no clock. See
 // docs/DESIGN.md, "Overload".
 package overload
