--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -34,13 +34,20 @@
 	return &worker{plane: plane, codec: codec, batch: newBatch(plane.socket, codec.DatagramSize())}
 }
 
-// newReleaser gives a worker that reads nothing.
+// newReleaser gives a worker that reads nothing. Its buffers come with what it
+// writes first: most nodes never hold anything.
 func newReleaser(plane *Plane) *worker {
-	return &worker{plane: plane, codec: plane.options.NewCodec(), batch: newBatch(plane.socket, 0)}
+	return &worker{plane: plane, codec: plane.options.NewCodec()}
 }
 
 // release does what was decided on datagrams that were held.
 func (worker *worker) release(released []core.Released) {
+	if len(released) == 0 {
+		return
+	}
+	if worker.batch == nil {
+		worker.batch = newBatch(worker.plane.socket, 0)
+	}
 	for index := range released {
 		decoded, err := worker.codec.Decode(released[index].Datagram())
 		if err != nil {
