--- a/internal/lab/platformsim/caller.go
+++ b/internal/lab/platformsim/caller.go
@@ -129,8 +129,10 @@
 
 	// Copies is how many copies of the opening were sent besides the first.
 	Copies int
-	// Node is the balancer that the last packet went to.
-	Node netip.AddrPort
+	// Node is the balancer that the last packet went to, and Opened those that got copies of
+	// the opening, in order.
+	Node   netip.AddrPort
+	Opened []netip.AddrPort
 }
 
 // Open opens a flow to a front end. The flow tells how it was tried also when
@@ -144,6 +146,7 @@
 	for copies, wait := range openingWaits {
 		flow.Copies = copies
 		flow.send(flagSYN, uint32(copies), nil)
+		flow.Opened = append(flow.Opened, flow.Node)
 		answer, err := flow.wait(wait, func(packet *head) bool { return packet.has(flagSYN | flagACK) })
 		if errors.Is(err, ErrReset) {
 			flow.forget()
