robinctl load shows the openings that wait, by service and priority

Cause: the report had a place for openings that wait, and nothing filled it; the metric openings_waiting has no service. Change: waiting.Queue.Levels counts them, Core.WaitingBy hands that on, the report takes it in; a priority of which admission knows nothing gets a line of its own. Tests: TestWaitingOpeningsAreCountedByPriority (fails when priorities are thrown together), TestWaitingOpeningsAreReportedByPriority (other services are left out, levels are added). waiting and the load tests of tokennode pass.

--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/waiting"
 	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
@@ -21,3 +22,12 @@
 	}
 	return shares
 }
+
+// WaitingBy gives how many openings are held by service and priority, for AffinityToken.
+func (core *Core) WaitingBy() map[waiting.Level]int {
+	affinity, is := core.affinity.(*tokenAffinity)
+	if !is {
+		return nil
+	}
+	return affinity.waiting.Levels()
+}
--- a/internal/tokennode/loadreport.go
+++ b/internal/tokennode/loadreport.go
@@ -13,6 +13,7 @@
 	"robinpulley.example/robinpulley/internal/logging"
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/steering"
+	"robinpulley.example/robinpulley/internal/waiting"
 	"robinpulley.example/robinpulley/internal/zoneshare"
 )
 
@@ -33,6 +34,7 @@
 		return report
 	}
 	shares := engine.core.Shares()
+	held := engine.core.WaitingBy()
 	pressures := make(map[lb.ServiceName]overload.Status)
 	for _, status := range engine.core.Pressures() {
 		pressures[status.Service] = status
@@ -45,6 +47,7 @@
 			addKnown(&told, &known)
 		}
 		addPressure(&told, pressures[name])
+		addWaiting(&told, held)
 		report.Services = append(report.Services, told)
 	}
 	slices.SortFunc(report.Services, func(a, b loadreport.Service) int { return cmp.Compare(a.Service, b.Service) })
@@ -84,3 +87,18 @@
 		told.Levels = append(told.Levels, loadreport.Admission{Priority: level.Priority, Admitted: level.Admitted})
 	}
 }
+
+// addWaiting adds the openings that this node holds until there is room.
+func addWaiting(told *loadreport.Service, held map[waiting.Level]int) {
+	for level, count := range held {
+		if level.Service != told.Service {
+			continue
+		}
+		at := slices.IndexFunc(told.Levels, func(known loadreport.Admission) bool { return known.Priority == level.Priority })
+		if at < 0 {
+			at = len(told.Levels)
+			told.Levels = append(told.Levels, loadreport.Admission{Priority: level.Priority, Admitted: 1})
+		}
+		told.Levels[at].Waiting = count
+	}
+}
