--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -1,7 +1,11 @@
 package core
 
 import (
+	"time"
+
+	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/waiting"
 	"robinpulley.example/robinpulley/internal/zoneshare"
 )
@@ -31,3 +35,72 @@
 	}
 	return affinity.waiting.Levels()
 }
+
+// share is where this node's new flows of a service go, by what the fleet knows.
+type share struct {
+	parts zoneshare.Parts
+	// weights are those of the ready hosts.
+	weights []float64
+}
+
+// setLoads takes what the fleet knows of services. The parts of zones move by a step with
+// each news; where nothing is known any more, those of the table hold at once.
+func (a *tokenAffinity) setLoads(loads map[lb.ServiceName]fleetload.Service) {
+	a.loads = loads
+	if a.table == nil {
+		return
+	}
+	for name, known := range loads {
+		if service := a.table.ServiceNamed(name); service != nil {
+			a.overload.Learn(a.core.now, name, &known, sum(service.Capacity()))
+		}
+		if a.shares[name] == nil && a.table.HasService(name) {
+			a.shares[name] = &share{parts: a.table.ServiceNamed(name).Even()}
+		}
+	}
+	for name, known := range a.shares {
+		service := a.table.ServiceNamed(name)
+		wanted := a.wantedParts(service)
+		if wanted == nil {
+			delete(a.shares, name)
+			continue
+		}
+		known.parts = zoneshare.Approach(known.parts, wanted, zoneshare.MostStep)
+		known.weights = service.Weights(known.parts)
+	}
+}
+
+func sum(capacity map[lb.Zone]float64) float64 {
+	total := 0.0
+	for _, slots := range capacity {
+		total += slots
+	}
+	return total
+}
+
+// wantedParts gives the parts of zones for a service, by what is known; nil: nothing is
+// known, and the parts are those of the table.
+func (a *tokenAffinity) wantedParts(service *steering.Service) zoneshare.Parts {
+	known, found := a.loads[service.Name]
+	if !found {
+		return nil
+	}
+	capacity := service.Capacity()
+	return zoneshare.Split(a.core.settings.Zone, zoneshare.Known(capacity, &known), zoneshare.Home)
+}
+
+// sampleInterval is the time between samples of load: short beside the window of reports.
+const sampleInterval = 100 * time.Millisecond
+
+// samples gives what was seen of the load of services, when it is due: nil before.
+func (a *tokenAffinity) samples() []fleetload.Sample {
+	if a.core.now < a.sampleAt {
+		return nil
+	}
+	a.sampleAt = a.core.now + sampleInterval
+	samples := a.overload.Samples()
+	if samples == nil {
+		samples = []fleetload.Sample{} // nothing was seen, which is news as well
+	}
+	return samples
+}
