Hands are cut from a circle that is ordered once for a view

Ruled out so far: nothing, the node was not profiled. Change: the order by zone is made with the view, a change of nodes only cuts the arc. Same decisions: the tests of turns and core pass as they were.

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -18,24 +18,18 @@
 	dealers map[lb.ServiceName]*hand
 }
 
-// hand is the dealer of a service, and the version of it that is in force.
+// hand is the dealer of a service, and what its present hand is of.
 type hand struct {
 	dealer *turns.Dealer
-	// dealt is the service that the present hand is of; nil: it is to be dealt anew.
-	dealt *steering.Service
+	// service is what circle is the order of the back ends of.
+	service *steering.Service
+	circle  *turns.Circle
+	place   turns.Place
 }
 
-// keep forgets the hands of services but those to keep, and has these dealt anew.
+// keep forgets the hands of services but those to keep.
 func (h *hands) keep(service func(lb.ServiceName) bool) {
 	maps.DeleteFunc(h.dealers, func(name lb.ServiceName, _ *hand) bool { return !service(name) })
-	h.forget()
-}
-
-// forget has all hands dealt anew with their next flow.
-func (h *hands) forget() {
-	for _, hand := range h.dealers {
-		hand.dealt = nil
-	}
 }
 
 // setMembers takes the living nodes of the zone. Their order is by hash, so that
@@ -51,7 +45,6 @@
 		return compareHashes(a.Hash(), b.Hash())
 	})
 	h.place = turns.Place{Rank: max(0, slices.Index(staying, self)), Nodes: max(1, len(staying))}
-	h.forget()
 }
 
 func compareHashes(a, b lb.NodeHash) int {
@@ -74,18 +67,26 @@
 		known = &hand{dealer: turns.New(core.settings.Turns)}
 		h.dealers[service.Name] = known
 	}
-	if known.dealt == service {
+	if known.service == service && known.place == h.place {
 		return known.dealer
 	}
-	known.dealt = service
+	if known.service != service {
+		known.service, known.circle = service, circleOf(service)
+	}
+	known.place = h.place
+	known.dealer.Deal(known.circle, h.place, rendezvous.Mix(uint64(core.settings.Self.Hash())))
+	return known.dealer
+}
+
+// circleOf orders the ready back ends of a service.
+func circleOf(service *steering.Service) *turns.Circle {
 	backends := make([]turns.Backend, len(service.Ready))
 	for index, host := range service.Ready {
 		backends[index] = turns.Backend{
 			Identity: turns.Identity(host.Identity), Zone: host.Zone, Size: host.Size(),
 		}
 	}
-	known.dealer.Deal(backends, h.place, rendezvous.Mix(uint64(core.settings.Self.Hash())))
-	return known.dealer
+	return turns.NewCircle(backends)
 }
 
 // parts gives those of zones of this node's new flows of a service, and the weights
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -77,23 +78,60 @@
 // New gives a dealer without a hand. seed tells nodes apart.
 func New(settings Settings) *Dealer { return &Dealer{settings: settings} }
 
+// Circle is the order of a service's back ends, by zone. It is the same at all nodes that know the same
+// back ends, and does not change with the nodes: to sort 3,000 of them takes most of a
+// millisecond, and nodes come and go many times a second while a fleet starts. It is immutable.
+type Circle struct {
+	zones []zoneCircle
+}
+
+// zoneCircle is one zone's part, in order.
+type zoneCircle struct {
+	zone  lb.Zone
+	cards []card
+	size  float64 // of all of them
+}
+
+// NewCircle orders back ends. Places in what Pick gives are those in this list.
+func NewCircle(backends []Backend) *Circle {
+	byZone := make(map[lb.Zone]*zoneCircle)
+	for index := range backends {
+		backend := &backends[index]
+		known := byZone[backend.Zone]
+		if known == nil {
+			known = &zoneCircle{zone: backend.Zone}
+			byZone[backend.Zone] = known
+		}
+		known.cards = append(known.cards, card{index: index, key: backend.Identity, weight: backend.Size})
+	}
+	circle := &Circle{}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		known := byZone[zone]
+		slices.SortFunc(known.cards, func(a, b card) int {
+			left, right := uint64(a.key), uint64(b.key)
+			return cmp.Or(cmp.Compare(rendezvous.Mix(left), rendezvous.Mix(right)), cmp.Compare(left, right))
+		})
+		for index := range known.cards {
+			known.size += known.cards[index].weight
+		}
+		circle.zones = append(circle.zones, *known)
+	}
+	return circle
+}
+
 // Deal gives the node a new hand. What its back ends are owed stays. seed tells
 // nodes apart, so that they begin their turns at different back ends.
-func (d *Dealer) Deal(backends []Backend, place Place, seed uint64) {
+func (d *Dealer) Deal(circle *Circle, place Place, seed uint64) {
 	owed := make(map[Identity]float64)
 	for _, g := range d.groups {
 		for _, c := range g.cards {
 			owed[c.key] = c.credit
 		}
 	}
-	byZone := make(map[lb.Zone][]int)
-	for index := range backends {
-		zone := backends[index].Zone
-		byZone[zone] = append(byZone[zone], index)
-	}
 	d.groups = d.groups[:0]
-	for zone, indices := range byZone {
-		g := group{zone: zone, cards: d.cut(backends, indices, place)}
+	for index := range circle.zones {
+		zone := &circle.zones[index]
+		g := group{zone: zone.zone, cards: d.cut(zone, place)}
 		for index := range g.cards {
 			c := &g.cards[index]
 			credit, known := owed[c.key]
@@ -104,35 +142,26 @@
 		}
 		d.groups = append(d.groups, g)
 	}
-	slices.SortFunc(d.groups, func(a, b group) int { return cmp.Compare(a.zone, b.zone) })
 }
 
 // uniform maps a hash to a number of [0, 1).
 func uniform(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
 
 // cut gives the part of a zone's circle that the node's arc covers.
-func (d *Dealer) cut(backends []Backend, indices []int, place Place) []card {
-	slices.SortFunc(indices, func(a, b int) int {
-		left, right := uint64(backends[a].Identity), uint64(backends[b].Identity)
-		return cmp.Or(cmp.Compare(rendezvous.Mix(left), rendezvous.Mix(right)), cmp.Compare(left, right))
-	})
-	total := 0.0
-	for _, index := range indices {
-		total += backends[index].Size
-	}
+func (d *Dealer) cut(zone *zoneCircle, place Place) []card {
 	nodes := float64(max(place.Nodes, 1))
 	// Each point of the circle is covered by as many nodes as any other.
-	cover := math.Ceil(max(d.settings.Hand/float64(len(indices))*nodes, d.settings.Cover))
+	cover := math.Ceil(max(d.settings.Hand/float64(len(zone.cards))*nodes, d.settings.Cover))
 	arc := min(1, cover/nodes)
 	from := float64(place.Rank) / nodes
 	var cards []card
 	at := 0.0
-	for _, index := range indices {
-		length := backends[index].Size / total
+	for _, c := range zone.cards {
+		length := c.weight / zone.size
 		covered := overlap(at, at+length, from, from+arc) + overlap(at, at+length, from-1, from+arc-1)
 		at += length
 		if covered > 0 {
-			cards = append(cards, card{index: index, key: backends[index].Identity, weight: covered / arc})
+			cards = append(cards, card{index: c.index, key: c.key, weight: covered / arc})
 		}
 	}
 	return cards
