Runs of back ends that start again under their names; entries that cannot be read

A host may start again under its id with nothing of before, and says when it was born; an entry may come from another writer and then names no host.

Change: what is learned is kept by the run (identity and birth, view.Backend.Run), in every package and in what nodes tell each other of back ends.

Ruled out: one token for all runs (requests of old flows are never answered and would count against the new run); dropping packets of old flows (callers wait for their deadline); the later birth wins over the store's revision (clocks of hosts go wrong).

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -83,7 +83,7 @@
 	backends := make([]turns.Backend, len(service.Ready))
 	for index, host := range service.Ready {
 		backends[index] = turns.Backend{
-			Identity: turns.Identity(host.Identity), Zone: host.Zone, Size: host.Size(),
+			Identity: turns.Identity(host.Run), Zone: host.Zone, Size: host.Size(),
 		}
 	}
 	return turns.NewCircle(backends)
@@ -105,7 +105,7 @@
 	if a.core.settings.Picking == PickTurns {
 		index := a.hands.of(a.core, service).Pick(parts,
 			func(index int) float64 { return max(0, a.factor(service, service.Ready[index])) }, // those out of reach get nothing
-			func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Identity)) },
+			func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Run)) },
 		)
 		if index >= 0 {
 			return service.Ready[index]
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -12,7 +12,7 @@
 	a.zoneOf = make(map[observe.Identity]lb.Zone, len(table.Hosts()))
 	zones := make(map[lb.Zone]bool)
 	for _, host := range table.Hosts() {
-		a.zoneOf[observe.Identity(host.Identity)] = host.Zone
+		a.zoneOf[observe.Identity(host.Run)] = host.Zone
 		zones[host.Zone] = true
 	}
 	a.reach.Forget(func(zone lb.Zone) bool { return zones[zone] })
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -61,7 +61,7 @@
 	a.placeBackends(table)
 	present := make(map[observe.Identity]bool, len(table.Hosts()))
 	for _, host := range table.Hosts() {
-		present[observe.Identity(host.Identity)] = true
+		present[observe.Identity(host.Run)] = true
 	}
 	a.cold.Forget(func(identity coldstart.Identity) bool { return present[observe.Identity(identity)] })
 	a.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
@@ -151,9 +151,9 @@
 func (a *tokenAffinity) place(packet *Packet, decision *Decision, frontend *lb.FrontendKey, host *steering.Host) {
 	forwardTo(decision, host)
 	decision.Token = host.Token(frontend)
-	a.observer.Opened(a.core.now, packet.Key.ID(), observe.Identity(host.Identity))
+	a.observer.Opened(a.core.now, packet.Key.ID(), observe.Identity(host.Run))
 	if host.Cold {
-		a.cold.Sent(a.core.now, coldstart.Identity(host.Identity))
+		a.cold.Sent(a.core.now, coldstart.Identity(host.Run))
 	}
 }
 
@@ -180,12 +180,12 @@
 func (a *tokenAffinity) choose(service *steering.Service, flow lb.FlowID) (host *steering.Host, placed bool) {
 	if identity, found := a.observer.Placed(a.core.now, flow); found {
 		for _, host := range service.Ready {
-			if observe.Identity(host.Identity) == identity {
+			if observe.Identity(host.Run) == identity {
 				return host, true
 			}
 		}
 		for _, host := range service.Cold {
-			if observe.Identity(host.Identity) == identity && a.mayUse(service, host) {
+			if observe.Identity(host.Run) == identity && a.mayUse(service, host) {
 				return host, true
 			}
 		}
@@ -202,11 +202,11 @@
 	if first != nil && !a.reach.Reaches(first.Zone) {
 		return nil, false
 	}
-	if first == nil || !a.overload.Crowded(a.core.now, overload.Identity(first.Identity)) {
+	if first == nil || !a.overload.Crowded(a.core.now, overload.Identity(first.Run)) {
 		return first, false
 	}
 	other := service.PickOther(flow, nil)
-	if other != nil && a.factor(service, other) > 0 && a.overload.Prefer(a.core.now, service.Name, overload.Identity(other.Identity), overload.Identity(first.Identity)) {
+	if other != nil && a.factor(service, other) > 0 && a.overload.Prefer(a.core.now, service.Name, overload.Identity(other.Run), overload.Identity(first.Run)) {
 		return other, false
 	}
 	return first, false
@@ -217,7 +217,7 @@
 	if !a.reach.Reaches(host.Zone) {
 		return false
 	}
-	backend := coldstart.Backend{Identity: coldstart.Identity(host.Identity), Zone: host.Zone, Rate: service.ColdRate}
+	backend := coldstart.Backend{Identity: coldstart.Identity(host.Run), Zone: host.Zone, Rate: service.ColdRate}
 	return a.cold.Allows(a.core.now, backend)
 }
 
@@ -234,7 +234,7 @@
 	if !a.reach.All() && !a.reach.Reaches(host.Zone) {
 		return steering.FactorUnreached
 	}
-	return a.observer.Factor(a.core.now, service.Name, observe.Identity(host.Identity))
+	return a.observer.Factor(a.core.now, service.Name, observe.Identity(host.Run))
 }
 
 // admit asks whether an opening may go to a back end. Copies may always: an
@@ -245,7 +245,7 @@
 	}
 	objective, _ := a.table.Objective(frontend)
 	draw := rendezvous.Mix(uint64(packet.Key.ID()) ^ uint64(packet.OpeningID)<<32 ^ admitKey)
-	return a.overload.Admit(a.core.now, service.Name, objective, overload.Identity(host.Identity), draw)
+	return a.overload.Admit(a.core.now, service.Name, objective, overload.Identity(host.Run), draw)
 }
 
 // admitKey makes admission independent of the choices of service and host.
@@ -253,7 +253,9 @@
 
 // follow sends a later packet to the back end that its token names. One that
 // names none known here is dropped: the back end may be newer than this node's
-// view, so an answer could break a living flow.
+// view, so an answer could break a living flow. A flow that a back end had before it
+// started again is led there, too: it resets the flow, so that the caller learns at
+// once that it is lost, which silence would show seconds later.
 func (a *tokenAffinity) follow(packet *Packet, decision *Decision) {
 	frontend := packet.Key.Frontend()
 	host := a.table.Resolve(&frontend, packet.Token)
@@ -263,18 +265,21 @@
 	}
 	forwardTo(decision, host)
 	decision.Token = packet.Token
-	a.observer.Measure(a.core.now, packet.Key.ID(), frontend, observe.Identity(host.Identity),
+	if host.Token(&frontend) != packet.Token {
+		return // of its run before: it resets the flow, which says nothing of how it does
+	}
+	a.observer.Measure(a.core.now, packet.Key.ID(), frontend, observe.Identity(host.Run),
 		packet.Acknowledged, packet.HasData, packet.Kind == PacketClosing)
 	took, answered, begun := a.observer.Later(a.core.now, packet.Key.ID(), host.Service,
-		observe.Identity(host.Identity), packet.Acknowledged, packet.HasData)
+		observe.Identity(host.Run), packet.Acknowledged, packet.HasData)
 	a.noteSigns()
 	if !answered && !begun {
 		return
 	}
 	objective, _ := a.table.Objective(&frontend)
 	if answered {
-		a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Identity), took)
-		a.rooms.Answered(a.core.now, host.Service, objective, host.Identity, a.overload.Quick(host.Service, objective, took))
+		a.overload.Answered(a.core.now, host.Service, objective, host.Zone, overload.Identity(host.Run), took)
+		a.rooms.Answered(a.core.now, host.Service, objective, host.Run, a.overload.Quick(host.Service, objective, took))
 	}
 	if begun {
 		a.overload.Begun(a.core.now, host.Service, objective)
--- a/internal/core/token_test.go
+++ b/internal/core/token_test.go
@@ -11,6 +11,7 @@
 
 	"robinpulley.example/robinpulley/internal/coldstart"
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/steering"
 	"robinpulley.example/robinpulley/internal/view"
 )
@@ -285,3 +286,65 @@
 		b.Fatal("not forwarded")
 	}
 }
+
+// TestRestartedBackendIsAStranger: the load is that of back ends that crash and start again
+// under their names. What was learned of the old run, and is told of it late, does not
+// hold the new one back. Packets of the old run's flows go to it, which resets them at
+// once: their callers learn that they are gone without waiting.
+func TestRestartedBackendIsAStranger(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	core.settings.PauseLimit = time.Hour // the test passes over minutes
+	observer := core.affinity.(*tokenAffinity).observer
+	old := tokenBackend("i-1", "web", 1, lb.BackendActive)
+	old.Backend.Born = 1000
+	core.list(0, tokenListing(9, old))
+	run := observe.Identity(old.Backend.Run())
+	opened := core.send(0, tokenOpening(1, 443))
+	is.Equal(opened.Action, ActionForward)
+	is.Equal(opened.Identity, uint64(1)) // what packets say does not change with the run
+	core.Step(200*time.Millisecond, &Event{Tick: true}, &core.effects)
+	is.Equal(observer.Factor(200*time.Millisecond, "web", run), 0.0) // it has left the opening unanswered
+	is.Equal(observer.Busy(run), 1)
+
+	restarted := old
+	restarted.Revision = 10
+	restarted.Backend.Born = 2000
+	core.list(200*time.Millisecond, tokenListing(10, restarted))
+	core.Step(200*time.Millisecond, &Event{Avoid: []observe.Identity{run}}, &core.effects) // a late verdict
+	started := observe.Identity(restarted.Backend.Run())
+	is.Equal(observer.Factor(200*time.Millisecond, "web", started), 1.0)
+	is.Equal(observer.Busy(started), 0)
+	is.Equal(observer.Busy(run), 0)
+	is.Equal(core.send(200*time.Millisecond, tokenOpening(2, 443)).Action, ActionForward)
+
+	busy := observer.Busy(started)
+	later := core.send(200*time.Millisecond, Packet{Key: tokenFlow(1, 443), Kind: PacketMiddle, Token: opened.Token, HasData: true})
+	is.Equal(later.Action, ActionForward)
+	is.Equal(later.Identity, uint64(1))
+	is.Equal(later.Token, opened.Token)
+	is.Equal(observer.Busy(started), busy) // it will reset the flow, not answer
+	is.Equal(len(core.effects.Outcomes), 0)
+
+	core.replica.Prune(time.Second + view.GoneRetention) // callers have given up by then
+	core.Step(2*view.GoneRetention, &Event{Table: steering.Compile(core.replica, "za", 2*view.GoneRetention)}, &core.effects)
+	forgotten := core.send(2*view.GoneRetention, Packet{Key: tokenFlow(1, 443), Kind: PacketMiddle, Token: opened.Token})
+	is.Equal(forgotten.Reason, ReasonUnknownToken)
+}
+
+// TestRestartUnderAnotherServiceGetsNoPacketOfTheOld: its name and number are the same.
+func TestRestartUnderAnotherServiceGetsNoPacketOfTheOld(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	old := tokenBackend("i-1", "web", 1, lb.BackendActive)
+	old.Backend.Born = 1000
+	core.list(0, tokenListing(9, old))
+	opened := core.send(0, tokenOpening(1, 443))
+	restarted := old
+	restarted.Revision = 10
+	restarted.Backend.Born, restarted.Backend.Service = 2000, "docs"
+	core.list(time.Second, tokenListing(10, restarted))
+	later := core.send(time.Second, Packet{Key: tokenFlow(1, 443), Kind: PacketMiddle, Token: opened.Token})
+	is.Equal(later.Action, ActionDrop)
+	is.Equal(later.Reason, ReasonUnknownToken)
+}
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -74,7 +74,7 @@
 		return nil
 	}
 	for _, host := range service.Ready {
-		if host.Identity == identity && a.reach.Reaches(host.Zone) {
+		if host.Run == identity && a.reach.Reaches(host.Zone) {
 			return host
 		}
 	}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -27,6 +27,8 @@
 // Host is one back end in a table.
 type Host struct {
 	view.Backend
+	// Run names this life of the back end (view.Backend); what is learned of it is kept by that.
+	Run uint64
 	// Cold: it has just started and bears few new flows; see Service.Cold.
 	Cold bool
 	// Warming: it has just started and is slower than it will be, but no bound is known
@@ -168,6 +170,11 @@
 		return
 	}
 	t.byHash[host.hash] = host
+	if known.Earlier != nil {
+		if ended := hashOf(host.Name, known.Earlier.Born); t.byHash[ended] == nil {
+			t.byHash[ended] = host
+		}
+	}
 	service := t.service(host.Service)
 	cold := known.ColdUntil > now && service.ColdRate > 0
 	switch {
@@ -223,8 +230,20 @@
 }
 
 func newHost(backend *view.Backend) *Host {
-	hash := xxhash.Sum64String(string(backend.Name))
-	return &Host{Backend: *backend, hash: uint32(hash), rank: hash, weight: 1}
+	return &Host{
+		Backend: *backend, Run: backend.Run(), hash: hashOf(backend.Name, backend.Born),
+		rank: xxhash.Sum64String(string(backend.Name)), weight: 1,
+	}
+}
+
+// hashOf gives a run's part of its tokens. It tells the flows of a back end that has
+// started again from those of its run before, where back ends say when they started.
+func hashOf(name lb.BackendName, born int64) uint32 {
+	hash := xxhash.Sum64String(string(name))
+	if born != 0 {
+		hash = rendezvous.Mix(hash ^ uint64(born))
+	}
+	return uint32(hash)
 }
 
 func (t *Table) service(name lb.ServiceName) *Service {
@@ -384,7 +403,8 @@
 	return Token(h.hash ^ uint32(frontend.Hash()))
 }
 
-// Resolve gives the host that a token names for the front end; nil: none known.
+// Resolve gives the host that a token names for the front end; nil: none known. The
+// token may be one of the host's run before: it is not what Token gives then.
 func (t *Table) Resolve(frontend *lb.FrontendKey, token Token) *Host {
 	return t.byHash[uint32(token)^uint32(frontend.Hash())]
 }
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -68,12 +68,25 @@
 		}
 		engine.logger.Info().
 			Str(logging.FieldEvent, string(event)).
-			Str(logging.FieldBackend, strconv.FormatUint(uint64(change.Identity), 16)).
+			Str(logging.FieldBackend, engine.backendText(uint64(change.Identity))).
 			Int(logging.FieldMissing, change.Missing).
 			Send()
 	}
 }
 
+// backendText names the back end of a run as packets do, in hex digits; the run itself
+// where no back end of the table has it any more.
+func (engine *engine) backendText(run uint64) string {
+	if engine.table != nil {
+		for _, host := range engine.table.Hosts() {
+			if host.Run == run {
+				return strconv.FormatUint(host.Identity, 16)
+			}
+		}
+	}
+	return strconv.FormatUint(run, 16)
+}
+
 // noteCall counts a call to the store and logs when the store is lost and regained.
 func (engine *engine) noteCall(result *follower.ReadResult) {
 	key := keyOf(result)
--- a/internal/tokennode/evidence.go
+++ b/internal/tokennode/evidence.go
@@ -1,8 +1,6 @@
 package tokennode
 
 import (
-	"strconv"
-
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/evidence"
 	"robinpulley.example/robinpulley/internal/follower"
@@ -48,7 +46,7 @@
 	services := make(map[lb.ServiceName][]evidence.Identity)
 	for name, service := range engine.table.Services() {
 		for _, host := range service.Ready {
-			services[name] = append(services[name], evidence.Identity(host.Identity))
+			services[name] = append(services[name], evidence.Identity(host.Run))
 		}
 	}
 	engine.evidenceStep(&evidence.Event{Services: services})
@@ -63,7 +61,7 @@
 		}
 		engine.logger.Warn().
 			Str(logging.FieldEvent, string(event)).
-			Str(logging.FieldBackend, strconv.FormatUint(uint64(change.Identity), 16)).
+			Str(logging.FieldBackend, engine.backendText(uint64(change.Identity))).
 			Str(logging.FieldService, string(change.Service)).
 			Float64(logging.FieldBad, change.Bad).
 			Float64(logging.FieldGood, change.Good).
--- a/internal/view/prune.go
+++ b/internal/view/prune.go
@@ -10,7 +10,7 @@
 const maxGoneRoutes = 1 << 12
 
 // Prune forgets what has been gone for long, and removed routes and restored
-// zones if they are many, and tells whether a back end was forgotten.
+// zones if they are many, and tells whether a back end, or an earlier run of one, was forgotten.
 func (r *Replica) Prune(now time.Duration) bool {
 	r.pruneRoutes()
 	r.pruneEvacuations()
@@ -21,6 +21,10 @@
 			delete(r.backends, name)
 			found = true
 		}
+		if entry.earlier != nil && now-entry.earlier.EndedAt > GoneRetention {
+			entry.earlier = nil
+			found = true
+		}
 	}
 	return found
 }
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -37,6 +37,27 @@
 	away bool
 	// coldUntil is when it has warmed up, at the latest.
 	coldUntil time.Duration
+	// earlier is the run before this one; nil: none is remembered.
+	earlier *EarlierRun
+}
+
+// EarlierRun is the run of a back end that ended when the present one began. Callers may
+// still send on its flows.
+type EarlierRun struct {
+	Born    int64 // as in Backend
+	EndedAt time.Duration
+}
+
+// earlierThan gives the run before a back end's, of what is known under its name. One of
+// another service is not remembered: its packets must not get there.
+func (e *backendEntry) earlierThan(now time.Duration, next *Backend) *EarlierRun {
+	switch {
+	case e == nil || e.Backend.Service != next.Service:
+		return nil
+	case e.Backend.Run() == next.Run():
+		return e.earlier
+	}
+	return &EarlierRun{Born: e.Backend.Born, EndedAt: now}
 }
 
 // NewReplica gives a replica that knows nothing.
@@ -91,7 +112,8 @@
 		r.setBackend(now, stored.Revision, &stored.Backend)
 	}
 	for _, rejected := range listing.Rejected {
-		listed[lb.BackendName(rejected.Key)] = true
+		listed[rejected.Backend] = true
+		r.withdraw(rejected.Revision, rejected.Backend)
 	}
 	for name, entry := range r.backends {
 		if !listed[name] && !entry.Gone && entry.Revision <= listing.Revision {
@@ -121,6 +143,8 @@
 			r.setConfiguration(change.Revision, change.Configuration)
 		case change.Backend != nil:
 			r.setBackend(now, change.Revision, change.Backend)
+		case change.Withdrawn != "":
+			r.withdraw(change.Revision, change.Withdrawn)
 		case change.Evacuated != "":
 			r.setEvacuation(EvacuationEntry{Revision: change.Revision, Zone: change.Evacuated})
 		case change.Restored != "":
@@ -174,6 +198,24 @@
 	r.backends[backend.Name] = &backendEntry{
 		BackendEntry: BackendEntry{Revision: revision, Backend: *backend},
 		coldUntil:    now + time.Duration(backend.ColdMillis)*time.Millisecond,
+		earlier:      known.earlierThan(now, backend),
+	}
+	r.changed = max(r.changed, revision)
+}
+
+// withdraw takes a back end whose entry says nothing that can be used from those that
+// get new flows, as if it drained: it may well live, and keeps the flows that it has.
+// One that was not known stays so.
+func (r *Replica) withdraw(revision int64, name lb.BackendName) {
+	known := r.backends[name]
+	if known == nil || known.Revision >= revision {
+		return
+	}
+	drains := known.Backend
+	drains.State = lb.BackendDraining
+	r.backends[name] = &backendEntry{
+		BackendEntry: BackendEntry{Revision: revision, Backend: drains},
+		earlier:      known.earlier,
 	}
 	r.changed = max(r.changed, revision)
 }
@@ -213,18 +255,24 @@
 	Away bool
 	// ColdUntil is when it has warmed up, at the latest.
 	ColdUntil time.Duration
+	// Earlier is the run before this one, if it ended a short time ago; else nil.
+	Earlier *EarlierRun
 }
 
 // Backends gives all back ends that are known, those that have gone included, by name.
 func (r *Replica) Backends() []Known {
 	known := make([]Known, 0, len(r.backends))
 	for _, entry := range r.backends {
-		known = append(known, Known{
-			Backend: entry.Backend, Gone: entry.Gone, GoneAt: entry.goneAt, Away: entry.away, ColdUntil: entry.coldUntil,
-		})
+		known = append(known, entry.known())
 	}
 	slices.SortFunc(known, func(left, right Known) int {
 		return strings.Compare(string(left.Backend.Name), string(right.Backend.Name))
 	})
 	return known
 }
+
+func (e *backendEntry) known() Known {
+	return Known{
+		Backend: e.Backend, Gone: e.Gone, GoneAt: e.goneAt, Away: e.away, ColdUntil: e.coldUntil, Earlier: e.earlier,
+	}
+}
--- a/internal/view/tell.go
+++ b/internal/view/tell.go
@@ -111,6 +111,7 @@
 			goneAt:       now - time.Duration(entry.GoneMillis)*time.Millisecond,
 			away:         r.away,
 			coldUntil:    now + time.Duration(entry.Backend.ColdMillis)*time.Millisecond,
+			earlier:      known.earlierThan(now, &entry.Backend),
 		}
 		r.changed = max(r.changed, entry.Revision)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -10,13 +10,14 @@
 	"slices"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/rendezvous"
 )
 
 // Backend is one back end as it keeps itself in the store.
 type Backend struct {
 	Name lb.BackendName `json:"name"`
-	// Identity is the number by which packets name the back end; a restarted
-	// back end has another one.
+	// Identity is the number by which packets name the back end. One that starts again
+	// may keep it; see Run.
 	Identity uint64         `json:"identity"`
 	Service  lb.ServiceName `json:"service"`
 	Address  netip.AddrPort `json:"address"`
@@ -30,6 +31,19 @@
 	// ColdMillis is how much longer the back end stays cold, from the moment at which
 	// this was read or told. What waits on its way only makes it longer.
 	ColdMillis int64 `json:"cold_ms,omitempty"`
+	// Born is when the back end has started, in milliseconds since 1970 by its own
+	// clock; 0: it does not say, and has another Identity after each start.
+	Born int64 `json:"born,omitempty"`
+}
+
+// Run names one life of the back end, from its start to its end. What is learned of a
+// back end belongs to its run: one that starts again under its name is a stranger.
+// All nodes give a run the same number.
+func (b *Backend) Run() uint64 {
+	if b.Born == 0 {
+		return b.Identity
+	}
+	return rendezvous.Mix(b.Identity ^ rendezvous.Mix(uint64(b.Born)))
 }
 
 // Target is one part of a split: a service and its weight in the sum of all.
@@ -87,20 +101,24 @@
 	Rejected []Rejection
 }
 
-// Change is one change. Exactly one of Configuration, Backend, Gone, Evacuated
-// and Restored is set.
+// Change is one change. Exactly one of Configuration, Backend, Gone, Withdrawn,
+// Evacuated and Restored is set.
 type Change struct {
 	Revision      int64
 	Configuration *Configuration
 	Backend       *Backend
 	Gone          lb.BackendName
-	Evacuated     lb.Zone // its back ends get no new flows from now on
-	Restored      lb.Zone // they do again
+	Withdrawn     lb.BackendName // its entry cannot be read any more; see Replica.withdraw
+	Evacuated     lb.Zone        // its back ends get no new flows from now on
+	Restored      lb.Zone        // they do again
 }
 
-// Rejection is an entry of the store that could not be read. What was known
-// under its key before stays in force.
+// Rejection is an entry of the store that could not be read. A configuration that
+// was known before stays in force; a back end takes no new flows.
 type Rejection struct {
-	Key   string
-	Error error
+	Key      string
+	Revision int64
+	// Backend is whose entry it is; empty: no back end's.
+	Backend lb.BackendName
+	Error   error
 }
--- a/internal/view/viewtest/store.go
+++ b/internal/view/viewtest/store.go
@@ -16,7 +16,8 @@
 	revision      int64
 	configuration *view.StoredConfiguration
 	backends      map[lb.BackendName]view.StoredBackend
-	evacuations   map[lb.Zone]int64 // revisions of the entries
+	evacuations   map[lb.Zone]int64        // revisions of the entries
+	spoiled       map[lb.BackendName]int64 // revisions of entries that cannot be read
 	history       []view.Change
 }
 
@@ -26,6 +27,7 @@
 		revision:    1,
 		backends:    make(map[lb.BackendName]view.StoredBackend),
 		evacuations: make(map[lb.Zone]int64),
+		spoiled:     make(map[lb.BackendName]int64),
 	}
 }
 
@@ -52,8 +54,31 @@
 	store.put(backend)
 }
 
+// PutBorn writes the entry of a back end that says when it has started.
+func (store *Store) PutBorn(name lb.BackendName, born int64, cold time.Duration) {
+	backend := Backend(name, lb.BackendActive)
+	backend.Born = born
+	backend.ColdMillis = cold.Milliseconds()
+	store.put(backend)
+}
+
+// Spoil writes an entry that cannot be read under the name of a back end.
+func (store *Store) Spoil(name lb.BackendName) {
+	store.revision++
+	delete(store.backends, name)
+	store.spoiled[name] = store.revision
+	store.history = append(store.history, view.Change{Revision: store.revision, Withdrawn: name})
+}
+
+// Entry gives the entry of a back end; false: there is none that can be read.
+func (store *Store) Entry(name lb.BackendName) (view.Backend, bool) {
+	stored, found := store.backends[name]
+	return stored.Backend, found
+}
+
 func (store *Store) put(backend view.Backend) {
 	store.revision++
+	delete(store.spoiled, backend.Name)
 	created := store.revision
 	if known, found := store.backends[backend.Name]; found {
 		created = known.Backend.Created
@@ -65,11 +90,13 @@
 
 // Remove removes the entry of a back end, if there is one.
 func (store *Store) Remove(name lb.BackendName) {
-	if _, found := store.backends[name]; !found {
+	_, found := store.backends[name]
+	if _, spoiled := store.spoiled[name]; !found && !spoiled {
 		return
 	}
 	store.revision++
 	delete(store.backends, name)
+	delete(store.spoiled, name)
 	store.history = append(store.history, view.Change{Revision: store.revision, Gone: name})
 }
 
@@ -113,6 +140,10 @@
 	for _, name := range slices.Sorted(maps.Keys(store.backends)) {
 		listing.Backends = append(listing.Backends, store.backends[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(store.spoiled)) {
+		rejected := view.Rejection{Key: string(name), Backend: name, Revision: store.spoiled[name]}
+		listing.Rejected = append(listing.Rejected, rejected)
+	}
 	for _, zone := range slices.Sorted(maps.Keys(store.evacuations)) {
 		listing.Evacuations = append(listing.Evacuations, view.StoredEvacuation{Revision: store.evacuations[zone], Zone: zone})
 	}
