Views at any size: what changed after a listing, parts, and a start of all from one listing

A whole view is one line of 1 MB at the most; before 10,000 back ends it is 2 MB and the codec refuses it, so that nobody is told anything and all nodes list by themselves.

Ruled out: a larger line (a second of a small machine's link for two askers, and one encoding stops it for 0.2 s); the number of machines alone (86 machines before 10,000 hosts break it as well, before 4,000 do not).

What one message cannot tell goes in parts of 1,000 back ends by the hash of their names, each asked for alone. While the reader lists it says so, and others lose patience later; who finds the history gone because nobody reads lists for all.

A listing of several pages during changes can be told at once (its digest failed its own check before).

--- a/internal/follower/ask.go
+++ b/internal/follower/ask.go
@@ -41,8 +41,7 @@
 	}
 	core.nextWant = core.now + core.askInterval()
 	if asked := core.whomToAsk(); len(asked) > 0 {
-		wanted := message.ViewWant{After: core.replica.Revision()}
-		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: wanted})
+		effects.Messages = append(effects.Messages, Outgoing{To: asked, Message: core.wanted()})
 	}
 }
 
@@ -107,8 +106,13 @@
 		return
 	}
 	core.nextWant = core.now + wantInterval
-	wanted := message.ViewWant{After: core.replica.Revision()}
-	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{address}, Message: wanted})
+	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{address}, Message: core.wanted()})
+}
+
+// wanted is what this node asks for: what has changed after its own view, or the next
+// part of that if some have come.
+func (core *Core) wanted() message.ViewWant {
+	return message.ViewWant{After: core.replica.Revision(), From: core.assembly.Next()}
 }
 
 func (core *Core) answerWant(from *PeerMessage, want *message.ViewWant, effects *Effects) {
@@ -121,41 +125,58 @@
 		}
 		return
 	}
-	if want.After == 0 || !core.replica.Follows(want.After) {
-		core.noteWhole(from.Address)
-		return
+	if core.replica.Follows(want.After) && want.From == 0 {
+		if told := core.replica.Tell(core.now, want.After, 0); told.Part == nil {
+			effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{from.Address}, Message: core.telling(told)})
+			return
+		}
 	}
-	effects.Messages = append(effects.Messages, Outgoing{To: []netip.AddrPort{from.Address}, Message: core.delta(want.After)})
+	core.noteLong(longWant{address: from.Address, ViewWant: *want})
 }
 
-// noteWhole remembers who wants the whole view. They are answered together at
-// the next tick, wholeAnswers of them; the others ask again, elsewhere too. So a
+// longWant is who wants the whole view, or so much that it is told in parts.
+type longWant struct {
+	address netip.AddrPort
+	message.ViewWant
+}
+
+// noteLong remembers who wants the whole view, or a part. They are answered together at
+// the next tick, longAnswers of them; the others ask again, elsewhere too. So a
 // start of the whole fleet costs its seeds no more than a few views a second.
 // Who has been answered a short time ago has the answer on the way.
-func (core *Core) noteWhole(address netip.AddrPort) {
-	answeredAt, answered := core.answeredAt[address]
-	if answered && core.now-answeredAt < wholeInterval {
+func (core *Core) noteLong(want longWant) {
+	answeredAt, answered := core.answeredAt[want]
+	if answered && core.now-answeredAt < longInterval {
 		return
 	}
-	if len(core.wholes) < wholeAnswers && !slices.Contains(core.wholes, address) {
-		core.wholes = append(core.wholes, address)
+	if len(core.wants) < longAnswers && !slices.Contains(core.wants, want) {
+		core.wants = append(core.wants, want)
 	}
 }
 
-// wholeInterval is the shortest time between two whole views for one node.
-const wholeInterval = time.Second
+// longInterval is the shortest time between two answers to the same long question of a node.
+const longInterval = time.Second
 
-// wholeAnswers is how many whole views are sent at a tick at the most.
-const wholeAnswers = 8
+// longAnswers is how many of them are sent at a tick at the most.
+const longAnswers = 8
 
-func (core *Core) answerWholes(effects *Effects) {
-	if len(core.wholes) == 0 {
+func (core *Core) answerLong(effects *Effects) {
+	if len(core.wants) == 0 {
 		return
 	}
-	effects.Messages = append(effects.Messages, Outgoing{To: core.wholes, Message: core.delta(0)})
-	maps.DeleteFunc(core.answeredAt, func(_ netip.AddrPort, at time.Duration) bool { return core.now-at >= wholeInterval })
-	for _, address := range core.wholes {
-		core.answeredAt[address] = core.now
+	maps.DeleteFunc(core.answeredAt, func(_ longWant, at time.Duration) bool { return core.now-at >= longInterval })
+	askers := make(map[message.ViewWant][]netip.AddrPort)
+	var asked []message.ViewWant
+	for _, want := range core.wants {
+		core.answeredAt[want] = core.now
+		if askers[want.ViewWant] == nil {
+			asked = append(asked, want.ViewWant)
+		}
+		askers[want.ViewWant] = append(askers[want.ViewWant], want.address)
+	}
+	for _, want := range asked {
+		told := core.telling(core.replica.Tell(core.now, want.After, want.From))
+		effects.Messages = append(effects.Messages, Outgoing{To: askers[want], Message: told})
 	}
-	core.wholes = nil
+	core.wants = nil
 }
--- a/internal/follower/fleet_store_test.go
+++ b/internal/follower/fleet_store_test.go
@@ -82,7 +82,42 @@
 	}
 }
 
-// TestStartOfAFleetCostsFewCalls: each node lists once, and one of them goes on reading before the others lose patience.
+// TestFirstStartOfAFleetListsAtFewNodes: there is no snapshot yet. Whoever reads first leaves
+// one, and the others wait for it, or for a view of a peer.
+func TestFirstStartOfAFleetListsAtFewNodes(t *testing.T) {
+	for _, backends := range []int{1, 6000} { // a peer tells all of it in one message, or in parts
+		is := is.New(t)
+		fleet := newFleet(t, 3, 40, 1, longestLimit)
+		fleet.store.Configure(1, 80, 81)
+		fill(fleet.store, backends)
+		fleet.run(200 * time.Millisecond)
+		fleet.announce()
+		fleet.run(4 * time.Second)
+		is.Equal(fleet.behind(), 0)
+		listed := 0
+		for _, node := range fleet.nodes {
+			listed += node.listed
+			_, confirmed := node.core.Age(fleet.now)
+			is.True(confirmed)
+		}
+		is.True(listed <= 3)
+	}
+}
+
+// TestFirstStartWithoutSeeds: those that wait for a snapshot that nobody leaves list at last.
+func TestFirstStartWithoutSeeds(t *testing.T) {
+	is := is.New(t)
+	fleet := newFleet(t, 3, 10, 1, longestLimit)
+	fleet.store.Configure(1, 80, 81)
+	fill(fleet.store, 10)
+	fleet.nodes[0].dead = true // the seed of all others
+	fleet.run(200 * time.Millisecond)
+	fleet.announce()
+	fleet.run(9 * time.Second)
+	is.Equal(fleet.behind(), 0)
+}
+
+// TestStartOfAFleetCostsFewCalls: one of the nodes goes on reading before the others lose patience.
 func TestStartOfAFleetCostsFewCalls(t *testing.T) {
 	is := is.New(t)
 	fleet := calm(t, 3, 20, 1)   // 10 s
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -8,7 +8,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
@@ -42,12 +41,16 @@
 	readerStays  bool // it is among peers
 	readerGone   bool
 	readerGoneAt time.Duration
+	// readerLists: it then listed all entries.
+	readerLists bool
 	// readerHeardAt is when the reader last said that it reads, directly or through others.
 	readerHeardAt time.Duration
-	// wholes are those that want the whole view.
-	wholes []netip.AddrPort
-	// answeredAt is when they were last sent it, for wholeInterval.
-	answeredAt map[netip.AddrPort]time.Duration
+	// wants are those who want the whole view, or a part.
+	wants []longWant
+	// answeredAt is when they were last answered, for longInterval.
+	answeredAt map[longWant]time.Duration
+	// assembly has the parts that have come of what this node lacks.
+	assembly view.Assembly
 	// ranked are the nodes of the own zone by rank, self included, those that
 	// leave behind the others.
 	ranked []Peer
@@ -57,22 +60,25 @@
 	// confirmAfter is how long after its start this node waits for others to
 	// confirm its first view.
 	confirmAfter time.Duration
-	confirmedAt  time.Duration // when the view was last known to be the newest
-	confirmed    bool
-	heardAt      time.Duration // when a peer last told of the view
-	reading      bool
-	readAt       time.Duration // when the call under way, or the last one, was started
-	relist       bool          // the history is gone
-	noSnapshot   bool          // the store has none that can be used
-	publishing   bool
-	published    int64 // the store's revision of the last snapshot written by this node
-	nextPublish  time.Duration
-	nextRead     time.Duration
-	failures     int
-	nextDigest   time.Duration
-	nextWant     time.Duration
-	asked        int // how often others were asked before the first view was confirmed
-	nextPrune    time.Duration
+	// listAfter is how long after its start it lists entries where no snapshot is.
+	listAfter   time.Duration
+	confirmedAt time.Duration // when the view was last known to be the newest
+	confirmed   bool
+	heardAt     time.Duration // when a peer last told of the view
+	reading     bool
+	readAt      time.Duration // when the call under way, or the last one, was started
+	relist      bool          // the history is gone
+	noSnapshot  bool          // the store has none that can be used
+	missed      int           // how often it had none
+	publishing  bool
+	published   int64 // the store's revision of the last snapshot written by this node
+	nextPublish time.Duration
+	nextRead    time.Duration
+	failures    int
+	nextDigest  time.Duration
+	nextWant    time.Duration
+	asked       int // how often others were asked before the first view was confirmed
+	nextPrune   time.Duration
 }
 
 // New gives a follower that knows nothing.
@@ -82,9 +88,10 @@
 		random:   rand.New(rand.NewPCG(settings.Seed, uint64(settings.Self.Hash()))),
 		replica:  view.NewReplica(),
 
-		answeredAt: make(map[netip.AddrPort]time.Duration),
+		answeredAt: make(map[longWant]time.Duration),
 	}
 	core.confirmAfter = core.confirmTime()
+	core.listAfter = core.listTime()
 	return core
 }
 
@@ -139,7 +146,7 @@
 	if core.replica.Revision() == 0 {
 		return
 	}
-	core.answerWholes(effects)
+	core.answerLong(effects)
 	if core.tells() && core.now >= core.nextDigest {
 		core.sendDigest(effects)
 	}
--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -45,6 +45,32 @@
 	return core.settings.SettleTime + time.Duration(core.random.Int64N(int64(core.settings.PatienceLimit)))
 }
 
+// listTime gives how long a node waits for the snapshot that the first reader leaves, where
+// there is none: a fleet that starts for the first time, or with a form of snapshots that
+// the nodes before did not write. A thousand listings of 10,000 entries fill the store's
+// link for half a minute. Should no seed live, the others list spread over some time.
+func (core *Core) listTime() time.Duration {
+	if core.readsFirst() {
+		return 0
+	}
+	return core.settings.SnapshotWait + time.Duration(core.random.Int64N(int64(core.settings.PatienceLimit)))
+}
+
+// maxMissedDoublings bounds the time between two questions for a snapshot: two seconds in
+// the mean, within which a node is to start once there is one.
+const maxMissedDoublings = 2
+
+// noteMissing goes on where there is no snapshot.
+func (core *Core) noteMissing() {
+	core.noSnapshot = core.now-core.startAt >= core.listAfter
+	core.nextRead = core.now
+	if !core.noSnapshot {
+		retry := core.settings.SnapshotRetry << min(core.missed, maxMissedDoublings)
+		core.missed++
+		core.nextRead += retry/2 + time.Duration(core.random.Int64N(int64(retry)))
+	}
+}
+
 // youth is how long after its start a node may not be told yet by others, since
 // their memberships lack it; it asks them.
 const youth = 5 * time.Second
@@ -66,10 +92,24 @@
 	return turn
 }
 
+// Patience while the reader is heard to list all entries.
+const (
+	// listParts is by how many quarters of PatienceLimit the first in turn waits: another
+	// quarter, in which a listing of 10,000 entries over a link of 20 Mbit/s is half done.
+	listParts = 5
+	// listStep is what each further turn adds: a third of such a listing.
+	listStep = 800 * time.Millisecond
+)
+
 // patience is the age of the view at which a node reads itself. Where others
 // are heard but cannot confirm the view, those before this one try already: the
-// further turns follow slowly, so that an outage does not cost a call a node.
+// further turns follow slowly, so that an outage does not cost a call a node. Likewise
+// where the reader is heard to list all entries: who reads meanwhile lists them, too, in
+// as many calls, of which some fifty nodes would make twenty each before 10,000 back ends.
 func (core *Core) patience(turn int) time.Duration {
+	if core.readerLists && core.hears() {
+		return core.settings.PatienceLimit*listParts/4 + time.Duration(turn)*listStep
+	}
 	patience := core.settings.Patience + time.Duration(turn)*core.settings.PatienceStep
 	if patience <= core.settings.PatienceLimit {
 		return patience
@@ -88,19 +128,20 @@
 func (core *Core) readingNow() message.Reading {
 	switch {
 	case core.acting:
-		return message.Reading{Reader: core.settings.Self}
+		return message.Reading{Reader: core.settings.Self, Listing: core.relist}
 	case core.readerGone || core.reader == "":
 		return message.Reading{}
 	}
-	return message.Reading{Reader: core.reader, ReaderAgeMillis: (core.now - core.readerHeardAt).Milliseconds()}
+	age := core.now - core.readerHeardAt
+	return message.Reading{Reader: core.reader, ReaderAgeMillis: age.Milliseconds(), Listing: core.readerLists}
 }
 
 // takeOver makes this node the reader after a successful read that nobody else
 // made in time. One that leaves does not begin with it.
-// Where somebody has just named a reader, this node was not told, which is no
+// Where somebody has named a reader within a time, this node was not told, which is no
 // reason to read for others; nor is that nobody has confirmed its first view, if
 // there are seeds, which read then.
-func (core *Core) takeOver(reason Reason) {
+func (core *Core) takeOver(reason Reason, within time.Duration) {
 	if core.acting || reason == ReasonHistoryGone || core.leaves {
 		return
 	}
@@ -108,7 +149,7 @@
 		return
 	}
 	named := core.reader != "" && !core.readerGone && core.readerHeardAt > 0
-	if named && core.now-core.readerHeardAt < core.settings.Patience {
+	if named && core.now-core.readerHeardAt < within {
 		return
 	}
 	core.acting = true
@@ -133,7 +174,10 @@
 func (core *Core) noteReader(told message.Reading, route message.Route) {
 	reader := told.Reader
 	if reader != "" {
-		core.readerHeardAt = max(core.readerHeardAt, core.now-time.Duration(told.ReaderAgeMillis)*time.Millisecond)
+		if at := core.now - time.Duration(told.ReaderAgeMillis)*time.Millisecond; at >= core.readerHeardAt {
+			core.readerHeardAt = at
+			core.readerLists = told.Listing
+		}
 	}
 	switch {
 	case reader == "":
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -39,6 +39,10 @@
 	// SettleTime is how long after its start a node at least waits for others to
 	// confirm its first view, if there are seeds to ask.
 	SettleTime time.Duration
+	// SnapshotWait is how long after its start a node waits at least for a snapshot, or a
+	// peer's view, before it lists all entries; SnapshotRetry is the mean time to the
+	// second question for a snapshot, which doubles with each further one. Those who read first when a fleet starts do not wait.
+	SnapshotWait, SnapshotRetry time.Duration
 	// BackoffBase and BackoffLimit bound the time to the next call after a failed one.
 	BackoffBase, BackoffLimit time.Duration
 }
@@ -62,6 +66,8 @@
 		DigestInterval: 400 * time.Millisecond,
 		TreeWidth:      4,
 		SettleTime:     1500 * time.Millisecond,
+		SnapshotWait:   4 * time.Second, // the first reader lists 10,000 entries over 20 Mbit/s in half of it
+		SnapshotRetry:  500 * time.Millisecond,
 		BackoffBase:    100 * time.Millisecond,
 		BackoffLimit:   time.Second,
 	}
--- a/internal/follower/tell.go
+++ b/internal/follower/tell.go
@@ -6,6 +6,7 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/view"
 )
 
 // tells tells whether this node is one that others hear of the view from: who
@@ -96,6 +97,10 @@
 		return // this node has just started; others know it already
 	}
 	delta := core.delta(after)
+	if !delta.Delta.Fits() {
+		core.sendDigest(effects) // they ask for it, in parts
+		return
+	}
 	core.spread(effects, func(route message.Route) message.Message {
 		delta.Route = route
 		return delta
@@ -103,7 +108,12 @@
 }
 
 func (core *Core) delta(after int64) message.ViewDelta {
-	delta := message.ViewDelta{Reading: core.readingNow(), Delta: *core.replica.Delta(core.now, after)}
+	return core.telling(core.replica.Delta(core.now, after))
+}
+
+// telling says who reads and how old the view is with what it tells.
+func (core *Core) telling(told *view.Delta) message.ViewDelta {
+	delta := message.ViewDelta{Reading: core.readingNow(), Delta: *told}
 	if !core.confirmed {
 		delta.Unconfirmed = true
 		return delta
@@ -160,6 +170,10 @@
 		core.want(from.Address, effects)
 		return
 	}
+	if told.Delta.Part != nil {
+		core.takePart(from, told, effects)
+		return
+	}
 	core.noteAge()
 	applied, changed := core.replica.ApplyDelta(core.now, &told.Delta)
 	core.passOn(told.Route, effects, func(route message.Route) message.Message {
@@ -170,6 +184,7 @@
 	if !applied {
 		return
 	}
+	core.assembly = view.Assembly{} // its parts were asked for after an older revision
 	if !told.Unconfirmed {
 		core.confirm(core.now - time.Duration(told.AgeMillis)*time.Millisecond)
 	}
@@ -182,3 +197,26 @@
 		core.tellZone(effects, func(route message.Route) message.Message { return core.digest(route) })
 	}
 }
+
+// takePart takes a part of what this node lacks and asks for the next one, or takes it
+// all when that was the last. What it gives is as old as the oldest part, so that
+// nobody has confirmed it yet.
+func (core *Core) takePart(from *PeerMessage, told *message.ViewDelta, effects *Effects) {
+	if told.Delta.Revision <= core.replica.Revision() {
+		core.assembly = view.Assembly{} // this node has learned as much in another way
+		return
+	}
+	before := core.assembly.Next()
+	delta := core.assembly.Add(&told.Delta)
+	if delta == nil && core.assembly.Next() == before {
+		return // it was asked for twice, or is of another delta
+	}
+	if delta != nil {
+		core.noteAge()
+		if _, changed := core.replica.ApplyDelta(core.now, delta); changed {
+			core.noteChange(effects, string(from.From))
+		}
+	}
+	core.nextWant = core.now // the question before has been answered
+	core.want(from.Address, effects)
+}
--- a/internal/message/view.go
+++ b/internal/message/view.go
@@ -31,6 +31,8 @@
 	Reader lb.NodeID `json:"reader,omitempty"`
 	// ReaderAgeMillis is the time since the reader itself said so.
 	ReaderAgeMillis int64 `json:"reader_age_ms,omitempty"`
+	// Listing: the reader lists all entries, which takes seconds where they are many.
+	Listing bool `json:"listing,omitempty"`
 }
 
 // Route says to whom the receiver passes a message on.
@@ -45,6 +47,8 @@
 // ViewWant asks for all that changed after a revision; 0: the whole view.
 type ViewWant struct {
 	After int64 `json:"after"`
+	// From is where the wanted part of that begins; see view.Part.
+	From int `json:"from,omitempty"`
 }
 
 // ViewDelta answers ViewWant, and is sent unasked when the view changes.
@@ -83,6 +87,9 @@
 	if message.After < 0 {
 		return fieldError(TypeViewWant, "after", message.After, "negative")
 	}
+	if err := view.ValidatePartStart(message.From); err != nil {
+		return fieldError(TypeViewWant, "from", message.From, err.Error())
+	}
 	return nil
 }
 
--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -22,11 +22,18 @@
 	Backend    Backend `json:"backend"`
 }
 
-// Delta is what one replica tells another: all that changed after After.
+// Delta is what one replica tells another: all that changed after After. What has
+// changed after it and is not told has gone.
 type Delta struct {
-	// After is zero for a whole view, which replaces what is not in it.
+	// After is zero for a whole view.
 	After    int64 `json:"after"`
 	Revision int64 `json:"revision"`
+	// Unseen has the revisions of which the sender knows nothing; nil: it has followed all.
+	Unseen *Span `json:"unseen,omitempty"`
+	// Part is which part of the delta this is; nil: all of it.
+	Part *Part `json:"part,omitempty"`
+	// AllRoutes: Routes has all that are in force, as in a whole view.
+	AllRoutes bool `json:"all_routes,omitempty"`
 	// Version and ConfigurationRevision are those of the configuration; zero: there is none.
 	Version               uint64            `json:"version"`
 	ConfigurationRevision int64             `json:"configuration_revision"`
@@ -49,11 +56,24 @@
 
 // Validate names the first value that cannot be used.
 func (d *Delta) Validate() error {
+	if len(d.Routes) > maxRoutes || len(d.Backends) > maxBackends || len(d.Evacuations) > maxEvacuations {
+		return errors.Newf("%d routes, %d back ends or %d evacuated zones are too many", len(d.Routes), len(d.Backends), len(d.Evacuations))
+	}
+	return d.validate()
+}
+
+// validate is Validate without bounds on how much the delta holds.
+func (d *Delta) validate() error {
 	if d.After < 0 || d.Revision < d.After {
 		return errors.Newf("after %d and revision %d are out of order", d.After, d.Revision)
 	}
-	if len(d.Routes) > maxRoutes || len(d.Backends) > maxBackends || len(d.Evacuations) > maxEvacuations {
-		return errors.Newf("%d routes, %d back ends or %d evacuated zones are too many", len(d.Routes), len(d.Backends), len(d.Evacuations))
+	if d.Part != nil {
+		if err := d.Part.Validate(); err != nil {
+			return errors.Wrap(err, "part")
+		}
+	}
+	if d.Unseen != nil && (d.Unseen.From < 0 || d.Unseen.To < d.Unseen.From || d.Unseen.To > d.Revision) {
+		return errors.Newf("unseen: from %d to %d is out of order, or beyond revision %d", d.Unseen.From, d.Unseen.To, d.Revision)
 	}
 	for index := range d.Routes {
 		if err := d.Routes[index].Route.Validate(); err != nil {
--- a/internal/view/evacuation.go
+++ b/internal/view/evacuation.go
@@ -59,10 +59,11 @@
 	r.changed = max(r.changed, entry.Revision)
 }
 
-// restoreUnlisted restores the zones that are not among those listed at a revision.
-func (r *Replica) restoreUnlisted(revision int64, listed map[lb.Zone]bool) {
+// restoreUnlisted restores the zones that were evacuated between two revisions, of
+// which the second is in it, and are not among those listed.
+func (r *Replica) restoreUnlisted(after, revision int64, listed map[lb.Zone]bool) {
 	for zone, entry := range r.evacuations {
-		if !listed[zone] && !entry.Gone && entry.Revision <= revision {
+		if !listed[zone] && !entry.Gone && entry.Revision > after && entry.Revision <= revision {
 			r.restore(revision, zone)
 		}
 	}
@@ -84,18 +85,16 @@
 		listed[stored.Zone] = true
 		r.setEvacuation(EvacuationEntry{Revision: stored.Revision, Zone: stored.Zone})
 	}
-	r.restoreUnlisted(listing.Revision, listed)
+	r.restoreUnlisted(0, listing.Revision, listed)
 }
 
 func (r *Replica) applyEvacuations(delta *Delta) {
 	told := make(map[lb.Zone]bool, len(delta.Evacuations))
 	for _, entry := range delta.Evacuations {
-		told[entry.Zone] = true
+		told[entry.Zone] = !entry.Gone
 		r.setEvacuation(entry)
 	}
-	if delta.After == 0 {
-		r.restoreUnlisted(delta.Revision, told)
-	}
+	r.restoreUnlisted(delta.After, delta.Revision, told)
 }
 
 // evacuationsAfter gives what changed after a revision; after 0, what is in force.
@@ -117,7 +116,7 @@
 	}
 	maps.DeleteFunc(r.evacuations, func(_ lb.Zone, entry *EvacuationEntry) bool {
 		if entry.Gone {
-			r.pruned = max(r.pruned, entry.Revision)
+			r.history.floor = max(r.history.floor, entry.Revision)
 		}
 		return entry.Gone
 	})
--- a/internal/view/prune.go
+++ b/internal/view/prune.go
@@ -15,20 +15,33 @@
 	r.pruneRoutes()
 	r.pruneEvacuations()
 	found := false
-	for name, entry := range r.backends {
-		if entry.Gone && now-entry.goneAt > GoneRetention {
-			r.pruned = max(r.pruned, entry.Revision)
-			delete(r.backends, name)
-			found = true
-		}
-		if entry.earlier != nil && now-entry.earlier.EndedAt > GoneRetention {
-			entry.earlier = nil
-			found = true
-		}
+	for name := range r.fading {
+		found = r.pruneBackend(now, name) || found
 	}
 	return found
 }
 
+// pruneBackend forgets what has been remembered of a back end for long, and tells whether
+// it forgot anything.
+func (r *Replica) pruneBackend(now time.Duration, name lb.BackendName) bool {
+	entry := r.backends[name]
+	switch {
+	case entry.Gone && now-entry.goneAt > GoneRetention:
+		r.history.floor = max(r.history.floor, entry.Revision)
+		delete(r.backends, name)
+		delete(r.fading, name)
+	case entry.earlier != nil && now-entry.earlier.EndedAt > GoneRetention:
+		entry.earlier = nil
+		if !entry.Gone {
+			delete(r.fading, name)
+		}
+	default:
+		return false
+	}
+	r.touch(name)
+	return true
+}
+
 func (r *Replica) pruneRoutes() {
 	var gone []lb.Frontend
 	for frontend, entry := range r.routes {
@@ -40,7 +53,7 @@
 		return
 	}
 	for _, frontend := range gone {
-		r.pruned = max(r.pruned, r.routes[frontend].Revision)
+		r.history.floor = max(r.history.floor, r.routes[frontend].Revision)
 		delete(r.routes, frontend)
 	}
 }
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,10 +17,8 @@
 type Replica struct {
 	revision int64
 	// changed is the revision of the last change of a route, back end or zone.
-	changed int64
-	// pruned is the revision up to which removals may be forgotten, or were
-	// never known: deltas after a lower one cannot be given.
-	pruned                int64
+	changed               int64
+	history               history
 	version               uint64
 	configurationRevision int64
 	routes                map[lb.Frontend]*RouteEntry
@@ -28,6 +27,10 @@
 	coldRates             ColdRates
 	// away: what is applied next comes after a time without word of the store.
 	away bool
+	// fading are the back ends of which something is remembered for a while only.
+	fading map[lb.BackendName]bool
+	// touched are the back ends that have changed since Touched was called; nil: it never was.
+	touched map[lb.BackendName]bool
 }
 
 type backendEntry struct {
@@ -66,6 +69,7 @@
 		routes:      make(map[lb.Frontend]*RouteEntry),
 		backends:    make(map[lb.BackendName]*backendEntry),
 		evacuations: make(map[lb.Zone]*EvacuationEntry),
+		fading:      make(map[lb.BackendName]bool),
 	}
 }
 
@@ -73,13 +77,54 @@
 func (r *Replica) Revision() int64 { return r.revision }
 
 // LastNews is the revision from which on another replica lacks nothing that
-// this one knows. After a listing that is the listing's: what was removed
-// before it was never known here.
-func (r *Replica) LastNews() int64 { return max(r.changed, r.pruned) }
+// this one knows, and has nothing that this one knows as removed. It is at most
+// Revision: what a listing of several pages told of later changes comes again.
+func (r *Replica) LastNews() int64 {
+	return min(r.revision, max(r.changed, r.history.floor, r.history.lastJump()))
+}
 
 // Version is that of the configuration; 0: there is none.
 func (r *Replica) Version() uint64 { return r.version }
 
+// ConfigurationRevision is the store's revision of the configuration; 0: there is none.
+func (r *Replica) ConfigurationRevision() int64 { return r.configurationRevision }
+
+// Touched gives the back ends that have changed since the last call, in no particular
+// order; all: it is the first call, and all may have.
+func (r *Replica) Touched() (names []lb.BackendName, all bool) {
+	all = r.touched == nil
+	names = slices.Collect(maps.Keys(r.touched))
+	r.touched = make(map[lb.BackendName]bool)
+	return names, all
+}
+
+// put takes an entry in place of what was known under its name.
+func (r *Replica) put(entry *backendEntry) {
+	name := entry.Backend.Name
+	r.backends[name] = entry
+	r.touch(name)
+	delete(r.fading, name)
+	if entry.Gone || entry.earlier != nil {
+		r.fading[name] = true
+	}
+}
+
+// touch notes that a back end has changed.
+func (r *Replica) touch(name lb.BackendName) {
+	if r.touched != nil {
+		r.touched[name] = true
+	}
+}
+
+// Backend gives a back end that is known; found is false if none has the name.
+func (r *Replica) Backend(name lb.BackendName) (known Known, found bool) {
+	entry := r.backends[name]
+	if entry == nil {
+		return Known{}, false
+	}
+	return entry.known(), true
+}
+
 // Configured tells whether a configuration is known.
 func (r *Replica) Configured() bool { return r.configurationRevision > 0 }
 
@@ -101,7 +146,7 @@
 	if listing.Revision < r.revision {
 		return false
 	}
-	before := r.changed
+	before, known := r.changed, r.revision
 	if stored := listing.Configuration; stored != nil {
 		r.setConfiguration(stored.Revision, &stored.Configuration)
 	}
@@ -122,16 +167,10 @@
 	}
 	r.listEvacuations(listing)
 	r.Advance(listing.Revision)
-	r.forgetHistory()
+	r.history.jump(known, listing.Revision)
 	return r.changed != before
 }
 
-// forgetHistory notes that the replica knows what there is, not what has been
-// removed before: it was told the whole state.
-func (r *Replica) forgetHistory() {
-	r.pruned = max(r.revision, r.changed)
-}
-
 // ApplyChanges takes changes that begin at or before the replica's revision
 // and tells whether anything changed.
 func (r *Replica) ApplyChanges(now time.Duration, changes *Changes) bool {
@@ -195,11 +234,11 @@
 	if known != nil && known.Revision >= revision {
 		return
 	}
-	r.backends[backend.Name] = &backendEntry{
+	r.put(&backendEntry{
 		BackendEntry: BackendEntry{Revision: revision, Backend: *backend},
 		coldUntil:    now + time.Duration(backend.ColdMillis)*time.Millisecond,
 		earlier:      known.earlierThan(now, backend),
-	}
+	})
 	r.changed = max(r.changed, revision)
 }
 
@@ -213,10 +252,10 @@
 	}
 	drains := known.Backend
 	drains.State = lb.BackendDraining
-	r.backends[name] = &backendEntry{
+	r.put(&backendEntry{
 		BackendEntry: BackendEntry{Revision: revision, Backend: drains},
 		earlier:      known.earlier,
-	}
+	})
 	r.changed = max(r.changed, revision)
 }
 
@@ -229,6 +268,8 @@
 	known.Revision = revision
 	known.goneAt = now
 	known.away = r.away
+	r.fading[name] = true
+	r.touch(name)
 	r.changed = max(r.changed, revision)
 }
 
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"time"
@@ -14,16 +15,16 @@
 // balancers that start need not list all entries. It may be seconds old, and
 // says nothing of the present: a peer or a watch from its revision does.
 type Snapshot struct {
-	View Delta `json:"view"`
+	View Delta
 }
 
-// snapshotFormat is the first byte of a packed snapshot: JSON, compressed (RFC
-// 1951), with evacuated zones. One without them (0x01) would restore all zones
-// at the nodes that start from it, and is not read.
-const snapshotFormat = 0x02
+// snapshotFormat is the first byte of a packed snapshot: the length and the JSON of the
+// view without its back ends, then these in columns, all compressed (RFC 1951). Others
+// before it are not read: nodes that start list all entries until the next one is written.
+const snapshotFormat = 0x03
 
 // maxSnapshotBytes bounds what an unpacked snapshot may hold.
-const maxSnapshotBytes = 64 << 20
+const maxSnapshotBytes = 16 << 20
 
 // Snapshot gives the whole view as it is now.
 func (r *Replica) Snapshot(now time.Duration) *Snapshot {
@@ -39,13 +40,20 @@
 
 // Pack gives the snapshot in the form in which it is kept.
 func (s *Snapshot) Pack() ([]byte, error) {
+	frame := s.View
+	frame.Backends = nil
+	head, err := json.Marshal(&frame)
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
 	var packed bytes.Buffer
 	packed.WriteByte(snapshotFormat)
 	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
-	if err := json.NewEncoder(writer).Encode(s); err != nil {
+	plain := append(binary.AppendUvarint(nil, uint64(len(head))), head...)
+	if _, err := writer.Write(append(plain, writeColumns(s.View.Backends)...)); err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
 	if err := writer.Close(); err != nil {
@@ -60,15 +68,26 @@
 	if len(packed) == 0 || packed[0] != snapshotFormat {
 		return nil, errors.New("snapshot: of no known format")
 	}
-	reader := io.LimitReader(flate.NewReader(bytes.NewReader(packed[1:])), maxSnapshotBytes)
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed[1:])), maxSnapshotBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	parts := &columnReader{data: plain}
+	head := parts.bytes()
+	if parts.err != nil {
+		return nil, errors.New("snapshot: has no view")
+	}
 	snapshot := &Snapshot{}
-	if err := json.NewDecoder(reader).Decode(snapshot); err != nil {
+	if err := json.Unmarshal(head, &snapshot.View); err != nil {
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	if snapshot.View.Backends, err = readColumns(parts.data); err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
 	if snapshot.View.After != 0 {
 		return nil, errors.Newf("snapshot: after %d, want a whole view", snapshot.View.After)
 	}
-	if err := snapshot.View.Validate(); err != nil {
+	if err := snapshot.View.validate(); err != nil { // its bytes are its bound
 		return nil, errors.Wrap(err, "snapshot")
 	}
 	return snapshot, nil
