Tables of back ends are built by what has changed

Cause: after each change the whole table was built anew under the lock that packets wait for.

Change: a compiler keeps the hosts, their order and the ring of each service, builds the services that changed, and shares the rest with the table before (indexes in 256 parts, copied where they change). The ring is the order that hands of back ends are cut from, so that nothing is sorted for them. Sums that few openings need are made when one does. What is remembered for a while only is looked at by itself, not all back ends each second. Back ends are found by their run in an index, where a list of all was searched.

TestCompilerEqualsAWholeBuild: same decisions as a table built whole, for any changes, and tables that were given stay as they are; TestHashIsGivenOn.

Tests changed: weights stand by the ready hosts of a service, not in each host; hosts are found by their run where tests took the first of a list.

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -78,10 +78,11 @@
 	return known.dealer
 }
 
-// circleOf orders the ready back ends of a service.
+// circleOf gives the order of the ready back ends of a service, those of its ring.
 func circleOf(service *steering.Service) *turns.Circle {
-	backends := make([]turns.Backend, len(service.Ready))
-	for index, host := range service.Ready {
+	ring := service.Ring()
+	backends := make([]turns.Backend, len(ring))
+	for index, host := range ring {
 		backends[index] = turns.Backend{
 			Identity: turns.Identity(host.Run), Zone: host.Zone, Size: host.Size(),
 		}
@@ -89,30 +90,38 @@
 	return turns.NewCircle(backends)
 }
 
-// parts gives those of zones of this node's new flows of a service, and the weights
-// of its ready hosts that follow, nil: those of its table.
-func (a *tokenAffinity) parts(service *steering.Service) (zoneshare.Parts, []float64) {
+// parts gives those of zones of this node's new flows of a service.
+func (a *tokenAffinity) parts(service *steering.Service) zoneshare.Parts {
 	if known := a.shares[service.Name]; known != nil {
-		return known.parts, known.weights
+		return known.parts
 	}
-	return service.Even(), nil
+	return service.Even()
+}
+
+// weights gives those of the ready hosts of a service that follow from parts; nil: those
+// of its table.
+func (a *tokenAffinity) weights(service *steering.Service) []float64 {
+	if known := a.shares[service.Name]; known != nil {
+		return known.weightsOf(service)
+	}
+	return nil
 }
 
 // deal gives the back end of a new flow of a service: the next by turns, or the first
 // by rank among all where that is the setting or most of this node's hand is silent.
 func (a *tokenAffinity) deal(service *steering.Service, flow lb.FlowID) *steering.Host {
-	parts, weights := a.parts(service)
 	if a.core.settings.Picking == PickTurns {
-		index := a.hands.of(a.core, service).Pick(parts,
-			func(index int) float64 { return max(0, a.factor(service, service.Ready[index])) }, // those out of reach get nothing
-			func(index int) int { return a.observer.Busy(observe.Identity(service.Ready[index].Run)) },
+		ring := service.Ring()
+		index := a.hands.of(a.core, service).Pick(a.parts(service),
+			func(index int) float64 { return max(0, a.factor(service, ring[index])) }, // those out of reach get nothing
+			func(index int) int { return a.observer.Busy(observe.Identity(ring[index].Run)) },
 		)
 		if index >= 0 {
-			return service.Ready[index]
+			return ring[index]
 		}
 	}
 	a.weigh(service)
-	return a.rank(service, flow, weights)
+	return a.rank(service, flow, a.weights(service))
 }
 
 // rank gives the first by rank of a service, by the weights of its table where all of
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -2,32 +2,20 @@
 
 import (
 	"robinpulley.example/robinpulley/internal/lb"
-	"robinpulley.example/robinpulley/internal/observe"
 	"robinpulley.example/robinpulley/internal/reach"
 	"robinpulley.example/robinpulley/internal/steering"
 )
 
-// placeBackends notes the zones of the back ends.
-func (a *tokenAffinity) placeBackends(table *steering.Table) {
-	a.zoneOf = make(map[observe.Identity]lb.Zone, len(table.Hosts()))
-	zones := make(map[lb.Zone]bool)
-	for _, host := range table.Hosts() {
-		a.zoneOf[observe.Identity(host.Run)] = host.Zone
-		zones[host.Zone] = true
-	}
-	a.reach.Forget(func(zone lb.Zone) bool { return zones[zone] })
-}
-
 // noteSigns tells what back ends show of their zones.
 func (a *tokenAffinity) noteSigns() {
 	for _, sign := range a.observer.Signs() {
-		zone, known := a.zoneOf[sign.Identity]
+		host := a.table.HostOfRun(uint64(sign.Identity))
 		switch {
-		case !known: // gone meanwhile
+		case host == nil: // gone meanwhile
 		case sign.Missing:
-			a.reach.Unanswered(a.core.now, zone, reach.Identity(sign.Identity), sign.Sent)
+			a.reach.Unanswered(a.core.now, host.Zone, reach.Identity(sign.Identity), sign.Sent)
 		default:
-			a.reach.Answered(a.core.now, zone)
+			a.reach.Answered(a.core.now, host.Zone)
 		}
 	}
 }
--- a/internal/core/shares.go
+++ b/internal/core/shares.go
@@ -39,8 +39,18 @@
 // share is where this node's new flows of a service go, by what the fleet knows.
 type share struct {
 	parts zoneshare.Parts
-	// weights are those of the ready hosts.
+	// weights are those of the ready hosts of a service; nil: not worked out yet.
 	weights []float64
+	of      *steering.Service
+}
+
+// weightsOf gives the weights of the ready hosts of a service. Few openings need them:
+// those that are not dealt by turns.
+func (s *share) weightsOf(service *steering.Service) []float64 {
+	if s.weights == nil || s.of != service {
+		s.weights, s.of = service.Weights(s.parts), service
+	}
+	return s.weights
 }
 
 // setLoads takes what the fleet knows of services. The parts of zones move by a step with
@@ -52,7 +62,7 @@
 	}
 	for name, known := range loads {
 		if service := a.table.ServiceNamed(name); service != nil {
-			a.overload.Learn(a.core.now, name, &known, sum(service.Capacity()))
+			a.overload.Learn(a.core.now, name, &known, lb.TotalSlots(service.Capacity()))
 		}
 		if a.shares[name] == nil && a.table.HasService(name) {
 			a.shares[name] = &share{parts: a.table.ServiceNamed(name).Even()}
@@ -66,16 +76,8 @@
 			continue
 		}
 		known.parts = zoneshare.Approach(known.parts, wanted, zoneshare.MostStep)
-		known.weights = service.Weights(known.parts)
-	}
-}
-
-func sum(capacity map[lb.Zone]float64) float64 {
-	total := 0.0
-	for _, slots := range capacity {
-		total += slots
+		known.weights = nil
 	}
-	return total
 }
 
 // wantedParts gives the parts of zones for a service, by what is known; nil: nothing is
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"robinpulley.example/robinpulley/internal/coldstart"
@@ -24,9 +25,8 @@
 	overload *overload.Controller
 	// cold says which back ends that have just started this node may use.
 	cold *coldstart.Limiter
-	// reach says which zones' back ends this node reaches, and zoneOf where they are.
+	// reach says which zones' back ends this node reaches.
 	reach    *reach.Tracker
-	zoneOf   map[observe.Identity]lb.Zone
 	waiting  *waiting.Queue[heldOpening]
 	rooms    *waiting.Rooms
 	looking  bool // openings that wait are decided anew
@@ -58,24 +58,14 @@
 func (a *tokenAffinity) setTable(table *steering.Table) {
 	a.table = table
 	a.hands.keep(table.HasService)
-	a.placeBackends(table)
-	present := make(map[observe.Identity]bool, len(table.Hosts()))
-	for _, host := range table.Hosts() {
-		present[observe.Identity(host.Run)] = true
-	}
-	a.cold.Forget(func(identity coldstart.Identity) bool { return present[observe.Identity(identity)] })
-	a.observer.Forget(func(identity observe.Identity) bool { return present[identity] })
-	a.overload.Forget(a.core.now, func(identity overload.Identity) bool { return present[observe.Identity(identity)] }, table.HasService)
+	a.reach.Forget(table.HasZone)
+	present := func(run uint64) bool { return table.HostOfRun(run) != nil }
+	a.cold.Forget(func(identity coldstart.Identity) bool { return present(uint64(identity)) })
+	a.observer.Forget(func(identity observe.Identity) bool { return present(uint64(identity)) })
+	a.overload.Forget(a.core.now, func(identity overload.Identity) bool { return present(uint64(identity)) }, table.HasService)
 	a.waiting.Forget(table.HasService)
 	a.rooms.Forget(table.HasService)
-	for name, known := range a.shares {
-		service := table.ServiceNamed(name)
-		if service == nil {
-			delete(a.shares, name)
-			continue
-		}
-		known.weights = service.Weights(known.parts)
-	}
+	maps.DeleteFunc(a.shares, func(name lb.ServiceName, _ *share) bool { return !table.HasService(name) })
 }
 
 func (a *tokenAffinity) setMembers(members []Member) {
@@ -179,15 +169,9 @@
 // less so.
 func (a *tokenAffinity) choose(service *steering.Service, flow lb.FlowID) (host *steering.Host, placed bool) {
 	if identity, found := a.observer.Placed(a.core.now, flow); found {
-		for _, host := range service.Ready {
-			if observe.Identity(host.Run) == identity {
-				return host, true
-			}
-		}
-		for _, host := range service.Cold {
-			if observe.Identity(host.Run) == identity && a.mayUse(service, host) {
-				return host, true
-			}
+		host := a.table.HostOfRun(uint64(identity))
+		if host != nil && (service.Takes(host) || host.Cold && host.Service == service.Name && a.mayUse(service, host)) {
+			return host, true
 		}
 	}
 	if service.NeedsCold {
--- a/internal/core/waiting.go
+++ b/internal/core/waiting.go
@@ -73,12 +73,11 @@
 	if !found || a.observer.Factor(a.core.now, service.Name, observe.Identity(identity)) < 1 {
 		return nil
 	}
-	for _, host := range service.Ready {
-		if host.Run == identity && a.reach.Reaches(host.Zone) {
-			return host
-		}
+	host := a.table.HostOfRun(identity)
+	if host == nil || !service.Takes(host) || !a.reach.Reaches(host.Zone) {
+		return nil
 	}
-	return nil
+	return host
 }
 
 // noteOpened counts a flow that is placed for the first time.
--- a/internal/fleetload/core.go
+++ b/internal/fleetload/core.go
@@ -277,21 +277,13 @@
 	capacity := c.capacity[service]
 	inZone := begun * float64(max(c.place.ZoneNodes, 1))
 	inFleet := begun * float64(max(c.place.Nodes, 1))
-	return above(inZone, c.settings.Near, capacity[c.settings.Zone]) || above(inFleet, c.settings.Near, total(capacity))
+	return above(inZone, c.settings.Near, capacity[c.settings.Zone]) || above(inFleet, c.settings.Near, lb.TotalSlots(capacity))
 }
 
 // above tells whether work is more than a part of a capacity. Where there is none, the
 // other zones' back ends do the work, and theirs counts.
 func above(work, part, capacity float64) bool { return capacity > 0 && work > part*capacity }
 
-func total(capacity map[lb.Zone]float64) float64 {
-	sum := 0.0
-	for _, slots := range capacity {
-		sum += slots
-	}
-	return sum
-}
-
 func (c *Core) send(to []netip.AddrPort, sent message.Message, effects *Effects) {
 	if len(to) > 0 {
 		effects.Messages = append(effects.Messages, Outgoing{To: to, Message: sent})
--- a/internal/fleetload/first.go
+++ b/internal/fleetload/first.go
@@ -84,7 +84,7 @@
 		}
 		asked += zone.Asked()
 	}
-	return above(asked, c.settings.Rest, total(capacity))
+	return above(asked, c.settings.Rest, lb.TotalSlots(capacity))
 }
 
 // ownZone gives what the own zone sees of the services that are near their limit, here or
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -50,6 +50,9 @@
 	return value ^ value>>31
 }
 
+// Uniform maps a hash to a number above 0 and below 1.
+func Uniform(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
 // Before tells whether a ranks before b for the key. Equal scores are ranked by ID.
 func Before(key Key, a, b *Candidate) bool {
 	return ranksBefore(Score(key, a.Hash), a, Score(key, b.Hash), b)
--- a/internal/steering/share.go
+++ b/internal/steering/share.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"sync"
+
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/zoneshare"
 )
@@ -9,15 +11,33 @@
 // zone while nothing is known of the load of zones: demand is taken to be the same
 // in each of them; see package zoneshare.
 func (s *Service) setShares(zone lb.Zone, zones int) {
-	s.zones = zonesOf(s.Ready)
-	parts := zoneshare.Split(zone, zoneshare.Even(s.zones, zone, zones), 0)
-	weights := s.Weights(parts)
-	for index, host := range s.Ready {
-		host.weight = weights[index]
-	}
-	s.even = parts
+	s.zones = zonesOf(s.ring)
+	s.even = zoneshare.Split(zone, zoneshare.Even(s.zones, zone, zones), 0)
+}
+
+// serviceSums are sums over all ready hosts of a service.
+type serviceSums struct {
+	once sync.Once
+	// weights are those of the ready hosts by Even.
+	weights []float64
+	// capacities are the running sums of what they work on at once.
+	capacities []uint64
+}
+
+// summed makes the sums when they are first needed: a node whose view changes five times
+// a second before thousands of hosts mostly places no flow by them in between.
+func (s *Service) summed() *serviceSums {
+	s.sums.once.Do(func() {
+		s.sums.weights = s.Weights(s.even)
+		s.sums.capacities = runningCapacities(s.Ready)
+	})
+	return &s.sums
 }
 
+func (s *Service) evenWeights() []float64 { return s.summed().weights }
+
+func (s *Service) capacities() []uint64 { return s.summed().capacities }
+
 // Capacity gives what the ready hosts work on at once, by zone. It is not to be changed.
 func (s *Service) Capacity() map[lb.Zone]float64 { return s.zones }
 
@@ -33,31 +53,30 @@
 	return weights
 }
 
-// zonesOf sums up what hosts work on at once, by zone.
+// zonesOf sums up what hosts work on at once, by zone. It looks a zone up once for each
+// run of hosts in it.
 func zonesOf(hosts []*Host) map[lb.Zone]float64 {
 	zones := make(map[lb.Zone]float64)
-	for _, host := range hosts {
-		zones[host.Zone] += host.capacity()
+	for from := 0; from < len(hosts); {
+		zone, sum, to := hosts[from].Zone, 0.0, from
+		for ; to < len(hosts) && hosts[to].Zone == zone; to++ {
+			sum += hosts[to].capacity()
+		}
+		zones[zone] += sum
+		from = to
 	}
 	return zones
 }
 
-// setCapacities sums up what the ready hosts work on at once.
-func (s *Service) setCapacities() {
+// runningCapacities gives the running sums of what hosts work on at once.
+func runningCapacities(hosts []*Host) []uint64 {
+	sums := make([]uint64, len(hosts))
 	sum := uint64(0)
-	for _, host := range s.Ready {
+	for index, host := range hosts {
 		sum += uint64(host.capacity())
-		s.capacities = append(s.capacities, sum)
-	}
-}
-
-// capacityOf sums up what hosts work on at once.
-func capacityOf(hosts []*Host) float64 {
-	sum := 0.0
-	for _, host := range hosts {
-		sum += host.capacity()
+		sums[index] = sum
 	}
-	return sum
+	return sums
 }
 
 // capacity is what the host says that it works on at once; one if it does not say.
--- a/internal/steering/share_test.go
+++ b/internal/steering/share_test.go
@@ -45,13 +45,13 @@
 			}
 			load := map[lb.BackendName]float64{}
 			for _, zone := range zones {
-				ready := world.table(zone).service("web").Ready
+				service := world.table(zone).services["web"]
 				sum := 0.0
-				for _, host := range ready {
-					sum += host.weight
+				for _, weight := range service.evenWeights() {
+					sum += weight
 				}
-				for _, host := range ready {
-					load[host.Name] += host.weight / sum / float64(len(zones))
+				for index, host := range service.Ready {
+					load[host.Name] += service.evenWeights()[index] / sum / float64(len(zones))
 				}
 			}
 			for _, share := range load {
@@ -67,9 +67,10 @@
 	world := newWorld()
 	fill(world, 10) // five in each of two zones
 	local := 0.0
-	for _, host := range world.table(zoneA).service("web").Ready {
+	service := world.table(zoneA).services["web"]
+	for index, host := range service.Ready {
 		if host.Zone == zoneA {
-			local += host.weight
+			local += service.evenWeights()[index]
 		}
 	}
 	is.True(local >= 1-2*zoneshare.Remote && local <= 1)
@@ -81,7 +82,7 @@
 	world := newWorld()
 	fill(world, 10)
 	world.route(443, view.Target{Service: "web", Weight: 1})
-	service := world.table(zoneA).service("web")
+	service := world.table(zoneA).services["web"]
 	const flows = 20000
 	counts := map[lb.BackendName]int{}
 	halved := service.Ready[0]
@@ -97,11 +98,12 @@
 		counts[service.Pick(flow.ID(), nil, factors).Name]++
 	}
 	sum := 0.0
-	for index, host := range service.Ready {
-		sum += host.weight * factors[index]
+	weights := service.evenWeights()
+	for index := range service.Ready {
+		sum += weights[index] * factors[index]
 	}
 	for index, host := range service.Ready {
-		expected := flows * host.weight * factors[index] / sum
+		expected := flows * weights[index] * factors[index] / sum
 		is.True(math.Abs(float64(counts[host.Name])-expected) < 5*math.Sqrt(expected)+1)
 	}
 }
@@ -110,7 +112,7 @@
 	is := is.New(t)
 	world := newWorld()
 	fill(world, 4)
-	service := world.table(zoneA).service("web")
+	service := world.table(zoneA).services["web"]
 	avoided := service.Ready[1]
 	factors := []float64{1, 0, 1, 1}
 	for number := range 200 {
@@ -125,7 +127,7 @@
 	is := is.New(t)
 	world := newWorld()
 	fill(world, 5)
-	service := world.table(zoneA).service("web")
+	service := world.table(zoneA).services["web"]
 	factors := []float64{1, 1, 0, 0, 0}
 	for number := range 200 {
 		flow := lb.FlowID(number)
@@ -141,7 +143,7 @@
 	for index := range world.listing.Backends {
 		world.listing.Backends[index].Backend.Slots = index // none is taken for one
 	}
-	service := world.table(zoneA).service("web")
+	service := world.table(zoneA).services["web"]
 	const flows = 20000
 	counts := map[lb.BackendName]int{}
 	for number := range flows {
@@ -194,9 +196,9 @@
 			replica.NoteAge(test.age)
 			replica.ApplyChanges(time.Second, changes)
 			table := Compile(replica, zoneA, time.Second)
-			is.Equal(len(table.service("web").Ready), test.ready)
+			is.Equal(len(table.services["web"].Ready), test.ready)
 			later := Compile(replica, zoneA, time.Second+lapsedLimit)
-			is.Equal(len(later.service("web").Ready), 6-test.lapsed)
+			is.Equal(len(later.services["web"].Ready), 6-test.lapsed)
 			is.Equal(later.Expires(), time.Duration(0))
 			is.True(test.lapsed == 0 || table.Expires() == time.Second+lapsedLimit)
 		})
@@ -209,7 +211,7 @@
 	is := is.New(t)
 	world := newWorld()
 	fill(world, 6)
-	service := world.table(zoneA).service("web")
+	service := world.table(zoneA).services["web"]
 	out := FactorUnreached
 	for number := range 200 {
 		flow := lb.FlowID(number)
@@ -232,12 +234,12 @@
 	world.listing.Backends[0].Backend.ColdMillis = 2000
 	replica := world.replica()
 	table := Compile(replica, zoneA, time.Second)
-	ready := table.service("web").Ready
+	ready := table.services["web"].Ready
 	is.Equal(len(ready), 2) // no bound is known
 	is.Equal(ready[0].Size(), 4*warmingPart)
 	is.Equal(ready[1].Size(), 4.0)
 	is.Equal(table.Expires(), 2*time.Second)
 	warm := Compile(replica, zoneA, table.Expires())
-	is.Equal(warm.service("web").Ready[0].Size(), 4.0)
+	is.Equal(warm.services["web"].Ready[0].Size(), 4.0)
 	is.Equal(warm.Expires(), time.Duration(0))
 }
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -5,15 +5,12 @@
 package steering
 
 import (
-	"cmp"
 	"iter"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/rendezvous"
 	"robinpulley.example/robinpulley/internal/view"
@@ -24,7 +21,8 @@
 // end only. Zero, as in a packet that was given none, names a host by chance only.
 type Token uint32
 
-// Host is one back end in a table.
+// Host is one back end in a table. It is immutable, and the same in all tables as long as
+// nothing of it changes.
 type Host struct {
 	view.Backend
 	// Run names this life of the back end (view.Backend); what is learned of it is kept by that.
@@ -34,14 +32,30 @@
 	// Warming: it has just started and is slower than it will be, but no bound is known
 	// on its new flows.
 	Warming bool
-	// hash is this host's part of its tokens.
-	hash uint32
-	// rank is the key of the host in rendezvous hashing.
-	rank uint64
-	// weight is the host's part of this balancer's new flows; see setShares.
-	weight float64
+	place   place
+	// until is how long place, Cold and Warming hold; 0: until the view changes.
+	until time.Duration
+	// away: it went while nothing was heard of the store.
+	away bool
+	// hash is this host's part of its tokens, and earlier that of its run before, if it
+	// has restarted a short time ago.
+	hash, earlier uint32
+	restarted     bool
+	// rank is the key of the host in rendezvous hashing, and around its place on rings.
+	rank, around uint64
 }
 
+// place is what a host does for new flows.
+type place uint8
+
+const (
+	placeNone place = iota // it gets none: it drains, or has gone
+	placeReady
+	placeLapsed
+	placeCold
+	placeEvacuated
+)
+
 // Service is one service's back ends.
 type Service struct {
 	Name lb.ServiceName
@@ -63,63 +77,62 @@
 	evacuated int
 	// away counts those that went while nothing was heard of the store.
 	away int
-	// capacities are the running sums of what the ready hosts work on at once, and zones
-	// the sums by zone.
-	capacities []uint64
-	zones      map[lb.Zone]float64
+	// kept: the lapsed ones take new flows as the others do.
+	kept bool
+	ring []*Host
+	// zones is what the ready hosts work on at once, by zone.
+	zones map[lb.Zone]float64
 	// even are the parts of zones while nothing is known of their load.
 	even zoneshare.Parts
+	// sums are what few openings need, made when the first one does.
+	sums serviceSums
 }
 
 // split is a route's targets with the running sums of their weights.
 type split struct {
-	services  []*Service
+	services  []lb.ServiceName
 	sums      []uint64
 	objective lb.Objective
 }
 
-// Table decides for one view. It is immutable and safe for concurrent use.
+// Table decides for one view. It is immutable and safe for concurrent use. What has not
+// changed it shares with the table before.
 type Table struct {
 	version   uint64
 	revision  int64
 	frontends map[lb.FrontendKey]*split
 	services  map[lb.ServiceName]*Service
-	hosts     []*Host
-	byHash    map[uint32]*Host
-	// evacuated are the zones whose back ends get no new flows.
-	evacuated map[lb.Zone]bool
-	// coldRates are how many new flows a second cold back ends bear; 0: no bound is known.
-	coldRates map[lb.ServiceName]float64
+	byHash    *index[uint32]
+	byRun     *index[uint64]
+	// zones counts the hosts by zone.
+	zones map[lb.Zone]int
 	// expires is when Compile would give another table for the same view; 0: never.
 	expires time.Duration
 }
 
+func newTable() *Table {
+	return &Table{services: make(map[lb.ServiceName]*Service), byHash: &index[uint32]{}, byRun: &index[uint64]{}}
+}
+
+// successor gives a table that shares all with this one, to be changed.
+func (t *Table) successor(replica *view.Replica) *Table {
+	next := &Table{
+		frontends: t.frontends, services: maps.Clone(t.services), byHash: t.byHash.copied(), byRun: t.byRun.copied(),
+	}
+	next.noteView(replica)
+	return next
+}
+
+// noteView notes which view the table is of.
+func (t *Table) noteView(replica *view.Replica) {
+	t.version, t.revision = replica.Version(), replica.Revision()
+}
+
 // lapsedLimit is how long after its entry has gone a back end that has not
 // said that it drains may be a last resort. It is well below the time after
 // which a leaving back end must get nothing new.
 const lapsedLimit = 1500 * time.Millisecond
 
-// Compile builds the table of a replica at the time now, for a balancer in zone.
-func Compile(replica *view.Replica, zone lb.Zone, now time.Duration) *Table {
-	table := &Table{
-		version:   replica.Version(),
-		revision:  replica.Revision(),
-		frontends: make(map[lb.FrontendKey]*split),
-		services:  make(map[lb.ServiceName]*Service),
-		byHash:    make(map[uint32]*Host),
-		evacuated: make(map[lb.Zone]bool),
-		coldRates: replica.ColdRates(),
-	}
-	for _, zone := range replica.Evacuated() {
-		table.evacuated[zone] = true
-	}
-	table.addHosts(replica.Backends(), zone, now)
-	for _, route := range replica.Routes() {
-		table.frontends[route.Frontend.Key()] = table.newSplit(&route)
-	}
-	return table
-}
-
 // Version is that of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
@@ -132,8 +145,11 @@
 // Services gives all services that a route or a back end names, in no particular order.
 func (t *Table) Services() iter.Seq2[lb.ServiceName, *Service] { return maps.All(t.services) }
 
-// Hosts gives all back ends, by the order in which they were made.
-func (t *Table) Hosts() []*Host { return t.hosts }
+// HostOfRun gives the back end with a run; nil: none known.
+func (t *Table) HostOfRun(run uint64) *Host { return t.byRun.get(run) }
+
+// HasZone tells whether a back end that is known is in the zone.
+func (t *Table) HasZone(zone lb.Zone) bool { return t.zones[zone] > 0 }
 
 // Counts gives the numbers of front ends and of back ends that take new flows.
 func (t *Table) Counts() (frontends, ready int) {
@@ -143,60 +159,6 @@
 	return len(t.frontends), ready
 }
 
-func (t *Table) addHosts(known []view.Known, zone lb.Zone, now time.Duration) {
-	zones := map[lb.Zone]bool{zone: true}
-	slices.SortFunc(known, func(left, right view.Known) int {
-		return cmp.Or(cmp.Compare(left.Backend.Created, right.Backend.Created),
-			cmp.Compare(left.Backend.Name, right.Backend.Name))
-	})
-	for index := range known {
-		t.addHost(&known[index], now)
-		zones[known[index].Backend.Zone] = true
-	}
-	for _, service := range t.services {
-		service.keepLapsed()
-		service.setShares(zone, len(zones))
-		service.setCapacities()
-		service.NeedsCold = capacityOf(service.Ready) < capacityOf(service.Cold)
-	}
-}
-
-// addHost adds one back end. One whose hash an earlier one has gets no flows,
-// since their tokens could not be told apart.
-func (t *Table) addHost(known *view.Known, now time.Duration) {
-	host := newHost(&known.Backend)
-	t.hosts = append(t.hosts, host)
-	if t.byHash[host.hash] != nil {
-		return
-	}
-	t.byHash[host.hash] = host
-	if known.Earlier != nil {
-		if ended := hashOf(host.Name, known.Earlier.Born); t.byHash[ended] == nil {
-			t.byHash[ended] = host
-		}
-	}
-	service := t.service(host.Service)
-	cold := known.ColdUntil > now && service.ColdRate > 0
-	switch {
-	case host.State != lb.BackendActive:
-	case t.evacuated[host.Zone]:
-		service.evacuated++
-	case known.Gone && cold: // no last resort: it bears few flows, if it lives
-	case known.Gone:
-		t.addLapsed(service, host, known, now)
-	case cold:
-		host.Cold = true
-		service.Cold = append(service.Cold, host)
-		t.expireBy(known.ColdUntil)
-	default:
-		if known.ColdUntil > now {
-			host.Warming = true
-			t.expireBy(known.ColdUntil)
-		}
-		service.Ready = append(service.Ready, host)
-	}
-}
-
 // keepLapsed lets back ends whose entries went while the store was away take new
 // flows as the others do, where they are half of the service or more: the store
 // drops the entries of those that cannot reach it meanwhile. Those that live are
@@ -207,55 +169,19 @@
 		return
 	}
 	s.Ready = append(s.Ready, s.Lapsed...)
-	s.Lapsed = nil
+	s.Lapsed, s.kept = nil, true
 }
 
-func (t *Table) addLapsed(service *Service, host *Host, known *view.Known, now time.Duration) {
-	until := known.GoneAt + lapsedLimit
-	if until <= now {
-		return
-	}
-	service.Lapsed = append(service.Lapsed, host)
-	if known.Away {
-		service.away++
-	}
-	t.expireBy(until)
+// Takes tells whether a host of the table is one of the ready ones of the service.
+func (s *Service) Takes(host *Host) bool {
+	return host.Service == s.Name && (host.place == placeReady || host.place == placeLapsed && s.kept)
 }
 
-// expireBy notes that the table is another one from a time on.
-func (t *Table) expireBy(until time.Duration) {
-	if t.expires == 0 || until < t.expires {
-		t.expires = until
-	}
-}
+// Ring gives the ready hosts by zone and, in a zone, in an order by hash that is the same
+// at all balancers. It is not to be changed.
+func (s *Service) Ring() []*Host { return s.ring }
 
-func newHost(backend *view.Backend) *Host {
-	return &Host{
-		Backend: *backend, Run: backend.Run(), hash: hashOf(backend.Name, backend.Born),
-		rank: xxhash.Sum64String(string(backend.Name)), weight: 1,
-	}
-}
-
-// hashOf gives a run's part of its tokens. It tells the flows of a back end that has
-// started again from those of its run before, where back ends say when they started.
-func hashOf(name lb.BackendName, born int64) uint32 {
-	hash := xxhash.Sum64String(string(name))
-	if born != 0 {
-		hash = rendezvous.Mix(hash ^ uint64(born))
-	}
-	return uint32(hash)
-}
-
-func (t *Table) service(name lb.ServiceName) *Service {
-	known := t.services[name]
-	if known == nil {
-		known = &Service{Name: name, ColdRate: t.coldRates[name]}
-		t.services[name] = known
-	}
-	return known
-}
-
-func (t *Table) newSplit(route *view.Route) *split {
+func newSplit(route *view.Route) *split {
 	built := &split{objective: route.Objective}
 	var sum uint64
 	for _, target := range route.Targets {
@@ -263,7 +189,7 @@
 			continue
 		}
 		sum += uint64(target.Weight)
-		built.services = append(built.services, t.service(target.Service))
+		built.services = append(built.services, target.Service)
 		built.sums = append(built.sums, sum)
 	}
 	return built
@@ -276,12 +202,12 @@
 		return nil
 	}
 	if len(found.services) == 1 {
-		return found.services[0]
+		return t.services[found.services[0]]
 	}
 	point := rendezvous.Mix(uint64(flow.ID())^splitKey) % found.sums[len(found.sums)-1]
 	for index, sum := range found.sums {
 		if point < sum {
-			return found.services[index]
+			return t.services[found.services[index]]
 		}
 	}
 	return nil // not reached: point is below the last sum
@@ -316,6 +242,9 @@
 // nil: by nothing, for a choice that is the same at all balancers of the zone.
 // Those of FactorUnreached get nothing.
 func (s *Service) Pick(flow lb.FlowID, weights, factors []float64) *Host {
+	if weights == nil {
+		weights = s.evenWeights()
+	}
 	if found := first(s.Ready, flow, weights, factors, MostlyZero(factors)); found != nil {
 		return found
 	}
@@ -331,8 +260,9 @@
 	if len(s.Ready) == 0 {
 		return nil
 	}
-	point := rendezvous.Mix(uint64(flow)^otherKey) % s.capacities[len(s.capacities)-1]
-	index, exact := slices.BinarySearch(s.capacities, point)
+	capacities := s.capacities()
+	point := rendezvous.Mix(uint64(flow)^otherKey) % capacities[len(capacities)-1]
+	index, exact := slices.BinarySearch(capacities, point)
 	if exact {
 		index++ // a host's part ends before its sum
 	}
@@ -371,13 +301,13 @@
 }
 
 // first ranks by -ln(u)/weight, lowest first, with u uniform in (0,1) by hash
-// (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005). Hosts
-// of weight or factor 0 are passed over, unless blind, and those out of reach always.
+// (weighted rendezvous hashing, Schindelhauer and Schomaker, SPAA 2005); weights nil: all
+// weigh the same. Hosts of weight or factor 0 are passed over, unless blind, and those out of reach always.
 func first(candidates []*Host, flow lb.FlowID, weights, factors []float64, blind bool) *Host {
 	var best *Host
 	bestCost := math.Inf(1)
 	for index, host := range candidates {
-		weight := host.weight
+		weight := 1.0
 		if weights != nil {
 			weight = weights[index]
 		}
@@ -387,7 +317,7 @@
 		if weight <= 0 {
 			continue
 		}
-		cost := -math.Log(uniform(rendezvous.Mix(uint64(flow)^host.rank))) / weight
+		cost := -math.Log(rendezvous.Uniform(rendezvous.Mix(uint64(flow)^host.rank))) / weight
 		if cost < bestCost {
 			best, bestCost = host, cost
 		}
@@ -395,9 +325,6 @@
 	return best
 }
 
-// uniform maps a hash to a number above 0 and below 1.
-func uniform(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
-
 // Token gives the token that names the host for flows to the front end.
 func (h *Host) Token(frontend *lb.FrontendKey) Token {
 	return Token(h.hash ^ uint32(frontend.Hash()))
@@ -406,7 +333,7 @@
 // Resolve gives the host that a token names for the front end; nil: none known. The
 // token may be one of the host's run before: it is not what Token gives then.
 func (t *Table) Resolve(frontend *lb.FrontendKey, token Token) *Host {
-	return t.byHash[uint32(token)^uint32(frontend.Hash())]
+	return t.byHash.get(uint32(token) ^ uint32(frontend.Hash()))
 }
 
 // otherKey makes the choice of PickOther independent of that of Pick.
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -134,7 +134,7 @@
 		flow := flowTo(443, number)
 		frontend := flow.Frontend()
 		is.Equal(table.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-2"))
-		draining := table.Hosts()[0]
+		draining := table.HostOfRun(1)
 		is.Equal(table.Resolve(&frontend, draining.Token(&frontend)).Name, lb.BackendName("i-1"))
 	}
 }
@@ -154,7 +154,7 @@
 		flow := flowTo(443, number)
 		frontend := flow.Frontend()
 		is.Equal(table.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-2"))
-		evacuated := table.Hosts()[0]
+		evacuated := table.HostOfRun(1)
 		is.Equal(table.Resolve(&frontend, evacuated.Token(&frontend)).Name, lb.BackendName("i-1"))
 	}
 
@@ -247,7 +247,7 @@
 
 	later := Compile(replica, zoneA, soon.Expires())
 	is.Equal(later.Service(&flow).Pick(flow.ID(), nil, nil), nil)
-	is.True(later.Resolve(&frontend, later.Hosts()[0].Token(&frontend)) != nil)
+	is.True(later.Resolve(&frontend, later.HostOfRun(1).Token(&frontend)) != nil)
 	is.Equal(later.Expires(), time.Duration(0))
 }
 
@@ -271,11 +271,13 @@
 	twin.Backend.Identity = 99
 	twin.Backend.Created = known[0].Backend.Created + 1
 	for _, order := range [][]view.Known{{known[0], twin}, {twin, known[0]}} {
-		table := &Table{services: map[lb.ServiceName]*Service{}, byHash: map[uint32]*Host{}}
-		table.addHosts(order, zoneA, 0)
+		table, compiler := newTable(), NewCompiler(zoneA)
+		compiler.clear()
+		compiler.fill(table, order, 0)
+		compiler.finish(table, view.NewReplica())
 		is.Equal(len(table.services["web"].Ready), 1)
 		is.Equal(table.services["web"].Ready[0].Identity, uint64(1))
-		is.Equal(len(table.Hosts()), 2)
+		is.True(table.HostOfRun(1) != nil && table.HostOfRun(99) != nil)
 	}
 }
 
--- a/internal/tokennode/decisions.go
+++ b/internal/tokennode/decisions.go
@@ -44,6 +44,22 @@
 	omitted uint64
 }
 
+// take tells whether one more line may be written, and how many before it were not.
+func (q *quota) take(now time.Duration, limit int) (omitted uint64, allowed bool) {
+	if second := now.Truncate(time.Second); second != q.second {
+		q.second = second
+		q.written = 0
+	}
+	if q.written >= limit {
+		q.omitted++
+		return 0, false
+	}
+	q.written++
+	omitted = q.omitted
+	q.omitted = 0
+	return omitted, true
+}
+
 // decisionLog writes a line for each decision on an opening, and for each
 // refused or dropped packet, within bounds. Its writer never blocks.
 type decisionLog struct {
@@ -59,18 +75,10 @@
 	if kind == noteNone {
 		return note{}
 	}
-	quota := &log.quotas[kind]
-	if second := now.Truncate(time.Second); second != quota.second {
-		quota.second = second
-		quota.written = 0
-	}
-	if quota.written >= limit {
-		quota.omitted++
+	omitted, allowed := log.quotas[kind].take(now, limit)
+	if !allowed {
 		return note{}
 	}
-	quota.written++
-	omitted := quota.omitted
-	quota.omitted = 0
 	return note{kind: kind, omitted: omitted}
 }
 
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -52,6 +52,7 @@
 	memberEffects   member.Effects
 	follower        *follower.Core
 	followerEffects follower.Effects
+	compiler        *steering.Compiler
 	table           *steering.Table // nil: no view yet
 	evidence        *evidence.Core
 	evidenceEffects evidence.Effects
@@ -109,6 +110,7 @@
 		holding:      make(chan struct{}, 1),
 		viewed:       make(chan struct{}),
 		core:         core.New(deciding),
+		compiler:     steering.NewCompiler(settings.Zone),
 		member:       membership,
 		follower:     follower.New(following),
 		evidence:     evidence.New(evidence.DefaultSettings(settings.Node)),
@@ -332,7 +334,7 @@
 	if engine.table == nil {
 		close(engine.viewed)
 	}
-	engine.table = steering.Compile(replica, engine.settings.Zone, engine.last)
+	engine.table = engine.compiler.Compile(replica, engine.last)
 	engine.core.Step(engine.now(), &core.Event{Table: engine.table}, &engine.coreEffects)
 	engine.giveServices()
 	engine.giveCapacity()
--- a/internal/tokennode/enginelog.go
+++ b/internal/tokennode/enginelog.go
@@ -78,10 +78,8 @@
 // where no back end of the table has it any more.
 func (engine *engine) backendText(run uint64) string {
 	if engine.table != nil {
-		for _, host := range engine.table.Hosts() {
-			if host.Run == run {
-				return strconv.FormatUint(host.Identity, 16)
-			}
+		if host := engine.table.HostOfRun(run); host != nil {
+			return strconv.FormatUint(host.Identity, 16)
 		}
 	}
 	return strconv.FormatUint(run, 16)
@@ -140,10 +138,21 @@
 		Send()
 }
 
+// rejectedLinesPerSecond bounds the lines about entries of the store that cannot be read:
+// whoever writes one may write thousands, which each listing reads again.
+const rejectedLinesPerSecond = 10
+
 func (engine *engine) logRejected(key string, err error) {
 	engine.calls.rejected++
-	engine.logger.Warn().Err(err).
+	omitted, allowed := engine.calls.rejectedLines.take(engine.last, rejectedLinesPerSecond)
+	if !allowed {
+		return
+	}
+	line := engine.logger.Warn().Err(err).
 		Str(logging.FieldEvent, string(logging.EventDocumentRejected)).
-		Str(logging.FieldKey, key).
-		Send()
+		Str(logging.FieldKey, key)
+	if omitted > 0 {
+		line = line.Uint64(logging.FieldOmitted, omitted)
+	}
+	line.Send()
 }
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -29,7 +29,9 @@
 type callCounts struct {
 	requests map[callKey]uint64
 	rejected uint64 // entries that could not be read
-	up       bool   // the last call succeeded
+	// rejectedLines bounds the lines about them.
+	rejectedLines quota
+	up            bool // the last call succeeded
 }
 
 func newCallCounts() callCounts { return callCounts{requests: make(map[callKey]uint64), up: true} }
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -80,7 +80,8 @@
 
 // Circle is the order of a service's back ends, by zone. It is the same at all nodes that know the same
 // back ends, and does not change with the nodes: to sort 3,000 of them takes most of a
-// millisecond, and nodes come and go many times a second while a fleet starts. It is immutable.
+// millisecond, and nodes come and go many times a second while a fleet starts. Those who keep the order
+// of hashes themselves give back ends in it, which costs no sorting. It is immutable.
 type Circle struct {
 	zones []zoneCircle
 }
@@ -107,10 +108,9 @@
 	circle := &Circle{}
 	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		known := byZone[zone]
-		slices.SortFunc(known.cards, func(a, b card) int {
-			left, right := uint64(a.key), uint64(b.key)
-			return cmp.Or(cmp.Compare(rendezvous.Mix(left), rendezvous.Mix(right)), cmp.Compare(left, right))
-		})
+		if !slices.IsSortedFunc(known.cards, compareCards) {
+			slices.SortFunc(known.cards, compareCards)
+		}
 		for index := range known.cards {
 			known.size += known.cards[index].weight
 		}
@@ -119,6 +119,11 @@
 	return circle
 }
 
+func compareCards(a, b card) int {
+	left, right := uint64(a.key), uint64(b.key)
+	return cmp.Or(cmp.Compare(rendezvous.Mix(left), rendezvous.Mix(right)), cmp.Compare(left, right))
+}
+
 // Deal gives the node a new hand. What its back ends are owed stays. seed tells
 // nodes apart, so that they begin their turns at different back ends.
 func (d *Dealer) Deal(circle *Circle, place Place, seed uint64) {
@@ -136,7 +141,7 @@
 			c := &g.cards[index]
 			credit, known := owed[c.key]
 			if !known {
-				credit = uniform(rendezvous.Mix(seed^uint64(c.key))) - 0.5
+				credit = rendezvous.Uniform(rendezvous.Mix(seed^uint64(c.key))) - 0.5
 			}
 			c.credit = credit
 		}
@@ -144,9 +149,6 @@
 	}
 }
 
-// uniform maps a hash to a number of [0, 1).
-func uniform(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
-
 // cut gives the part of a zone's circle that the node's arc covers.
 func (d *Dealer) cut(zone *zoneCircle, place Place) []card {
 	nodes := float64(max(place.Nodes, 1))
--- a/internal/zoneshare/zoneshare.go
+++ b/internal/zoneshare/zoneshare.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"robinpulley.example/robinpulley/internal/fleetload"
@@ -49,11 +50,7 @@
 // Even gives zones whose callers ask for the same, as much as all back ends can do: what is
 // taken while nothing is known. Then all back ends get the same load whatever the load is.
 func Even(capacity map[lb.Zone]float64, own lb.Zone, count int) []Zone {
-	total := 0.0
-	for _, slots := range capacity {
-		total += slots
-	}
-	demand := total / float64(max(count, 1))
+	demand := lb.TotalSlots(capacity) / float64(max(count, 1))
 	zones := []Zone{{Zone: own, Capacity: capacity[own], Demand: demand, Known: true}}
 	for zone, slots := range capacity {
 		if zone != own {
@@ -163,10 +160,10 @@
 func Approach(before, wanted Parts, step float64) Parts {
 	furthest := 0.0
 	for zone := range before {
-		furthest = max(furthest, abs(wanted[zone]-before[zone]))
+		furthest = max(furthest, math.Abs(wanted[zone]-before[zone]))
 	}
 	for zone := range wanted {
-		furthest = max(furthest, abs(wanted[zone]-before[zone]))
+		furthest = max(furthest, math.Abs(wanted[zone]-before[zone]))
 	}
 	if furthest <= step {
 		return wanted
@@ -181,5 +178,3 @@
 	}
 	return moved
 }
-
-func abs(value float64) float64 { return max(value, -value) }
