Messages between nodes that are lost are counted and logged with tokens, too

Cause: with affinity token nothing showed what the transport drops.

Change: control_bytes_total, control_messages_total and control_faults_total are described and sampled in the transport, for both affinities; a control_faults line for each fault that grew, at most one in ten seconds.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -50,6 +50,7 @@
 	EventShareChanged     Event = "share_changed"
 	EventAdmittedChanged  Event = "admitted_changed"
 	EventMalformed        Event = "malformed_packets"
+	EventControlFaults    Event = "control_faults"
 	EventReloaded         Event = "reloaded"
 	EventReloadFailed     Event = "reload_failed"
 	EventReloadIgnored    Event = "reload_ignored"
@@ -62,7 +63,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventControlFaults, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,6 +7,7 @@
 	"robinpulley.example/robinpulley/internal/message"
 	"robinpulley.example/robinpulley/internal/metrics"
 	"robinpulley.example/robinpulley/internal/store"
+	"robinpulley.example/robinpulley/internal/transport"
 )
 
 // The metrics. docs/operations-node.md explains each.
@@ -47,12 +48,6 @@
 		"Buckets in motion, by service.", "service")
 	metricMembers = metrics.New(prometheus.GaugeValue, "members",
 		"Members in this node's view, by zone and state (alive, leaving).", "peer_zone", "state")
-	metricControlBytes = metrics.New(prometheus.CounterValue, "control_bytes_total",
-		"Bytes of control messages, by type and direction (sent, received).", "type", "direction")
-	metricControlMessages = metrics.New(prometheus.CounterValue, "control_messages_total",
-		"Control messages, by type and direction (sent, received).", "type", "direction")
-	metricControlFaults = metrics.New(prometheus.CounterValue, "control_faults_total",
-		"Control messages not sent or not taken, by fault.", "fault")
 	metricStoreUp = metrics.New(prometheus.GaugeValue, "store_up",
 		"1 while the store answers.")
 	metricStoreRequests = metrics.New(prometheus.CounterValue, "store_requests_total",
@@ -86,16 +81,16 @@
 )
 
 // allMetrics lists every metric.
-var allMetrics = []*metrics.Metric{
+var allMetrics = append([]*metrics.Metric{
 	metricDecisions, metricReasons, metricPinned, metricRerouted, metricHints, metricHandover,
 	metricHandoverResent, metricPauses, metricVersionConflicts, metricInvalidPlacements, metricSure,
 	metricRecords, metricPins, metricKnownUDP, metricFlowBytes, metricVersion, metricMoving,
-	metricMembers, metricControlBytes, metricControlMessages, metricControlFaults, metricStoreUp,
+	metricMembers, metricStoreUp,
 	metricStoreRequests, metricStoreFailures, metricStoreThrottled, metricStoreRetries,
 	metricStoreLostAnswers, metricStoreResolved, metricWrites, metricPublished, metricInForce,
 	metricZoneNodes, metricZoneBehind, metricWatcher, metricProbes, metricReady,
 	metricReceived, metricReceivedBytes, metricSent, metricMalformed, metricUnsent, metricSocketErrors,
-}
+}, transport.Metrics()...)
 
 // MetricNames lists the names of all metrics of this package.
 func MetricNames() []string {
@@ -123,7 +118,8 @@
 	output.core(&snapshot.stats)
 	output.state(&snapshot.state)
 	output.members(node)
-	output.control(node)
+	control := node.endpoints.Transport.Counters()
+	control.Sample(output.Sampler)
 	output.store(node.store.Stats())
 	output.publisher(node, &snapshot)
 	output.Add(metricWatcher, flag(snapshot.watcher))
@@ -216,17 +212,6 @@
 	output.Add(metricZoneBehind, float64(snapshot.zone.Behind))
 }
 
-func (output sampler) control(node *Node) {
-	counters := node.endpoints.Transport.Counters()
-	for _, traffic := range counters.Traffic {
-		output.Count(metricControlBytes, traffic.Bytes, string(traffic.Type), string(traffic.Direction))
-		output.Count(metricControlMessages, traffic.Messages, string(traffic.Type), string(traffic.Direction))
-	}
-	for _, fault := range counters.Faults {
-		output.Count(metricControlFaults, fault.Count, string(fault.Fault))
-	}
-}
-
 func (output sampler) store(stats store.Stats) {
 	output.Add(metricStoreUp, flag(stats.Circuit == store.CircuitClosed))
 	output.Count(metricStoreRequests, stats.Requests)
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -15,6 +15,7 @@
 	"robinpulley.example/robinpulley/internal/overload"
 	"robinpulley.example/robinpulley/internal/packet"
 	"robinpulley.example/robinpulley/internal/reach"
+	"robinpulley.example/robinpulley/internal/transport"
 )
 
 // callKey tells apart the calls to the store.
@@ -139,13 +140,13 @@
 )
 
 // allMetrics lists every metric.
-var allMetrics = []*metrics.Metric{
+var allMetrics = append([]*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
 	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 	metricAsked, metricAskedRefused, metricCapacity, metricLoad, metricLoadAge, metricHome,
 	metricWaiting, metricHeld, metricWent, metricFreed, metricWaitTime,
-}
+}, transport.Metrics()...)
 
 // collector reads the counters of a node when metrics are asked for, so that
 // the packet path keeps none of its own.
@@ -169,6 +170,8 @@
 	output.waits(&state)
 	output.Add(metricReady, readyValue(node))
 	output.plane(node.endpoints.Plane.Counters())
+	control := node.endpoints.Transport.Counters()
+	control.Sample(output.Sampler)
 }
 
 // sampler writes samples of metrics.
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -234,17 +234,35 @@
 // malformedInterval is the time between log lines about malformed packets.
 const malformedInterval = 10 * time.Second
 
-// reportMalformed logs now and then how many malformed packets have come, until ctx ends.
+// reportControl logs how many messages between nodes were not sent or not taken since the
+// last time, by what they met: a bound that nobody hears of holds news up unseen.
+func (node *Node) reportControl(reported map[transport.Fault]uint64) {
+	for _, known := range node.endpoints.Transport.Counters().Faults {
+		if count := known.Count - reported[known.Fault]; count > 0 {
+			node.logger.Warn().
+				Str(logging.FieldEvent, string(logging.EventControlFaults)).
+				Str("fault", string(known.Fault)).
+				Uint64("count", count).
+				Send()
+			reported[known.Fault] = known.Count
+		}
+	}
+}
+
+// reportMalformed logs now and then how many malformed packets have come, and messages
+// between nodes that were lost, until ctx ends.
 func (node *Node) reportMalformed(ctx context.Context) {
 	ticker := time.NewTicker(malformedInterval)
 	defer ticker.Stop()
 	reported := uint64(0)
+	faults := make(map[transport.Fault]uint64)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		node.reportControl(faults)
 		if count := malformed(node.endpoints.Plane.Counters()); count > reported {
 			node.logger.Warn().
 				Str(logging.FieldEvent, string(logging.EventMalformed)).
