--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -94,9 +94,9 @@
 
 // Patience while the reader is heard to list all entries.
 const (
-	// listParts is by how many quarters of PatienceLimit the first in turn waits: another
+	// listQuarters is by how many quarters of PatienceLimit the first in turn waits: another
 	// quarter, in which a listing of 10,000 entries over a link of 20 Mbit/s is half done.
-	listParts = 5
+	listQuarters = 5
 	// listStep is what each further turn adds: a third of such a listing.
 	listStep = 800 * time.Millisecond
 )
@@ -108,7 +108,7 @@
 // as many calls, of which some fifty nodes would make twenty each before 10,000 back ends.
 func (core *Core) patience(turn int) time.Duration {
 	if core.readerLists && core.hears() {
-		return core.settings.PatienceLimit*listParts/4 + time.Duration(turn)*listStep
+		return core.settings.PatienceLimit*listQuarters/4 + time.Duration(turn)*listStep
 	}
 	patience := core.settings.Patience + time.Duration(turn)*core.settings.PatienceStep
 	if patience <= core.settings.PatienceLimit {
