--- a/spec/jump.pml
+++ b/spec/jump.pml
@@ -46,6 +46,34 @@
 	gone[n] = at
 }
 
+/* learn takes what another node tells of what has changed after the node's revision. */
+inline learn(n, other) {
+	base = known[n];
+#ifndef TELLS_FROM_WITHIN
+	if
+	:: jumpFrom[other] < base && base < jumpTo[other] -> base = jumpFrom[other]
+	:: else -> skip
+	fi;
+#endif
+	if
+	:: has[other] > base -> has[n] = has[other]
+	:: has[other] <= base && gone[other] > base -> lacks(n, gone[other])
+#ifndef KEEPS_WHAT_IS_NOT_TOLD
+	:: has[other] <= base && gone[other] <= base && has[n] > base -> lacks(n, known[other])
+#endif
+	:: else -> skip
+	fi;
+#ifndef JUMPS_ARE_NOT_TOLD
+	if
+	:: jumpTo[other] > base -> jumped(n, jumpFrom[other], jumpTo[other])
+	:: else -> skip
+	fi;
+#endif
+	known[n] = known[other];
+	check(n);
+	base = 0
+}
+
 proctype Store() {
 end:
 	do
@@ -59,7 +87,6 @@
 }
 
 proctype Node(byte n) {
-	byte other;
 	byte step;
 	byte base;
 end:
@@ -91,31 +118,8 @@
 		check(n) }
 
 	/* What has changed after its revision, from another node. */
-	:: atomic { select(other : 0 .. NODES - 1);
-		known[other] > known[n] ->
-		base = known[n];
-#ifndef TELLS_FROM_WITHIN
-		if
-		:: jumpFrom[other] < base && base < jumpTo[other] -> base = jumpFrom[other]
-		:: else -> skip
-		fi;
-#endif
-		if
-		:: has[other] > base -> has[n] = has[other]
-		:: has[other] <= base && gone[other] > base -> lacks(n, gone[other])
-#ifndef KEEPS_WHAT_IS_NOT_TOLD
-		:: has[other] <= base && gone[other] <= base && has[n] > base -> lacks(n, known[other])
-#endif
-		:: else -> skip
-		fi;
-#ifndef JUMPS_ARE_NOT_TOLD
-		if
-		:: jumpTo[other] > base -> jumped(n, jumpFrom[other], jumpTo[other])
-		:: else -> skip
-		fi;
-#endif
-		known[n] = known[other];
-		check(n); base = 0; other = 0 }
+	:: atomic { known[(n + 1) % NODES] > known[n] -> learn(n, (n + 1) % NODES) }
+	:: atomic { known[(n + 2) % NODES] > known[n] -> learn(n, (n + 2) % NODES) }
 	od
 }
 
