A late answer to an opening no longer moves an open flow

Callers saw open flows reset by a living host.

Cause: an opening that is not answered in 200 ms is repeated, and a balancer that has taken the first back end for silent places the copy at another one. Both ends echo the last token they got. When the first back end, which was paused or slow, answers the first copy at last, the caller's next packet carries its token and is led to a host that does not hold the flow, which resets it.

Ruled out as necessary: a second balancer, a second zone, a move: in each case both copies had gone to one balancer.

Change: package conntrack remembers, for flows of which a copy was seen or that were opened at another back end than where this balancer placed them, the token of the first later packet, the one the caller accepted. A packet of the flow with another token goes there with the right one. A new flow of the same ports is told by its opening or by its acknowledgements. Lines token_corrected, three metrics.

TestLateAnswerMovesNoFlow, TestSlowAnswerOpensTheFlow, TestLateAnswerMovesNoFlowOpenedElsewhere and TestLateAnswerToAnOpeningMovesNoFlow (real nodes) fail with the rule taken out, and pass with it.

Openings are excused for 4 s after a host stalls, as after one that goes.

--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -112,8 +112,10 @@
 	Refusal lb.Refusal
 	// Pressure is that on the service, for ReasonOverload: what was decided by.
 	Pressure float64
-	// Token is to be written on a forwarded packet that opens a flow.
-	Token steering.Token
+	// Token is to be written on a forwarded packet that opens a flow, and on a later one that is
+	// Corrected: it came with the token of a back end at which its flow is not open.
+	Token     steering.Token
+	Corrected bool
 	// Identity names the back end that is meant, on paths whose packets do so.
 	Identity uint64
 	// Waited is how long the packet was held before this decision.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"robinpulley.example/robinpulley/internal/conntrack"
 	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
@@ -78,6 +79,7 @@
 	look(all bool)
 	takeReleased() []Released
 	waits() int
+	tracked() conntrack.Stats
 }
 
 // New gives a core that knows of no other member and no service.
@@ -152,6 +154,9 @@
 // Waiting is how many openings are held, for AffinityToken.
 func (core *Core) Waiting() int { return core.affinity.waits() }
 
+// Tracked counts the flows that a late answer to their opening must not move, for AffinityToken.
+func (core *Core) Tracked() conntrack.Stats { return core.affinity.tracked() }
+
 // Pressures gives what is known of the load of services, for AffinityToken.
 func (core *Core) Pressures() []overload.Status { return core.affinity.pressures() }
 
--- a/internal/core/packet.go
+++ b/internal/core/packet.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"robinpulley.example/robinpulley/internal/conntrack"
 	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
@@ -68,6 +69,8 @@
 
 func (chainAffinity) waits() int { return 0 }
 
+func (chainAffinity) tracked() conntrack.Stats { return conntrack.Stats{} }
+
 // packet decides on one packet.
 func (core chainAffinity) packet(packet *Packet, decision *Decision) {
 	current := turn{core: core.Core, packet: packet, decision: decision}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"robinpulley.example/robinpulley/internal/coldstart"
+	"robinpulley.example/robinpulley/internal/conntrack"
 	"robinpulley.example/robinpulley/internal/fleetload"
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/observe"
@@ -22,6 +23,8 @@
 	core     *Core
 	table    *steering.Table // nil: no view yet
 	observer *observe.Observer
+	// opened are the flows that a late answer to their opening must not move.
+	opened   *conntrack.Table
 	overload *overload.Controller
 	// cold says which back ends that have just started this node may use.
 	cold *coldstart.Limiter
@@ -45,7 +48,7 @@
 
 func newTokenAffinity(core *Core) *tokenAffinity {
 	affinity := &tokenAffinity{
-		core: core, observer: observe.New(observe.DefaultSettings()), shares: make(map[lb.ServiceName]*share),
+		core: core, observer: observe.New(observe.DefaultSettings()), opened: conntrack.New(conntrack.DefaultSettings()), shares: make(map[lb.ServiceName]*share),
 	}
 	affinity.overload = overload.New(core.settings.Overload)
 	affinity.cold = coldstart.New(core.settings.ColdStart)
@@ -90,8 +93,11 @@
 	return a.overload.Status(a.core.now)
 }
 
+func (a *tokenAffinity) tracked() conntrack.Stats { return a.opened.Stats() }
+
 func (a *tokenAffinity) tick() {
 	a.observer.Tick(a.core.now)
+	a.opened.Tick(a.core.now)
 	a.noteSigns()
 	a.overload.Tick(a.core.now)
 }
@@ -115,6 +121,7 @@
 // unless that back end has fallen silent.
 func (a *tokenAffinity) open(packet *Packet, decision *Decision) {
 	flow := packet.Key.ID()
+	a.opened.Opening(a.core.now, flow, packet.OpeningID, packet.Copies)
 	service := a.table.Service(&packet.Key)
 	if service == nil {
 		a.refuse(packet, decision, flow, ReasonUnknownService)
@@ -235,26 +242,32 @@
 // admitKey makes admission independent of the choices of service and host.
 const admitKey = 0xd1b54a32d192ed03
 
-// follow sends a later packet to the back end that its token names. One that
-// names none known here is dropped: the back end may be newer than this node's
-// view, so an answer could break a living flow. A flow that a back end had before it
+// follow sends a later packet to the back end that its token names, or to that at which
+// the flow is known to be open. One that names none known here is dropped: the back end may be newer
+// than this node's view, so an answer could break a living flow. A flow that a back end had before it
 // started again is led there, too: it resets the flow, so that the caller learns at
 // once that it is lost, which silence would show seconds later.
 func (a *tokenAffinity) follow(packet *Packet, decision *Decision) {
 	frontend := packet.Key.Frontend()
-	host := a.table.Resolve(&frontend, packet.Token)
+	flow := packet.Key.ID()
+	token := steering.Token(a.opened.Resolve(a.core.now, flow, conntrack.Token(packet.Token), packet.Acknowledged))
+	host := a.table.Resolve(&frontend, token)
 	if host == nil {
 		decision.drop(ReasonUnknownToken)
 		return
 	}
 	forwardTo(decision, host)
-	decision.Token = packet.Token
-	if host.Token(&frontend) != packet.Token {
+	decision.Token = token
+	decision.Corrected = token != packet.Token
+	if host.Token(&frontend) != token {
 		return // of its run before: it resets the flow, which says nothing of how it does
 	}
-	a.observer.Measure(a.core.now, packet.Key.ID(), frontend, observe.Identity(host.Run),
+	if pending, found := a.observer.Pending(flow); found && pending != observe.Identity(host.Run) {
+		a.opened.Open(a.core.now, flow, conntrack.Token(token), packet.Acknowledged)
+	}
+	a.observer.Measure(a.core.now, flow, frontend, observe.Identity(host.Run),
 		packet.Acknowledged, packet.HasData, packet.Kind == PacketClosing)
-	took, answered, begun := a.observer.Later(a.core.now, packet.Key.ID(), host.Service,
+	took, answered, begun := a.observer.Later(a.core.now, flow, host.Service,
 		observe.Identity(host.Run), packet.Acknowledged, packet.HasData)
 	a.noteSigns()
 	if !answered && !begun {
--- a/internal/core/token_test.go
+++ b/internal/core/token_test.go
@@ -348,3 +348,72 @@
 	is.Equal(later.Action, ActionDrop)
 	is.Equal(later.Reason, ReasonUnknownToken)
 }
+
+// lateAnswerCore has three back ends, and a flow whose first copy one of them has left
+// unanswered until a copy was placed at another. It gives the decisions on both.
+func lateAnswerCore(is *is.I) (core *tokenCore, first, second Decision) {
+	core = newTokenCore()
+	core.list(0, tokenListing(9, tokenBackend("i-1", "web", 1, lb.BackendActive),
+		tokenBackend("i-2", "web", 2, lb.BackendActive), tokenBackend("i-3", "web", 3, lb.BackendActive)))
+	opening := tokenOpening(1, 443)
+	first = core.send(time.Millisecond, opening)
+	opening.Copies = 1
+	second = core.send(201*time.Millisecond, opening)
+	is.True(first.Identity != second.Identity)
+	return core, first, second
+}
+
+// later is a packet of the flow of lateAnswerCore.
+func later(token steering.Token, acknowledged uint32) Packet {
+	return Packet{Key: tokenFlow(1, 443), Kind: PacketMiddle, Token: token, Acknowledged: acknowledged, HasData: true}
+}
+
+// TestLateAnswerMovesNoFlow guards against resets of open flows: a back end that answers an earlier
+// copy late has the caller repeat its token.
+func TestLateAnswerMovesNoFlow(t *testing.T) {
+	is := is.New(t)
+	core, first, second := lateAnswerCore(is)
+	decision := core.send(202*time.Millisecond, later(second.Token, 5001))
+	is.Equal(decision.Corrected, false)
+	decision = core.send(300*time.Millisecond, later(first.Token, 5001))
+	is.Equal(decision.Identity, second.Identity)
+	is.Equal(decision.Token, second.Token)
+	is.True(decision.Corrected)
+	is.Equal(core.Tracked().Corrected, uint64(1))
+}
+
+// TestSlowAnswerOpensTheFlow: the caller may accept the answer to the first copy.
+func TestSlowAnswerOpensTheFlow(t *testing.T) {
+	is := is.New(t)
+	core, first, second := lateAnswerCore(is)
+	is.Equal(core.send(202*time.Millisecond, later(first.Token, 5001)).Identity, first.Identity)
+	is.Equal(core.send(203*time.Millisecond, later(second.Token, 5001)).Identity, first.Identity)
+}
+
+// TestLateAnswerMovesNoFlowOpenedElsewhere: the copy that opened the flow was placed by
+// another balancer, and the flow's packets come to this one later.
+func TestLateAnswerMovesNoFlowOpenedElsewhere(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	backends := []view.StoredBackend{tokenBackend("i-1", "web", 1, lb.BackendActive), tokenBackend("i-2", "web", 2, lb.BackendActive)}
+	core.list(0, tokenListing(9, backends...))
+	first := core.send(time.Millisecond, tokenOpening(1, 443))
+	key := tokenFlow(1, 443)
+	frontend := key.Frontend()
+	other := core.affinity.(*tokenAffinity).table.HostOfRun(3 - first.Identity)
+	is.Equal(core.send(300*time.Millisecond, later(other.Token(&frontend), 5001)).Identity, other.Identity)
+	is.Equal(core.send(400*time.Millisecond, later(first.Token, 5001)).Identity, other.Identity)
+}
+
+// TestNewFlowOfTheSamePortsGoesByItsToken: also one that another balancer has placed.
+func TestNewFlowOfTheSamePortsGoesByItsToken(t *testing.T) {
+	is := is.New(t)
+	core, first, second := lateAnswerCore(is)
+	core.send(202*time.Millisecond, later(second.Token, 5001))
+	is.Equal(core.send(time.Second, later(first.Token, 1<<31)).Identity, first.Identity)
+	core.send(2*time.Second, later(second.Token, 5001))
+	opening := tokenOpening(1, 443)
+	opening.OpeningID = 8
+	core.send(3*time.Second, opening)
+	is.Equal(core.send(4*time.Second, later(first.Token, 5001)).Identity, first.Identity)
+}
--- a/internal/lab/platformsim/caller.go
+++ b/internal/lab/platformsim/caller.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -89,16 +90,17 @@
 	defer close(caller.ended)
 	buffer := make([]byte, 2048)
 	for {
-		size, err := caller.socket.Read(buffer)
+		size, from, err := caller.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
-		caller.take(append([]byte{}, buffer[:size]...))
+		caller.take(from, append([]byte{}, buffer[:size]...))
 	}
 }
 
-func (caller *Caller) take(datagram []byte) {
+func (caller *Caller) take(from netip.AddrPort, datagram []byte) {
 	packet, forged, ok := decode(datagram)
+	packet.from = from
 	ownReset := packet.isNodeReset()
 	caller.mutex.Lock()
 	if !ok || forged && !ownReset {
@@ -133,6 +135,8 @@
 	// the opening, in order.
 	Node   netip.AddrPort
 	Opened []netip.AddrPort
+	// Accepting are the hosts that answered the opening, in order.
+	Accepting []netip.AddrPort
 }
 
 // Open opens a flow to a front end. The flow tells how it was tried also when
@@ -171,6 +175,9 @@
 	data := binary.BigEndian.AppendUint64(nil, id)
 	end := flow.sequence + uint32(len(data))
 	begun := time.Now()
+	if err := flow.catchUp(); err != nil {
+		return "", err
+	}
 	for wait := firstResend; time.Since(begun) < giveUpAfter; wait = min(2*wait, lastResend) {
 		flow.send(flagACK, flow.ack, data)
 		answer, err := flow.wait(wait, func(packet *head) bool { return packet.Acknowledgment == end && len(packet.Data) > 0 })
@@ -234,13 +241,9 @@
 	for {
 		select {
 		case packet := <-flow.received:
-			if packet.isNodeReset() {
-				return head{}, ErrResetByNode
-			}
-			if packet.has(flagRST) {
-				return head{}, ErrReset
+			if err := flow.take(&packet); err != nil {
+				return head{}, err
 			}
-			flow.echo = packet.Echo
 			if wanted(&packet) {
 				return packet, nil
 			}
@@ -249,3 +252,33 @@
 		}
 	}
 }
+
+// catchUp takes what came while the caller was not waiting, so that its next packet carries
+// the last echo.
+func (flow *Flow) catchUp() error {
+	for {
+		select {
+		case packet := <-flow.received:
+			if err := flow.take(&packet); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+// take notes what any packet brings; a reset is an error.
+func (flow *Flow) take(packet *head) error {
+	if packet.isNodeReset() {
+		return errors.Wrapf(ErrResetByNode, "%s", packet.from)
+	}
+	if packet.has(flagRST) {
+		return errors.Wrapf(ErrReset, "by the host at %s", packet.from)
+	}
+	flow.echo = packet.Echo
+	if packet.has(flagSYN|flagACK) && !slices.Contains(flow.Accepting, packet.from) {
+		flow.Accepting = append(flow.Accepting, packet.from)
+	}
+	return nil
+}
--- a/internal/lab/platformsim/host.go
+++ b/internal/lab/platformsim/host.go
@@ -64,6 +64,7 @@
 	answers  atomic.Bool  // false: it has fallen silent
 	cold     atomic.Int64 // nanoseconds since 1970; until then it takes coldAnswer for each packet
 	work     atomic.Int64 // nanoseconds that a request takes in one of its slots
+	running  sync.Mutex   // held while the host handles a packet, or is stalled
 
 	mutex   sync.Mutex
 	flows   map[flowKey]*hostFlow
@@ -181,11 +182,20 @@
 			time.Sleep(coldAnswer)
 		}
 		if size >= identityBytes && host.answers.Load() {
+			host.running.Lock()
 			host.take(from, binary.BigEndian.Uint64(buffer), buffer[identityBytes:size])
+			host.running.Unlock()
 		}
 	}
 }
 
+// Stall has the host handle nothing until resume is called. What comes meanwhile waits in
+// its socket, as while a process is paused.
+func (host *Host) Stall() (resume func()) {
+	host.running.Lock()
+	return host.running.Unlock
+}
+
 func (host *Host) take(from netip.AddrPort, meant uint64, datagram []byte) {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
@@ -273,7 +283,11 @@
 		return
 	}
 	about := *packet
-	time.AfterFunc(ready.Sub(now), func() { host.send(&about, &answer) })
+	time.AfterFunc(ready.Sub(now), func() {
+		host.running.Lock()
+		defer host.running.Unlock()
+		host.send(&about, &answer)
+	})
 }
 
 // takeSlot gives when a request that comes now is done.
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -94,7 +94,7 @@
 const (
 	CauseNode  Cause = "its node was disturbed"
 	CauseOther Cause = "another node was disturbed"
-	CauseHost  Cause = "a host had just gone"
+	CauseHost  Cause = "a host had just gone, or stalled"
 	CauseNone  Cause = "no known cause"
 )
 
@@ -218,6 +218,14 @@
 	c.lastGone = time.Now()
 }
 
+// Stalled notes that a host answers late from now on: its open flows wait, and an opening
+// whose copies come to it may go unanswered until the balancers know.
+func (c *Checker) Stalled() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lastGone = time.Now()
+}
+
 // NotOpened takes an opening that nobody answered, and the node that its last
 // copy went to. Copies go to any node, and hosts that have just gone may have
 // been chosen; where neither explains it, a promise is broken.
--- a/internal/lab/soak/faults/faults.go
+++ b/internal/lab/soak/faults/faults.go
@@ -21,7 +21,7 @@
 	} {
 		kinds = append(kinds, store{fault})
 	}
-	return kinds
+	return append(kinds, stall{})
 }
 
 // platform is what a fault embeds that befalls the platform as a whole.
--- a/internal/lab/soak/faults/host.go
+++ b/internal/lab/soak/faults/host.go
@@ -100,3 +100,22 @@
 		return nil
 	}, nil
 }
+
+// stall pauses a host: what comes meanwhile is handled late.
+type stall struct{ hosts }
+
+func (stall) Name() string { return "stall" }
+
+func (stall) Inject(_ context.Context, s *soak.Site, target int) (func() error, error) {
+	_, host, release, held := s.HoldSlot(target)
+	if !held {
+		return nil, soak.ErrHeld
+	}
+	s.Checker.Stalled()
+	resume := host.Stall()
+	return func() error {
+		resume()
+		release(host)
+		return nil
+	}, nil
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -272,7 +272,8 @@
 			return
 		case err != nil:
 			if first != "" { // else the host is not known
-				err = errors.Wrapf(err, "opened %s ago at %v", now.Sub(opening.SentAt).Round(time.Millisecond), flow.Opened)
+				err = errors.Wrapf(err, "opened %s ago at %v, accepted by %v",
+					now.Sub(opening.SentAt).Round(time.Millisecond), flow.Opened, r.hostsAt(flow.Accepting))
 				r.Checker.FlowEnded(now, first, flow.Node, err)
 			}
 			return
--- a/internal/lab/soak/site.go
+++ b/internal/lab/soak/site.go
@@ -348,3 +348,18 @@
 	defer s.mutex.Unlock()
 	return s.services[host]
 }
+
+// hostsAt gives the ids of the newest hosts at some addresses, with the addresses.
+func (s *Site) hostsAt(addresses []netip.AddrPort) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	names := make([]string, len(addresses))
+	for index, address := range addresses {
+		for _, host := range s.hosts {
+			if host.Address() == address {
+				names[index] = fmt.Sprintf("%s (%s)", host.ID, address)
+			}
+		}
+	}
+	return names
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -39,6 +39,7 @@
 	EventOpening          Event = "opening"
 	EventRefused          Event = "refused"
 	EventDropped          Event = "dropped"
+	EventTokenCorrected   Event = "token_corrected"
 	EventBackendSilent    Event = "backend_silent"
 	EventBackendAnswers   Event = "backend_answers"
 	EventBackendAvoided   Event = "backend_avoided"
@@ -63,7 +64,7 @@
 		EventStoppedAtOnce, EventFailed, EventPlacementAdopted,
 		EventDocumentRejected, EventMemberChanged, EventContactChanged, EventWatcherChanged, EventStoreUp, EventStoreDown, EventStoreCall,
 		EventStoreWriteFailed, EventMachinesFailed, EventFaultInjected, EventViewChanged,
-		EventOpening, EventRefused, EventDropped, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventControlFaults, EventReloaded, EventReloadFailed, EventReloadIgnored,
+		EventOpening, EventRefused, EventDropped, EventTokenCorrected, EventBackendSilent, EventBackendAnswers, EventBackendAvoided, EventBackendTrusted, EventZoneUnreached, EventZoneReached, EventOverloaded, EventOverloadEnded, EventShareChanged, EventAdmittedChanged, EventMalformed, EventControlFaults, EventReloaded, EventReloadFailed, EventReloadIgnored,
 	}
 }
 
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -167,6 +167,12 @@
 	return known.identity, true
 }
 
+// Pending gives the back end that the opening of a flow went to, while no later packet has come.
+func (o *Observer) Pending(flow lb.FlowID) (Identity, bool) {
+	known, found := o.openings[flow]
+	return known.identity, found
+}
+
 // Later notes a later packet of a flow: its back end has answered the opening,
 // and, where the packet acknowledges something new, the request before, whose
 // time it then gives. hasData tells whether the packet carries some, and begun
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -175,3 +175,17 @@
 	is.Equal(observer.Busy(7), 0)
 	is.Equal(observer.Busy(8), 0)
 }
+
+func TestPendingOpening(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	_, found := observer.Pending(7)
+	is.Equal(found, false)
+	observer.Opened(0, 7, first)
+	identity, found := observer.Pending(7)
+	is.True(found)
+	is.Equal(identity, first)
+	observer.Later(3*ms, 7, web, first, 1, false)
+	_, found = observer.Pending(7)
+	is.Equal(found, false)
+}
--- a/internal/tokennode/decisions.go
+++ b/internal/tokennode/decisions.go
@@ -25,6 +25,7 @@
 	noteOpening
 	noteRefused
 	noteDropped
+	noteCorrected
 	noteKinds
 )
 
@@ -92,15 +93,18 @@
 		return noteDropped, failedLinesPerSecond
 	case packet.Kind == core.PacketOpening:
 		return noteOpening, openingLinesPerSecond
+	case decision.Corrected:
+		return noteCorrected, failedLinesPerSecond
 	}
 	return noteNone, 0
 }
 
 // noteEvents are the log events of the kinds.
 var noteEvents = [noteKinds]logging.Event{
-	noteOpening: logging.EventOpening,
-	noteRefused: logging.EventRefused,
-	noteDropped: logging.EventDropped,
+	noteOpening:   logging.EventOpening,
+	noteRefused:   logging.EventRefused,
+	noteDropped:   logging.EventDropped,
+	noteCorrected: logging.EventTokenCorrected,
 }
 
 // write writes the line of a note.
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"robinpulley.example/robinpulley/internal/conntrack"
 	"robinpulley.example/robinpulley/internal/core"
 	"robinpulley.example/robinpulley/internal/dataplane"
 	"robinpulley.example/robinpulley/internal/follower"
@@ -84,6 +85,12 @@
 		"Living balancers known that are in a planned stop, this one included.")
 	metricReady = metrics.New(prometheus.GaugeValue, "ready",
 		"1 while this node may be sent packets.")
+	metricTracked = metrics.New(prometheus.GaugeValue, "flows_tracked",
+		"Flows whose opening more than one back end may answer, and which a late answer must not move.")
+	metricUntracked = metrics.New(prometheus.CounterValue, "flows_untracked_total",
+		"Such flows that were not tracked, as there were too many.")
+	metricCorrected = metrics.New(prometheus.CounterValue, "tokens_corrected_total",
+		"Packets that came with the token of a back end at which their flow is not open.")
 	metricReceived = metrics.New(prometheus.CounterValue, "received_packets_total",
 		"Datagrams received on the data address.")
 	metricSent = metrics.New(prometheus.CounterValue, "sent_packets_total",
@@ -142,7 +149,7 @@
 // allMetrics lists every metric.
 var allMetrics = append([]*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricReceived, metricSent, metricMalformed,
+	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricTracked, metricUntracked, metricCorrected, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 	metricAsked, metricAskedRefused, metricCapacity, metricLoad, metricLoadAge, metricHome,
 	metricWaiting, metricHeld, metricWent, metricFreed, metricWaitTime,
@@ -168,6 +175,7 @@
 	report := node.engine.loadReport()
 	output.loads(&report)
 	output.waits(&state)
+	output.tracked(&state.tracked)
 	output.Add(metricReady, readyValue(node))
 	output.plane(node.endpoints.Plane.Counters())
 	control := node.endpoints.Transport.Counters()
@@ -215,6 +223,12 @@
 	output.histogram(metricCallTime, state.callTime)
 }
 
+func (output sampler) tracked(stats *conntrack.Stats) {
+	output.Add(metricTracked, float64(stats.Flows))
+	output.Count(metricUntracked, stats.Untracked)
+	output.Count(metricCorrected, stats.Corrected)
+}
+
 func (output sampler) pressures(statuses []overload.Status) {
 	for _, status := range statuses {
 		output.Add(metricPressure, status.Pressure, string(status.Service))
@@ -298,6 +312,7 @@
 	leaving   int
 
 	waiting      int
+	tracked      conntrack.Stats
 	pressures    []overload.Status
 	decisionTime times
 	callTime     times
@@ -320,6 +335,7 @@
 		leaving:   engine.leaving,
 
 		waiting:      engine.core.Waiting(),
+		tracked:      engine.core.Tracked(),
 		pressures:    engine.core.Pressures(),
 		decisionTime: engine.decisionTime,
 		callTime:     engine.callTime,
--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -121,3 +121,33 @@
 	site.until("the packet for the old host has come", func() bool { return successor.Counts().NotMeant > 0 })
 	is.Equal(successor.Counts().Unknown, uint64(0)) // no reset of another service's flow
 }
+
+// TestLateAnswerToAnOpeningMovesNoFlow guards against resets of open flows by a host that was
+// paused: it answers openings late, whose copies have opened their flows at other hosts.
+func TestLateAnswerToAnOpeningMovesNoFlow(t *testing.T) {
+	is := is.New(t)
+	site := newSite(t, 2)
+	stalled := site.hosts[0]
+	before := stalled.Counts().Openings
+	resume := stalled.Stall()
+	var flows []openFlow
+	copied := uint64(0)
+	for copied < 3 {
+		flow := site.open(webFront, 1)[0]
+		if len(flow.Opened) > 1 {
+			copied++
+		}
+		flows = append(flows, flow)
+	}
+	resume()
+	site.until("the host has answered", func() bool { return stalled.Counts().Openings >= before+copied })
+	for range 3 {
+		site.useAll(flows)
+	}
+	for _, flow := range flows {
+		if len(flow.Opened) > 1 {
+			is.Equal(len(flow.Accepting), 2)
+		}
+	}
+	site.check()
+}
