--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -4,13 +4,10 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -104,42 +101,6 @@
 	}
 }
 
-// The ports given out lie below those that systems choose for outgoing
-// connections (32768 and up on Linux), so that none is taken between the check
-// and its use.
-const (
-	firstPort = 10000
-	portCount = 20000
-)
-
-// nextPort is different in each process that runs a lab at the same time.
-var nextPort = newPortCounter(os.Getpid())
-
-func newPortCounter(processID int) *atomic.Int64 {
-	const stride = 211 // ports for one lab, and prime
-	counter := &atomic.Int64{}
-	counter.Store(int64(processID * stride))
-	return counter
-}
-
-// FreeAddress gives an address on loopback whose port is free for UDP and TCP.
-func FreeAddress() (string, error) {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		socket, err := net.ListenPacket("udp", address)
-		_ = listener.Close()
-		if err == nil {
-			_ = socket.Close()
-			return address, nil
-		}
-	}
-	return "", errors.New("no port is free for both UDP and TCP")
-}
-
 // Serves waits until the URL answers 200. It fails at once when the process has ended.
 func (process *Process) Serves(ctx context.Context, url string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/lab/runs/fault_test.go
+++ b/internal/lab/runs/fault_test.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"os"
 	"os/exec"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 		t.Fatalf("%s\n%s", err, output)
 	}
 	options := FaultOptions{
-		Cluster: cluster.Options{Binaries: binaries, Directory: t.TempDir(), StallLimit: 20 * time.Second},
+		Cluster: cluster.Options{Binaries: binaries, Directory: logDirectory(t), StallLimit: 20 * time.Second},
 		Stops:   2,
 		Changes: 100,
 	}
@@ -51,6 +52,21 @@
 	}
 }
 
+// logDirectory gives a directory for the logs of a test, which stay where it fails.
+func logDirectory(t *testing.T) string {
+	is := is.New(t)
+	directory, err := os.MkdirTemp("", "robinpulley-faults-*")
+	is.NoErr(err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs are in %s", directory)
+			return
+		}
+		is.NoErr(os.RemoveAll(directory))
+	})
+	return directory
+}
+
 func TestRegisterModelSeesALostChange(t *testing.T) {
 	is := is.New(t)
 	at := func(second int64) int64 { return time.Unix(second, 0).UnixNano() }
