Soak: callers who keep their flows until their hosts are gone

Flows of the soak lasted 1.2 s at the most, so that hardly any was held through a whole drain, stop or storm. Twelve callers now use each flow until its host is gone, beside the others, whose draws are as before; the report counts their flows.

--- a/internal/lab/soak/faults/faults_test.go
+++ b/internal/lab/soak/faults/faults_test.go
@@ -40,7 +40,7 @@
 	if output, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%s\n%s", err, output)
 	}
-	size := soak.Size{Nodes: 4, Hosts: 3, Zones: 2, Flows: 10}
+	size := soak.Size{Nodes: 4, Hosts: 3, Zones: 2, Flows: 10, Kept: 4}
 	var steps []soak.Step
 	for index, kind := range faults.All() {
 		steps = append(steps, soak.Step{
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,12 +25,15 @@
 	// refusedPause is long enough for nodes to have a line in their logs for each refusal.
 	refusedPause = 150 * time.Millisecond
 	longestFlow  = 20 // requests
-	toggledPart  = 4  // one flow in so many goes to a front end that changes
+	keptPause    = 120 * time.Millisecond
+	toggledPart  = 4 // one flow in so many goes to a front end that changes
 )
 
 // Counts is what the callers saw.
 type Counts struct {
 	Opened, NotOpened, Refused, Answered atomic.Uint64
+	// Kept are flows that were used until their hosts were gone, or the run ended.
+	Kept atomic.Uint64
 }
 
 // Report is how a soak went.
@@ -110,6 +114,9 @@
 		caller := site.callers[index%len(site.callers)]
 		load.Go(func() { r.load(loading, caller, uint64(index), habits{longestFlow, requestPause}) })
 	}
+	for index := range settings.Size.Kept {
+		load.Go(func() { r.keep(loading, site.callers[index%len(site.callers)], index) })
+	}
 	site.crowd = r.crowd
 	err = r.play(ctx, report.Steps, kinds, output)
 	if err == nil {
@@ -258,6 +265,23 @@
 	}
 }
 
+// keep opens a flow and uses it until its host is gone, and then another one.
+func (r *run) keep(ctx context.Context, caller *platformsim.Caller, index int) {
+	front := Fronts[index%len(Fronts)]
+	for ctx.Err() == nil {
+		opening := Opening{Front: front, SentAt: time.Now()}
+		flow, err := caller.Open(front)
+		opening.Node, opening.Copies, opening.Caller = flow.Node, flow.Copies, flow.Address()
+		if err != nil {
+			_ = sleep(ctx, refusedPause) // openings are judged by load
+			continue
+		}
+		r.counts.Kept.Add(1)
+		r.use(ctx, flow, opening, math.MaxInt, keptPause)
+		flow.Close()
+	}
+}
+
 // use sends requests on an open flow, one after the other.
 func (r *run) use(ctx context.Context, flow *platformsim.Flow, opening Opening, requests int, pause time.Duration) {
 	first := ""
@@ -303,6 +327,7 @@
 		{"faults", len(report.Steps)},
 		{"of them not injected, since another had the target", report.Skipped},
 		{"flows opened", counts.Opened.Load()},
+		{"flows kept until their hosts were gone", counts.Kept.Load()},
 		{"requests answered", counts.Answered.Load()},
 		{"openings refused", counts.Refused.Load()},
 		{"never opened", counts.NotOpened.Load()},
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -27,6 +27,7 @@
 	Hosts int // of each service
 	Zones int
 	Flows int // open at any time
+	Kept  int // of callers who keep their flows until their hosts are gone
 }
 
 // Bounds are the times within which promises hold.
@@ -55,7 +56,7 @@
 }
 
 // DefaultSize has a dozen processes or fewer.
-func DefaultSize() Size { return Size{Nodes: 6, Hosts: 4, Zones: 3, Flows: 40} }
+func DefaultSize() Size { return Size{Nodes: 6, Hosts: 4, Zones: 3, Flows: 40, Kept: 12} }
 
 // DefaultBounds are those of the users' deployments.
 func DefaultBounds() Bounds {
