Copies of an opening leave a back end that has fallen silent, and try none

Cause: a copy goes where the one before went, unless nothing was heard of that back end since the first copy. It had answered another flow just after it, so that it did not count as silent for these openings, whatever it left unanswered later. Evidence: lines of node-5 for 127.0.2.3:1405, copies at 0, 200 and 600 ms to the host that this node called silent at 158 ms. In the same logs a copy is spent on another host whose time to be tried again had come. Ruled out: several nodes, an old view.

Change: a copy leaves a back end that has left any opening unanswered since it was last heard of, and goes to none such while these are the fewer.

--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -124,6 +124,21 @@
 	return a.rank(service, flow, a.weights(service))
 }
 
+// rankProven gives the first by rank of a service but those that have left openings unanswered; nil:
+// these are the most.
+func (a *tokenAffinity) rankProven(service *steering.Service, flow lb.FlowID) *steering.Host {
+	a.weigh(service)
+	for index, host := range service.Ready {
+		if a.factors[index] > 0 && a.observer.Doubtful(observe.Identity(host.Run)) {
+			a.factors[index] = 0
+		}
+	}
+	if steering.MostlyZero(a.factors) {
+		return nil
+	}
+	return a.rank(service, flow, a.weights(service))
+}
+
 // rank gives the first by rank of a service, by the weights of its table where all of
 // the zones that others go by are out of reach.
 func (a *tokenAffinity) rank(service *steering.Service, flow lb.FlowID, weights []float64) *steering.Host {
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -136,7 +136,7 @@
 		return
 	}
 	decision.Service = service.Name
-	host, placed := a.choose(service, flow)
+	host, placed := a.choose(service, flow, packet.Copies)
 	if host == nil {
 		a.refuse(packet, decision, flow, a.withoutBackend(service))
 		return
@@ -184,8 +184,8 @@
 
 // choose gives the back end of an opening; placed tells that an earlier copy
 // went there. Where the first choice is crowded, a second one is taken if it is
-// less so.
-func (a *tokenAffinity) choose(service *steering.Service, flow lb.FlowID) (host *steering.Host, placed bool) {
+// less so. Copies go to no back end that leaves openings unanswered.
+func (a *tokenAffinity) choose(service *steering.Service, flow lb.FlowID, copies uint32) (host *steering.Host, placed bool) {
 	if identity, found := a.observer.Placed(a.core.now, flow); found {
 		host := a.table.HostOfRun(uint64(identity))
 		if host != nil && (service.Takes(host) || host.Cold && host.Service == service.Name && a.mayUse(service, host)) {
@@ -201,6 +201,11 @@
 		return host, false
 	}
 	first := a.deal(service, flow)
+	if copies > 0 && first != nil && a.observer.Doubtful(observe.Identity(first.Run)) {
+		if proven := a.rankProven(service, flow); proven != nil {
+			return proven, false
+		}
+	}
 	if first != nil && !a.reach.Reaches(first.Zone) {
 		return nil, false
 	}
--- a/internal/core/token_test.go
+++ b/internal/core/token_test.go
@@ -417,3 +417,47 @@
 	core.send(3*time.Second, opening)
 	is.Equal(core.send(4*time.Second, later(first.Token, 5001)).Identity, first.Identity)
 }
+
+// TestCopiesAreNoProbes guards against openings that go unanswered while back ends answer: a copy does not go to
+// a back end that left openings unanswered and has not answered since, though new openings try it again.
+func TestCopiesAreNoProbes(t *testing.T) {
+	is := is.New(t)
+	for steps := range 60 {
+		s := &silentPair{tokenCore: newTokenCore()}
+		s.list(0, tokenListing(9, tokenBackend("i-1", "web", 1, lb.BackendActive), tokenBackend("i-2", "web", 2, lb.BackendActive),
+			tokenBackend("i-3", "web", 3, lb.BackendActive), tokenBackend("i-4", "web", 4, lb.BackendActive)))
+		now := time.Duration(0)
+		for range 20 + steps {
+			now += 50 * time.Millisecond
+			s.open(now)
+			s.Step(now, &Event{Tick: true}, &s.effects)
+		}
+		for s.open(now).Identity > silentBackends {
+			now += time.Millisecond
+		}
+		copied := tokenOpening(s.number, 443)
+		copied.Copies = 1
+		now += 200 * time.Millisecond
+		s.open(now - time.Millisecond)
+		is.True(s.send(now, copied).Identity > silentBackends)
+	}
+}
+
+// silentBackends is the identity of the last back end that leaves everything unanswered.
+const silentBackends = 2
+
+// silentPair is a core two of whose four back ends are silent.
+type silentPair struct {
+	*tokenCore
+	number uint16 // of the last flow
+}
+
+// open opens a flow, if its back end answers.
+func (s *silentPair) open(now time.Duration) Decision {
+	s.number++
+	decision := s.send(now, tokenOpening(s.number, 443))
+	if decision.Identity > silentBackends {
+		s.send(now, Packet{Key: tokenFlow(s.number, 443), Kind: PacketMiddle, Token: decision.Token, Acknowledged: 1})
+	}
+	return decision
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -154,14 +154,15 @@
 }
 
 // Placed gives the back end that an earlier copy of the opening went to, unless
-// that one has left it unanswered and nothing has been heard of it since.
+// that one has left it unanswered and nothing has been heard of it since, or has
+// left others unanswered that came later.
 func (o *Observer) Placed(now time.Duration, flow lb.FlowID) (Identity, bool) {
 	known, found := o.openings[flow]
 	if !found || now-known.at > o.settings.OpeningTime {
 		return 0, false
 	}
 	o.checkOverdue(now, flow, known)
-	if o.silentSince(known.identity, known.at) && now-known.at >= o.settings.AnswerTime {
+	if now-known.at >= o.settings.AnswerTime && (o.silentSince(known.identity, known.at) || o.Doubtful(known.identity)) {
 		return 0, false
 	}
 	return known.identity, true
@@ -173,6 +174,12 @@
 	return known.identity, found
 }
 
+// Doubtful tells whether a back end has left an opening unanswered, and nothing was heard of it since.
+func (o *Observer) Doubtful(identity Identity) bool {
+	known := o.backends[identity]
+	return known != nil && known.missing > 0
+}
+
 // Later notes a later packet of a flow: its back end has answered the opening,
 // and, where the packet acknowledges something new, the request before, whose
 // time it then gives. hasData tells whether the packet carries some, and begun
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -189,3 +189,31 @@
 	_, found = observer.Pending(7)
 	is.Equal(found, false)
 }
+
+// TestCopyLeavesABackendThatFellSilentSinceItsLastAnswer guards against openings all of whose copies go to one
+// back end: its last answer came just after the first copy.
+func TestCopyLeavesABackendThatFellSilentSinceItsLastAnswer(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	observer.Opened(0, 1, first)
+	observer.Opened(0, 2, first)
+	observer.Later(5*ms, 2, web, first, 1, false)
+	observer.Opened(20*ms, 3, first) // left unanswered, as the first one
+	observer.Tick(150 * ms)
+	_, placed := observer.Placed(200*ms, 1)
+	is.Equal(placed, false)
+}
+
+// TestDoubtful: a back end that has left an opening unanswered, until it answers.
+func TestDoubtful(t *testing.T) {
+	is := is.New(t)
+	observer := New(DefaultSettings())
+	is.True(!observer.Doubtful(first))
+	observer.Opened(0, 1, first)
+	observer.Tick(150 * ms)
+	is.True(observer.Doubtful(first))
+	is.Equal(observer.Factor(time.Second, web, first), 1.0) // it is tried again
+	is.True(observer.Doubtful(first))
+	observer.Later(1100*ms, 1, web, first, 1, false)
+	is.True(!observer.Doubtful(first))
+}
