On a second reading: announcements and suspects, levels kept by service; a test that waits for all it uses

Names: flows are announced, not told; a back end that has left openings unanswered is a suspect. The forecast of held work keeps its levels by service, so that an opening doesn't walk those of all services.

TestLateAnswerMovesNoFlowThatMetAnotherNode failed once beside load (13 on 5 cores): it let the host go on when three flows were known at the other zone's balancer, and used a fourth one, announced since. It now waits for each flow that it uses to be known everywhere.

--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -3,8 +3,8 @@
 // answered in time, and the copy may be placed elsewhere. Caller and back ends echo the
 // last token that they received, so that a late answer to an earlier copy would lead an
 // open flow to a back end which does not hold it. The back end of the first later packet
-// is the one that the caller accepted. Balancers tell each other of these flows, since later
-// packets may come to any of them. The package has no I/O and no clock.
+// is the one that the caller accepted. Balancers announce these flows to each other, since
+// later packets may come to any of them. The package has no I/O and no clock.
 package conntrack
 
 import (
@@ -24,13 +24,14 @@
 	IdleTimeout time.Duration
 	// MaxFlows bounds the flows that are remembered; further ones go by their packets' tokens.
 	MaxFlows int
-	// BatchSize is how many flows are told to other balancers at once, and MaxUntold how many wait.
-	BatchSize, MaxUntold int
-	// RepeatTime is the time until a flow is told once more: the balancer that was told first
-	// may have been about to end.
+	// BatchSize is how many flows are announced to other balancers at once, and MaxAnnouncements how
+	// many wait.
+	BatchSize, MaxAnnouncements int
+	// RepeatTime is the time until a flow is announced once more: the balancer that heard of it
+	// first may have been about to end.
 	RepeatTime time.Duration
-	// RecentTime is how long after its opening a flow is told to balancers that start: late answers
-	// come within seconds.
+	// RecentTime is how long after its opening a flow is announced to balancers that start: late
+	// answers come within seconds.
 	RecentTime time.Duration
 	// AckWindow is how many bytes a packet with another token may be ahead of, or behind, the last
 	// acknowledgement. One farther away belongs to a new flow of the same addresses and ports.
@@ -39,10 +40,10 @@
 
 // DefaultSettings gives the defaults.
 func DefaultSettings() Settings {
-	return Settings{IdleTimeout: 5 * time.Minute, MaxFlows: 1 << 14, BatchSize: 64, MaxUntold: 256, RepeatTime: time.Second, RecentTime: 30 * time.Second, AckWindow: 1 << 20}
+	return Settings{IdleTimeout: 5 * time.Minute, MaxFlows: 1 << 14, BatchSize: 64, MaxAnnouncements: 256, RepeatTime: time.Second, RecentTime: 30 * time.Second, AckWindow: 1 << 20}
 }
 
-// Flow is an open flow, as balancers tell each other.
+// Flow is an open flow, as balancers announce it to each other.
 type Flow struct {
 	ID lb.FlowID
 	// OpeningID tells copies of one opening from a new opening of the same addresses and
@@ -61,8 +62,8 @@
 	seenAt time.Duration
 }
 
-// telling is a flow that other balancers are to be told of at a time.
-type telling struct {
+// announcement is a flow that is to be announced at a time.
+type announcement struct {
 	flow Flow
 	at   time.Duration
 }
@@ -71,20 +72,20 @@
 type Stats struct {
 	// Corrected are packets that carried the token of a back end at which their flow is not open.
 	Corrected uint64
-	// Untracked are flows that were not remembered, and Untold those of which other balancers
-	// were not told, for want of room.
-	Untracked, Untold uint64
+	// Untracked are flows that were not remembered, and Unannounced those that were not
+	// announced, for want of room.
+	Untracked, Unannounced uint64
 	// Flows are those that are remembered now.
 	Flows int
 }
 
 // Table is what one balancer remembers. It is not safe for concurrent use.
 type Table struct {
-	settings Settings
-	entries  map[lb.FlowID]entry
-	untold   []telling // in order of time
-	sweepAt  time.Duration
-	stats    Stats
+	settings      Settings
+	entries       map[lb.FlowID]entry
+	announcements []announcement // in order of time
+	sweepAt       time.Duration
+	stats         Stats
 }
 
 // New gives an empty table.
@@ -110,8 +111,8 @@
 // that its token names.
 func (t *Table) Open(now time.Duration, flow Flow) {
 	if t.track(now, entry{flow: flow, open: true}) {
-		t.tell(flow, now)
-		t.tell(flow, now+t.settings.RepeatTime)
+		t.announce(flow, now)
+		t.announce(flow, now+t.settings.RepeatTime)
 	}
 }
 
@@ -126,42 +127,42 @@
 	return true
 }
 
-// tell has other balancers told of a flow at a time.
-func (t *Table) tell(flow Flow, at time.Duration) {
-	if len(t.untold) >= t.settings.MaxUntold {
-		t.stats.Untold++
+// announce has a flow announced at a time.
+func (t *Table) announce(flow Flow, at time.Duration) {
+	if len(t.announcements) >= t.settings.MaxAnnouncements {
+		t.stats.Unannounced++
 		return
 	}
-	after := func(other telling, at time.Duration) int { return cmp.Or(cmp.Compare(other.at, at), -1) }
-	index, _ := slices.BinarySearchFunc(t.untold, at, after)
-	t.untold = slices.Insert(t.untold, index, telling{flow, at})
+	after := func(other announcement, at time.Duration) int { return cmp.Or(cmp.Compare(other.at, at), -1) }
+	index, _ := slices.BinarySearchFunc(t.announcements, at, after)
+	t.announcements = slices.Insert(t.announcements, index, announcement{flow, at})
 }
 
-// Untold gives the flows that other balancers are to be told of now.
-func (t *Table) Untold(now time.Duration) []Flow {
-	var told []Flow
-	for _, due := range t.untold {
-		if due.at > now || len(told) == t.settings.BatchSize {
+// Announcements gives the flows that are to be announced now, each once.
+func (t *Table) Announcements(now time.Duration) []Flow {
+	var announced []Flow
+	for _, due := range t.announcements {
+		if due.at > now || len(announced) == t.settings.BatchSize {
 			break
 		}
-		told = append(told, due.flow)
+		announced = append(announced, due.flow)
 	}
-	t.untold = slices.Delete(t.untold, 0, len(told))
-	return told
+	t.announcements = slices.Delete(t.announcements, 0, len(announced))
+	return announced
 }
 
 // Recent gives flows that were opened a short time ago, for a balancer that has just started.
 func (t *Table) Recent(now time.Duration) []Flow {
 	var recent []Flow
 	for _, known := range t.entries {
-		if known.open && now-known.since <= t.settings.RecentTime && len(recent) < t.settings.MaxUntold {
+		if known.open && now-known.since <= t.settings.RecentTime && len(recent) < t.settings.MaxAnnouncements {
 			recent = append(recent, known.flow)
 		}
 	}
 	return recent
 }
 
-// Learn takes flows that another balancer has told of, and gives those that were not known.
+// Learn takes flows that another balancer has announced, and gives those that were not known.
 func (t *Table) Learn(now time.Duration, flows []Flow) []Flow {
 	var learned []Flow
 	for _, flow := range flows {
@@ -170,7 +171,7 @@
 		}
 		if t.track(now, entry{flow: flow, open: true}) {
 			learned = append(learned, flow)
-			t.tell(flow, now+t.settings.RepeatTime)
+			t.announce(flow, now+t.settings.RepeatTime)
 		}
 	}
 	return learned
--- a/internal/conntrack/conntrack_test.go
+++ b/internal/conntrack/conntrack_test.go
@@ -87,34 +87,34 @@
 	is.Equal(table.Stats().Flows, 0)
 }
 
-// TestFlowsAreTold: each flow that may be moved by a late answer, when it is open and once more;
+// TestFlowsAreAnnounced: each flow that may be moved by a late answer, when it is open and once more;
 // and one that was heard of is known as if it were opened here.
-func TestFlowsAreTold(t *testing.T) {
+func TestFlowsAreAnnounced(t *testing.T) {
 	is := is.New(t)
 	settings := DefaultSettings()
 	repeat := settings.RepeatTime
 	opener, other := New(settings), New(settings)
 	opener.Ambiguous(0, 1, opening)
-	is.Equal(len(opener.Untold(0)), 0) // not open yet
+	is.Equal(len(opener.Announcements(0)), 0) // not open yet
 	opener.Resolve(1, 1, accepted, 1000)
-	told := opener.Untold(1)
-	is.Equal(told, []Flow{{ID: 1, OpeningID: opening, Token: accepted, Acknowledged: 1000}})
+	announced := opener.Announcements(1)
+	is.Equal(announced, []Flow{{ID: 1, OpeningID: opening, Token: accepted, Acknowledged: 1000}})
 	opener.Resolve(2, 1, accepted, 1100)
-	is.Equal(len(opener.Untold(repeat)), 0)
-	is.Equal(opener.Untold(1+repeat), told)
-	is.Equal(len(opener.Untold(time.Hour)), 0)
+	is.Equal(len(opener.Announcements(repeat)), 0)
+	is.Equal(opener.Announcements(1+repeat), announced)
+	is.Equal(len(opener.Announcements(time.Hour)), 0)
 
-	is.Equal(other.Learn(3, told), told)
-	is.Equal(len(other.Learn(4, told)), 0) // it comes again by another way
+	is.Equal(other.Learn(3, announced), announced)
+	is.Equal(len(other.Learn(4, announced)), 0) // it comes again by another way
 	is.Equal(other.Resolve(5, 1, late, 1100), accepted)
-	is.Equal(len(other.Untold(5)), 0)
-	is.Equal(other.Untold(3+repeat), told)
+	is.Equal(len(other.Announcements(5)), 0)
+	is.Equal(other.Announcements(3+repeat), announced)
 	other.Opening(1, opening+1)
 	is.Equal(other.Resolve(6, 1, late, 1100), late)
 }
 
-// TestToldFlowGoesByWhatWasSeenHere: the balancer that took the first later packet knows best.
-func TestToldFlowGoesByWhatWasSeenHere(t *testing.T) {
+// TestAnnouncedFlowGoesByWhatWasSeenHere: the balancer that took the first later packet knows best.
+func TestAnnouncedFlowGoesByWhatWasSeenHere(t *testing.T) {
 	is := is.New(t)
 	table := New(DefaultSettings())
 	table.Ambiguous(0, 1, opening)
@@ -123,19 +123,19 @@
 	is.Equal(table.Resolve(3, 1, accepted, 1000), accepted)
 }
 
-func TestTellingIsBounded(t *testing.T) {
+func TestAnnouncementsAreBounded(t *testing.T) {
 	is := is.New(t)
 	settings := DefaultSettings()
-	settings.BatchSize, settings.MaxUntold = 4, 12
+	settings.BatchSize, settings.MaxAnnouncements = 4, 12
 	table := New(settings)
 	for id := range lb.FlowID(8) {
 		table.Open(0, Flow{ID: id})
 	}
-	is.Equal(table.Stats().Untold, uint64(4))
-	is.Equal(table.Untold(0), []Flow{{ID: 0}, {ID: 1}, {ID: 2}, {ID: 3}})
-	is.Equal(len(table.Untold(settings.RepeatTime)), 4)
-	is.Equal(len(table.Untold(settings.RepeatTime)), 4)
-	is.Equal(len(table.Untold(time.Hour)), 0)
+	is.Equal(table.Stats().Unannounced, uint64(4))
+	is.Equal(table.Announcements(0), []Flow{{ID: 0}, {ID: 1}, {ID: 2}, {ID: 3}})
+	is.Equal(len(table.Announcements(settings.RepeatTime)), 4)
+	is.Equal(len(table.Announcements(settings.RepeatTime)), 4)
+	is.Equal(len(table.Announcements(time.Hour)), 0)
 }
 
 // TestStartingBalancerHearsOfRecentFlows: those that are open, of the last seconds.
--- a/internal/core/api.go
+++ b/internal/core/api.go
@@ -159,7 +159,7 @@
 	// Samples are what this node has seen of the load of services since the last ones; nil: they are
 	// not due yet.
 	Samples []fleetload.Sample
-	// OpenFlows are flows that other balancers are to be told of, for AffinityToken.
+	// OpenFlows are flows to be announced to other balancers, for AffinityToken.
 	OpenFlows []conntrack.Flow
 	// Reach are zones that are reached no more, or are again. They hold until the next step.
 	Reach []reach.Change
@@ -193,7 +193,7 @@
 	// Loads is what the fleet knows of the load of services, for AffinityToken; empty, not
 	// nil: nothing.
 	Loads map[lb.ServiceName]fleetload.Service
-	// OpenFlows are flows that another balancer has told of, for AffinityToken.
+	// OpenFlows are flows that another balancer has announced, for AffinityToken.
 	OpenFlows []conntrack.Flow
 	Peer      *PeerEvent
 	Tick      bool // at least every TickInterval
--- a/internal/core/hands.go
+++ b/internal/core/hands.go
@@ -124,12 +124,11 @@
 	return a.rank(service, flow, a.weights(service))
 }
 
-// rankProven gives the first by rank of a service but those that have left openings unanswered; nil:
-// these are the most.
-func (a *tokenAffinity) rankProven(service *steering.Service, flow lb.FlowID) *steering.Host {
+// rankTrusted gives the first by rank of a service but the suspects; nil: these are the most.
+func (a *tokenAffinity) rankTrusted(service *steering.Service, flow lb.FlowID) *steering.Host {
 	a.weigh(service)
 	for index, host := range service.Ready {
-		if a.factors[index] > 0 && a.observer.Doubtful(observe.Identity(host.Run)) {
+		if a.factors[index] > 0 && a.observer.Suspect(observe.Identity(host.Run)) {
 			a.factors[index] = 0
 		}
 	}
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -95,7 +95,7 @@
 
 func (a *tokenAffinity) tracked() conntrack.Stats { return a.opened.Stats() }
 
-func (a *tokenAffinity) openFlows() []conntrack.Flow { return a.opened.Untold(a.core.now) }
+func (a *tokenAffinity) openFlows() []conntrack.Flow { return a.opened.Announcements(a.core.now) }
 
 func (a *tokenAffinity) recentFlows() []conntrack.Flow { return a.opened.Recent(a.core.now) }
 
@@ -201,9 +201,9 @@
 		return host, false
 	}
 	first := a.deal(service, flow)
-	if copies > 0 && first != nil && a.observer.Doubtful(observe.Identity(first.Run)) {
-		if proven := a.rankProven(service, flow); proven != nil {
-			return proven, false
+	if copies > 0 && first != nil && a.observer.Suspect(observe.Identity(first.Run)) {
+		if trusted := a.rankTrusted(service, flow); trusted != nil {
+			return trusted, false
 		}
 	}
 	if first != nil && !a.reach.Reaches(first.Zone) {
--- a/internal/heldwork/heldwork.go
+++ b/internal/heldwork/heldwork.go
@@ -48,14 +48,9 @@
 	}
 }
 
-// levelKey names the requests of one priority at a service.
-type levelKey struct {
-	service  lb.ServiceName
-	priority uint16
-}
-
-// level is what is known of one priority. Counts fade with the window.
+// level is what is known of the requests of one priority at a service. Counts fade with the window.
 type level struct {
+	priority uint16
 	first    time.Duration // when the first request began
 	at       time.Duration // of the counts
 	work     float64       // of all requests, in slot seconds
@@ -73,26 +68,26 @@
 // Tracker is the forecast of one balancer. It is not safe for concurrent use.
 type Tracker struct {
 	settings Settings
-	levels   map[levelKey]*level
+	levels   map[lb.ServiceName][]*level
 	flows    map[lb.FlowID]flow
 	sweepAt  time.Duration
 }
 
 // New gives a tracker that knows nothing.
 func New(settings Settings) *Tracker {
-	return &Tracker{settings: settings, levels: make(map[levelKey]*level), flows: make(map[lb.FlowID]flow)}
+	return &Tracker{settings: settings, levels: make(map[lb.ServiceName][]*level), flows: make(map[lb.FlowID]flow)}
 }
 
 // Opened notes that an opening was let in.
 func (t *Tracker) Opened(now time.Duration, service lb.ServiceName, priority uint16) {
-	l := t.level(now, levelKey{service, priority})
+	l := t.level(now, service, priority)
 	l.openings++
 }
 
 // Begun notes that a request begins on a flow, with the time in seconds that it needs at an
 // idle back end.
 func (t *Tracker) Begun(now time.Duration, service lb.ServiceName, priority uint16, id lb.FlowID, work float64) {
-	l := t.level(now, levelKey{service, priority})
+	l := t.level(now, service, priority)
 	l.work += work
 	known, open := t.flows[id]
 	if open && known.level == l {
@@ -115,17 +110,26 @@
 	}
 }
 
-// level gives a level whose counts are as of now.
-func (t *Tracker) level(now time.Duration, key levelKey) *level {
-	l := t.levels[key]
+// level gives the level of a priority, which begins now if it is new.
+func (t *Tracker) level(now time.Duration, service lb.ServiceName, priority uint16) *level {
+	l := t.find(service, priority)
 	if l == nil {
-		l = &level{first: now, at: now}
-		t.levels[key] = l
+		l = &level{priority: priority, first: now, at: now}
+		t.levels[service] = append(t.levels[service], l)
 	}
 	l.fade(now, t.settings.Window)
 	return l
 }
 
+func (t *Tracker) find(service lb.ServiceName, priority uint16) *level {
+	for _, l := range t.levels[service] {
+		if l.priority == priority {
+			return l
+		}
+	}
+	return nil
+}
+
 func (l *level) fade(now, window time.Duration) {
 	if now <= l.at {
 		return
@@ -148,7 +152,7 @@
 // slots, beside what the more important requests need. Callers of a priority who do not keep
 // their flows never fill it.
 func (t *Tracker) Full(now time.Duration, service lb.ServiceName, priority uint16, slots float64) bool {
-	l := t.levels[levelKey{service, priority}]
+	l := t.find(service, priority)
 	if l == nil || slots <= 0 {
 		return false
 	}
@@ -168,8 +172,8 @@
 // above gives the slots that the more important requests need.
 func (t *Tracker) above(now time.Duration, service lb.ServiceName, priority uint16) float64 {
 	slots := 0.0
-	for key, l := range t.levels {
-		if key.service == service && key.priority < priority {
+	for _, l := range t.levels[service] {
+		if l.priority < priority {
 			l.fade(now, t.settings.Window)
 			slots += t.rate(now, l, l.work)
 		}
@@ -196,11 +200,14 @@
 // Forget drops what is known of services but those to keep.
 func (t *Tracker) Forget(keep func(lb.ServiceName) bool) {
 	gone := make(map[*level]bool)
-	for key, l := range t.levels {
-		if !keep(key.service) {
+	for service, levels := range t.levels {
+		if keep(service) {
+			continue
+		}
+		for _, l := range levels {
 			gone[l] = true
-			delete(t.levels, key)
 		}
+		delete(t.levels, service)
 	}
 	if len(gone) == 0 {
 		return
--- a/internal/heldwork/heldwork_test.go
+++ b/internal/heldwork/heldwork_test.go
@@ -131,7 +131,7 @@
 	is.Equal(len(tracker.flows), 10)
 	tracker.Tick(2 * settings.FlowTime)
 	is.Equal(len(tracker.flows), 0)
-	is.Equal(tracker.levels[levelKey{web, feed}].flows, 0)
+	is.Equal(tracker.find(web, feed).flows, 0)
 	tracker.Begun(2*settings.FlowTime, web, feed, 1, work)
 	tracker.Forget(func(lb.ServiceName) bool { return false })
 	is.Equal(len(tracker.flows)+len(tracker.levels), 0)
--- a/internal/message/openflow.go
+++ b/internal/message/openflow.go
@@ -16,8 +16,8 @@
 	Acknowledged uint32    `json:"a"`
 }
 
-// OpenFlows goes along the trees over the zones and between their first nodes, to all
-// nodes that did not know the flows.
+// OpenFlows announces flows along the trees over the zones and between their first nodes, to
+// all nodes that did not know them.
 type OpenFlows struct {
 	Flows []OpenFlow `json:"flows,omitempty"`
 	// Ask: the sender has just started, and asks for the flows of the last seconds.
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -162,7 +162,7 @@
 		return 0, false
 	}
 	o.checkOverdue(now, flow, known)
-	if now-known.at >= o.settings.AnswerTime && (o.silentSince(known.identity, known.at) || o.Doubtful(known.identity)) {
+	if now-known.at >= o.settings.AnswerTime && (o.silentSince(known.identity, known.at) || o.Suspect(known.identity)) {
 		return 0, false
 	}
 	return known.identity, true
@@ -174,8 +174,8 @@
 	return known.identity, found
 }
 
-// Doubtful tells whether a back end has left an opening unanswered, and nothing was heard of it since.
-func (o *Observer) Doubtful(identity Identity) bool {
+// Suspect tells whether a back end has left an opening unanswered, and nothing was heard of it since.
+func (o *Observer) Suspect(identity Identity) bool {
 	known := o.backends[identity]
 	return known != nil && known.missing > 0
 }
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -204,16 +204,16 @@
 	is.Equal(placed, false)
 }
 
-// TestDoubtful: a back end that has left an opening unanswered, until it answers.
-func TestDoubtful(t *testing.T) {
+// TestSuspect: a back end that has left an opening unanswered, until it answers.
+func TestSuspect(t *testing.T) {
 	is := is.New(t)
 	observer := New(DefaultSettings())
-	is.True(!observer.Doubtful(first))
+	is.True(!observer.Suspect(first))
 	observer.Opened(0, 1, first)
 	observer.Tick(150 * ms)
-	is.True(observer.Doubtful(first))
+	is.True(observer.Suspect(first))
 	is.Equal(observer.Factor(time.Second, web, first), 1.0) // it is tried again
-	is.True(observer.Doubtful(first))
+	is.True(observer.Suspect(first))
 	observer.Later(1100*ms, 1, web, first, 1, false)
-	is.True(!observer.Doubtful(first))
+	is.True(!observer.Suspect(first))
 }
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -189,7 +189,7 @@
 		engine.memberStep(&member.Event{})
 		engine.followerStep(&follower.Event{})
 		engine.core.Step(engine.now(), &core.Event{Tick: true, Heard: engine.zonesHeard()}, &engine.coreEffects)
-		engine.tellFlows(engine.coreEffects.OpenFlows, engine.place.Neighbours(netip.AddrPort{}))
+		engine.announceFlows(engine.coreEffects.OpenFlows, engine.place.Neighbours(netip.AddrPort{}))
 		engine.noteSamples() // before others step the core, which resets its effects
 		engine.logChanges()
 		engine.evidenceStep(&evidence.Event{})
--- a/internal/tokennode/metrics.go
+++ b/internal/tokennode/metrics.go
@@ -89,8 +89,8 @@
 		"Flows whose opening more than one back end may answer, and which a late answer must not move.")
 	metricUntracked = metrics.New(prometheus.CounterValue, "flows_untracked_total",
 		"Such flows that were not tracked, as there were too many.")
-	metricUntold = metrics.New(prometheus.CounterValue, "flows_untold_total",
-		"Such flows of which other balancers were not told, as there were too many.")
+	metricUnannounced = metrics.New(prometheus.CounterValue, "flows_unannounced_total",
+		"Such flows that were not announced to other balancers, as there were too many.")
 	metricCorrected = metrics.New(prometheus.CounterValue, "tokens_corrected_total",
 		"Packets that came with the token of a back end at which their flow is not open.")
 	metricReceived = metrics.New(prometheus.CounterValue, "received_packets_total",
@@ -151,7 +151,7 @@
 // allMetrics lists every metric.
 var allMetrics = append([]*metrics.Metric{
 	metricReasons, metricDecisions, metricCalls, metricRejected, metricRevision, metricAge, metricVersion,
-	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricTracked, metricUntracked, metricUntold, metricCorrected, metricReceived, metricSent, metricMalformed,
+	metricEvacuated, metricReached, metricAvoided, metricRank, metricReads, metricMembers, metricLeaving, metricReady, metricTracked, metricUntracked, metricUnannounced, metricCorrected, metricReceived, metricSent, metricMalformed,
 	metricSocketErrors, metricDecisionTime, metricCallTime, metricPressure, metricAdmitted, metricOverloadRefused,
 	metricAsked, metricAskedRefused, metricCapacity, metricLoad, metricLoadAge, metricHome,
 	metricWaiting, metricHeld, metricWent, metricFreed, metricWaitTime,
@@ -228,7 +228,7 @@
 func (output sampler) tracked(stats *conntrack.Stats) {
 	output.Add(metricTracked, float64(stats.Flows))
 	output.Count(metricUntracked, stats.Untracked)
-	output.Count(metricUntold, stats.Untold)
+	output.Count(metricUnannounced, stats.Unannounced)
 	output.Count(metricCorrected, stats.Corrected)
 }
 
--- a/internal/tokennode/openflows.go
+++ b/internal/tokennode/openflows.go
@@ -10,41 +10,41 @@
 	"robinpulley.example/robinpulley/internal/message"
 )
 
-// tellFlows tells nodes of flows that a late answer to their opening must not move.
-func (engine *engine) tellFlows(flows []conntrack.Flow, to []netip.AddrPort) {
+// announceFlows sends nodes flows that a late answer to their opening must not move.
+func (engine *engine) announceFlows(flows []conntrack.Flow, to []netip.AddrPort) {
 	if len(flows) == 0 {
 		return
 	}
-	told := message.OpenFlows{Flows: make([]message.OpenFlow, len(flows))}
+	announced := message.OpenFlows{Flows: make([]message.OpenFlow, len(flows))}
 	for index, flow := range flows {
-		told.Flows[index] = message.OpenFlow{
+		announced.Flows[index] = message.OpenFlow{
 			Flow: flow.ID, OpeningID: flow.OpeningID, Token: uint32(flow.Token), Acknowledged: flow.Acknowledged,
 		}
 	}
-	engine.sendFlows(told, to)
+	engine.sendFlows(announced, to)
 }
 
-func (engine *engine) sendFlows(told message.OpenFlows, to []netip.AddrPort) {
+func (engine *engine) sendFlows(sent message.OpenFlows, to []netip.AddrPort) {
 	if len(to) > 0 {
-		engine.outbox = append(engine.outbox, follower.Outgoing{To: to, Message: told})
+		engine.outbox = append(engine.outbox, follower.Outgoing{To: to, Message: sent})
 	}
 }
 
-// learnFlows takes the flows that another node has told of, and passes on what is new, or
+// learnFlows takes the flows that another node has announced, and passes on what is new, or
 // answers a node that has just started.
-func (engine *engine) learnFlows(told *message.OpenFlows, from netip.AddrPort) {
-	if told.Ask {
-		engine.tellFlows(engine.core.RecentFlows(), []netip.AddrPort{from})
+func (engine *engine) learnFlows(received *message.OpenFlows, from netip.AddrPort) {
+	if received.Ask {
+		engine.announceFlows(engine.core.RecentFlows(), []netip.AddrPort{from})
 		return
 	}
-	flows := make([]conntrack.Flow, len(told.Flows))
-	for index, flow := range told.Flows {
+	flows := make([]conntrack.Flow, len(received.Flows))
+	for index, flow := range received.Flows {
 		flows[index] = conntrack.Flow{
 			ID: flow.Flow, OpeningID: flow.OpeningID, Token: conntrack.Token(flow.Token), Acknowledged: flow.Acknowledged,
 		}
 	}
 	engine.core.Step(engine.now(), &core.Event{OpenFlows: flows}, &engine.coreEffects)
-	engine.tellFlows(engine.coreEffects.OpenFlows, engine.place.Neighbours(from))
+	engine.announceFlows(engine.coreEffects.OpenFlows, engine.place.Neighbours(from))
 }
 
 // askTime is how long after its start a node asks new neighbours for flows.
--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -145,7 +145,6 @@
 	site.caller.SetZone("zone-0")
 	flows, resume := site.openWhileStalled(webFront)
 	site.caller.SetZone("zone-1")
-	site.until("the balancer of the other zone has heard of the flows", func() bool { return site.tracked(1) >= ambiguousFlows })
 	resume()
 	for range 3 {
 		site.useAll(flows)
@@ -154,35 +153,48 @@
 	site.check()
 }
 
-// ambiguousFlows is how many flows openWhileStalled gives at the least.
-const ambiguousFlows = 3
-
-// openWhileStalled opens flows until a host that is stalled holds earlier copies of the openings
-// of some, and gives those. resume has the host go on, and waits until it has answered them.
+// openWhileStalled opens flows of which a host that is stalled holds an earlier copy of the opening, and which
+// all nodes have heard of. resume has the host go on, and waits until it has answered them.
 func (site *site) openWhileStalled(front netip.AddrPort) (flows []openFlow, resume func()) {
 	site.t.Helper()
+	const count = 3
 	stalled := site.hosts[0]
 	before := stalled.Counts().Openings
 	end := sync.OnceFunc(stalled.Stall())
 	site.t.Cleanup(end) // before the host is closed
-	site.until("a balancer tracks the flows", func() bool {
+	site.until("flows are open whose first copy the host holds", func() bool {
 		flow := site.open(front, 1)[0]
-		if len(flow.Opened) > 1 {
-			flows = append(flows, flow)
+		if site.mostTracked() == len(flows) {
+			return false
 		}
-		return max(site.tracked(0), site.tracked(1)) >= ambiguousFlows
+		flows = append(flows, flow)
+		site.until("all nodes have heard of the flow", func() bool {
+			for index := range site.nodes {
+				if site.tracked(index) != len(flows) {
+					return false
+				}
+			}
+			return true
+		})
+		return len(flows) == count
 	})
 	return flows, func() {
 		end()
-		site.until("the host has answered", func() bool { return stalled.Counts().Openings >= before+ambiguousFlows })
+		site.until("the host has answered", func() bool { return stalled.Counts().Openings >= before+count })
+	}
+}
+
+// mostTracked gives how many flows the node tracks that tracks most: the one that opened the last.
+func (site *site) mostTracked() int {
+	most := 0
+	for index := range site.nodes {
+		most = max(most, site.tracked(index))
 	}
+	return most
 }
 
 // tracked gives how many flows a node tracks.
 func (site *site) tracked(index int) int {
-	if index >= len(site.nodes) {
-		return 0
-	}
 	const name = "robinpulley_flows_tracked "
 	_, body := site.get(index, "/metrics")
 	for line := range strings.Lines(body) {
