A flow stays at the back end of its last request when another balancer's copy is answered late

Change: a packet whose token names another back end than that of the flow's last request, of the last 5 s, goes to the latter; from then on the flow is remembered and announced like the others. A new flow of the same ports is told by its opening or its acknowledgements. TestLateAnswerOfAnotherBalancersHostMovesNoFlow failed before.

--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -107,8 +107,10 @@
 	t.track(now, known)
 }
 
-// Open takes a later packet of a flow whose opening was placed at another back end than the one
-// that its token names.
+// Knows tells whether it is known where a flow is open.
+func (t *Table) Knows(id lb.FlowID) bool { return t.entries[id].open }
+
+// Open takes a flow that is open at another back end than one which may answer its opening.
 func (t *Table) Open(now time.Duration, flow Flow) {
 	if t.track(now, entry{flow: flow, open: true}) {
 		t.announce(flow, now)
--- a/internal/core/token.go
+++ b/internal/core/token.go
@@ -130,6 +130,9 @@
 func (a *tokenAffinity) open(packet *Packet, decision *Decision) {
 	flow := packet.Key.ID()
 	a.opened.Opening(flow, packet.OpeningID)
+	if packet.Copies == 0 {
+		a.observer.Reopened(flow)
+	}
 	service := a.table.Service(&packet.Key)
 	if service == nil {
 		a.refuse(packet, decision, flow, ReasonUnknownService)
@@ -272,6 +275,7 @@
 func (a *tokenAffinity) follow(packet *Packet, decision *Decision) {
 	frontend := packet.Key.Frontend()
 	flow := packet.Key.ID()
+	a.noteOpenFlow(flow, &frontend, packet.Token)
 	token := steering.Token(a.opened.Resolve(a.core.now, flow, conntrack.Token(packet.Token), packet.Acknowledged))
 	host := a.table.Resolve(&frontend, token)
 	if host == nil {
@@ -309,6 +313,20 @@
 	}
 }
 
+// noteOpenFlow has a flow stay at the back end of its last request, where a packet comes with another
+// token: another balancer has placed a copy of its opening, which was answered since.
+func (a *tokenAffinity) noteOpenFlow(flow lb.FlowID, frontend *lb.FrontendKey, token steering.Token) {
+	identity, acknowledged, found := a.observer.Exchanging(flow)
+	if !found || a.opened.Knows(flow) {
+		return
+	}
+	host := a.table.HostOfRun(uint64(identity))
+	if host == nil || host.Token(frontend) == token {
+		return
+	}
+	a.opened.Open(a.core.now, conntrack.Flow{ID: flow, Token: conntrack.Token(host.Token(frontend)), Acknowledged: acknowledged})
+}
+
 func forwardTo(decision *Decision, host *steering.Host) {
 	decision.Action = ActionForward
 	decision.Service = host.Service
--- a/internal/core/token_test.go
+++ b/internal/core/token_test.go
@@ -405,6 +405,42 @@
 	is.Equal(core.send(400*time.Millisecond, later(first.Token, 5001)).Identity, other.Identity)
 }
 
+// TestLateAnswerOfAnotherBalancersHostMovesNoFlow: the first copy opened the flow here, and a second one
+// was placed elsewhere by another balancer.
+func TestLateAnswerOfAnotherBalancersHostMovesNoFlow(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	backends := []view.StoredBackend{tokenBackend("i-1", "web", 1, lb.BackendActive), tokenBackend("i-2", "web", 2, lb.BackendActive)}
+	core.list(0, tokenListing(9, backends...))
+	first := core.send(time.Millisecond, tokenOpening(1, 443))
+	is.Equal(core.send(220*time.Millisecond, later(first.Token, 5001)).Identity, first.Identity)
+	frontend := tokenFlow(1, 443)
+	other := core.affinity.(*tokenAffinity).table.HostOfRun(3 - first.Identity)
+	key := frontend.Frontend()
+	moved := core.send(300*time.Millisecond, later(other.Token(&key), 5400))
+	is.Equal(moved.Identity, first.Identity)
+	is.True(moved.Corrected)
+	// A new flow of the same ports has other acknowledgements, or begins here.
+	is.Equal(core.send(400*time.Millisecond, later(other.Token(&key), 1<<31)).Identity, other.Identity)
+}
+
+// TestReopenedPortsGoByTheNewToken: what was known of the flow before does not count.
+func TestReopenedPortsGoByTheNewToken(t *testing.T) {
+	is := is.New(t)
+	core := newTokenCore()
+	backends := []view.StoredBackend{tokenBackend("i-1", "web", 1, lb.BackendActive), tokenBackend("i-2", "web", 2, lb.BackendActive)}
+	core.list(0, tokenListing(9, backends...))
+	first := core.send(time.Millisecond, tokenOpening(1, 443))
+	core.send(10*time.Millisecond, later(first.Token, 5001))
+	again := tokenOpening(1, 443)
+	again.OpeningID = 8
+	for range 4 {
+		again.OpeningID++
+		second := core.send(time.Second, again)
+		is.Equal(core.send(1010*time.Millisecond, later(second.Token, 5001)).Identity, second.Identity)
+	}
+}
+
 // TestNewFlowOfTheSamePortsGoesByItsToken: also one that another balancer has placed.
 func TestNewFlowOfTheSamePortsGoesByItsToken(t *testing.T) {
 	is := is.New(t)
--- a/internal/observe/outcome.go
+++ b/internal/observe/outcome.go
@@ -39,6 +39,16 @@
 // request of the flow, or with its end.
 const exchangeTime = 5 * time.Second
 
+// Exchanging gives the back end that the last request of a flow went to, and the caller's
+// acknowledgement with it, while that was a short time ago.
+func (o *Observer) Exchanging(flow lb.FlowID) (identity Identity, acknowledged uint32, found bool) {
+	known, found := o.exchanges[flow]
+	return known.identity, known.acknowledged, found
+}
+
+// Reopened notes that a new flow begins with the addresses and ports of a flow.
+func (o *Observer) Reopened(flow lb.FlowID) { delete(o.exchanges, flow) }
+
 // Measure takes a later packet of a flow for the size of answers: by how much the
 // caller's acknowledgements have advanced when it sends the next request or closes.
 func (o *Observer) Measure(now time.Duration, flow lb.FlowID, frontend lb.FrontendKey, identity Identity, acknowledged uint32, hasData, closing bool) {
