--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -82,7 +82,7 @@
 	return value
 }
 
-// bounds are those of the small deployment sites/tally-edge.toml (SYSTEM.md).
+// bounds are those of the small deployment further/kfr-accra.toml.
 var bounds = map[string]any{"grace_s": 6, "config_apply_ms": 3000, "drain_ms": 3000}
 
 // write writes the settings file of a node.
@@ -93,7 +93,7 @@
 		"control":       fmt.Sprintf("%s:%d", n.addr, n.controlPort),
 	}
 	text := fill(template, map[string]any{
-		"node_name": n.name, "zone": n.zone, "region": "tx-central", "listen_addrs": listen, "seeds": seeds,
+		"node_name": n.name, "zone": n.zone, "region": "accra", "listen_addrs": listen, "seeds": seeds,
 		"platform": map[string]any{"address": storeAddress}, "bounds": bounds,
 	})
 	n.settings = filepath.Join(dir, n.name+".yaml")
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -49,6 +49,7 @@
 	mutex    sync.Mutex
 	flows    map[flowKey]*hostFlow
 	draining bool
+	gone     bool // its entry is gone
 	callSeq  int
 }
 
@@ -79,7 +80,7 @@
 	}
 	h.callSeq++
 	value, _ := json.Marshal(map[string]any{
-		"service": h.service, "address": h.address.String(), "zone": h.zone, "version": "v1", "slots": 2,
+		"service": h.service, "address": h.address.String(), "zone": h.zone, "version": "v1", "slots": 3,
 		"state": state, "cold_remaining_ms": 0, "call_seq": h.callSeq,
 	})
 	return value
--- a/review/standin/overflow.go
+++ b/review/standin/overflow.go
@@ -6,7 +6,7 @@
 )
 
 // deployments are the deployments of the scripts.
-var deployments = map[string]plan{"config-storm": tallyEdge}
+var deployments = map[string]plan{"config-storm": kfrAccra, "last-hosts": kfrAccra}
 
 func init() { scripts["config-storm"] = configStorm }
 
@@ -30,7 +30,7 @@
 	if err := w.awaitReady(20 * time.Second); err != nil {
 		return false, err
 	}
-	w.routes = append(w.routes[:1], append([]map[string]any{route("r-old", droppedPort, "wallet-core", "unsafe")}, w.routes[1:]...)...)
+	w.routes = append(w.routes[:1], append([]map[string]any{route("r-old", droppedPort, driverGateway, "unsafe")}, w.routes[1:]...)...)
 	for range bigConfigs {
 		w.addRoutes(bigConfigRoutes)
 		w.configure()
@@ -64,7 +64,7 @@
 	time.Sleep(500 * time.Millisecond)
 
 	w.routes = append(w.routes[:1], w.routes[2:]...) // drops the route to droppedPort
-	w.routes = append(w.routes, route("r-new", newPort, "wallet-core", "unsafe"))
+	w.routes = append(w.routes, route("r-new", newPort, driverGateway, "unsafe"))
 	configAcked := w.configure()
 	leaving := w.hosts[0]
 	leaving.drain()
@@ -75,7 +75,7 @@
 	for time.Since(configAcked) < 28*time.Second {
 		sent := time.Now()
 		for _, c := range w.clients {
-			for _, port := range []uint16{newPort, droppedPort, walletPort} {
+			for _, port := range []uint16{newPort, droppedPort, confirmPort} {
 				w.try(c, end{routeAddr, port}, j.flow)
 			}
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// world is a small deployment: 7 balancers in 3 zones as in sites/tally-edge.toml, with the
+// world is a small deployment: 8 balancers in 3 zones as in further/kfr-accra.toml, with the
 // platform's store, routers, hosts and clients as stand-ins.
 type world struct {
 	rec     *recorder
@@ -23,6 +23,8 @@
 	clients []*client
 	router  *router
 	port    uint16 // of datagram_addr at all nodes
+	// hostPort is the port of all hosts.
+	hostPort uint16
 
 	mutex    sync.Mutex
 	openings []opening
@@ -32,7 +34,7 @@
 	acked    time.Time // of the last configuration
 }
 
-var zones = []string{"tx-central-a", "tx-central-b", "tx-central-c"}
+var zones = []string{"tema-hall", "kaneshie-hall", "spintex-hall"}
 
 // plan says how many machines and hosts a deployment has.
 type plan struct {
@@ -46,19 +48,25 @@
 	hosts []int // by zone
 }
 
-// tallyEdge is the deployment of sites/tally-edge.toml.
-var tallyEdge = plan{
-	nodes: []int{2, 3, 2},
+// The services of further/kfr-accra.toml.
+const (
+	driverGateway = "driver-gateway"
+	routingDesk   = "routing-desk"
+)
+
+// kfrAccra is the deployment of further/kfr-accra.toml.
+var kfrAccra = plan{
+	nodes: []int{3, 3, 2},
 	services: []service{
-		{"wallet-core", []int{5, 5, 4}},
-		{"docvault", []int{2, 1, 1}},
+		{driverGateway, []int{5, 5, 4}},
+		{routingDesk, []int{2, 1, 1}},
 	},
-	routes: 14,
+	routes: 8,
 }
 
 const (
-	walletPort = 443
-	vaultPort  = 8443
+	confirmPort = 443  // delivery drop confirmations, at driverGateway
+	sheetPort   = 8443 // route sheets, at routingDesk
 )
 
 // routeAddr is the address of the platform that routes name. It stands only in packets.
@@ -93,14 +101,14 @@
 			return nil, err
 		}
 	}
-	w.port = ports[0]
+	w.port, w.hostPort = ports[0], ports[4]
 	if w.store, err = newStore(netip.AddrPortFrom(storeAddr, ports[3]).String(), 20*time.Second); err != nil {
 		return nil, err
 	}
-	if err := w.startHosts(p, ports[4]); err != nil {
+	if err := w.startHosts(p); err != nil {
 		return nil, err
 	}
-	w.routes = append(w.routes, route("r-wallet", walletPort, "wallet-core", "unsafe"), route("r-vault", vaultPort, "docvault", "upload"))
+	w.routes = append(w.routes, route("r-confirm", confirmPort, driverGateway, "unsafe"), route("r-sheet", sheetPort, routingDesk, "download"))
 	w.addRoutes(p.routes)
 	w.configure()
 	if err := w.startNodes(p, string(text), nodeAddrs, ports); err != nil {
@@ -117,36 +125,46 @@
 	return w, nil
 }
 
-func (w *world) startHosts(p plan, port uint16) error {
-	number := 0
+func (w *world) startHosts(p plan) error {
 	for _, s := range p.services {
-		for z, count := range s.hosts {
-			for range count {
-				number++
-				addr := netip.AddrFrom4([4]byte{127, 30, byte(z + 1), byte(number)})
-				id := fmt.Sprintf("i-%08x", 0x7f3a9000+number*0x1357)
-				h, err := startHost(w.rec, id, s.name, zones[z], netip.AddrPortFrom(addr, port), w.port, 20*time.Millisecond)
-				if err != nil {
-					return err
-				}
-				h.onOpening = func(o opening) {
-					w.mutex.Lock()
-					w.openings = append(w.openings, o)
-					w.mutex.Unlock()
-				}
-				h.onRun = func(h *host, id string, _ netip.Addr) {
-					w.mutex.Lock()
-					w.runs[id] = append(w.runs[id], h)
-					w.mutex.Unlock()
-				}
-				w.hosts = append(w.hosts, h)
-				w.announce(h)
-			}
+		if _, err := w.addHosts(s); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// addHosts starts the hosts of a service with ids and addresses of their own, and writes their
+// entries.
+func (w *world) addHosts(s service) ([]*host, error) {
+	var added []*host
+	for z, count := range s.hosts {
+		for range count {
+			number := len(w.hosts) + 1
+			addr := netip.AddrFrom4([4]byte{127, 30, byte(z + 1), byte(number)})
+			id := fmt.Sprintf("i-%08x", 0x7f3a9000+number*0x1357)
+			h, err := startHost(w.rec, id, s.name, zones[z], netip.AddrPortFrom(addr, w.hostPort), w.port, 20*time.Millisecond)
+			if err != nil {
+				return nil, err
+			}
+			h.onOpening = func(o opening) {
+				w.mutex.Lock()
+				w.openings = append(w.openings, o)
+				w.mutex.Unlock()
+			}
+			h.onRun = func(h *host, id string, _ netip.Addr) {
+				w.mutex.Lock()
+				w.runs[id] = append(w.runs[id], h)
+				w.mutex.Unlock()
+			}
+			w.hosts = append(w.hosts, h)
+			added = append(added, h)
+			w.announce(h)
+		}
+	}
+	return added, nil
+}
+
 // announce writes a host's entry to the store, and returns when the store has acknowledged it.
 func (w *world) announce(h *host) time.Time { return w.store.put("servers/"+h.id, h.entry()) }
 
@@ -184,7 +202,7 @@
 func route(name string, port int, service, class string) map[string]any {
 	return map[string]any{
 		"name": name, "hostname": routeAddr.String(), "path_prefix": fmt.Sprintf("/%d/", port), "route_class": class,
-		"timeout_ms": 2000, "target_latency_ms": 120, "priority": 1, "service": service, "max_attempts": 2,
+		"timeout_ms": 1500, "target_latency_ms": 250, "priority": 1, "service": service, "max_attempts": 2,
 	}
 }
 
@@ -192,7 +210,7 @@
 func (w *world) addRoutes(count int) {
 	for range count {
 		number := len(w.routes)
-		w.routes = append(w.routes, route(fmt.Sprintf("r-idle%05d", number), 10000+number, "docvault", "safe"))
+		w.routes = append(w.routes, route(fmt.Sprintf("r-idle%05d", number), 10000+number, routingDesk, "safe"))
 	}
 }
 
@@ -203,8 +221,8 @@
 	value, err := json.Marshal(map[string]any{
 		"version": w.version, "routes": w.routes,
 		"services": []map[string]any{
-			{"name": "wallet-core", "health_path": "/health", "max_conns": 2000},
-			{"name": "docvault", "health_path": "/health", "max_conns": 2000},
+			{"name": driverGateway, "health_path": "/health", "max_conns": 2000},
+			{"name": routingDesk, "health_path": "/health", "max_conns": 2000},
 		},
 		"limits": map[string]any{"idle_timeout_ms": 30000},
 	})
