Review case 2: open flows are reset after a planned restart of a lone seed

A balancer whose other seeds are stale is ready before it knows any other balancer, and sends packets of open flows to hosts that stalled and answered late.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -28,6 +28,7 @@
 	client *client
 	key    flowKey
 	seq    uint32 // of the SYN
+	sent   uint32 // bytes of answered requests
 	opened time.Time
 
 	mutex sync.Mutex
@@ -144,7 +145,7 @@
 			f.ack += uint32(len(p.data))
 		}
 		f.mutex.Unlock()
-		f.send(&packet{flags: flagACK, seq: f.seq + 1})
+		f.send(&packet{flags: flagACK, seq: f.seq + 1 + f.sent})
 		if fresh {
 			f.answers <- requestID(p.data)
 		}
@@ -172,14 +173,18 @@
 }
 
 // request sends one request on an open flow, with copies until it is answered. It returns "served",
-// "reset" or "silent".
+// "reset", "silent" or "foreign answer".
 func (f *clientFlow) request(id string, limit time.Duration) string {
 	data := fmt.Appendf(nil, "POST / HTTP/1.1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 	deadline := time.Now().Add(limit)
 	for wait := 200 * time.Millisecond; time.Now().Before(deadline); wait = min(2*wait, 1600*time.Millisecond) {
-		f.send(&packet{flags: flagACK, seq: f.seq + 1, data: data})
+		f.send(&packet{flags: flagACK, seq: f.seq + 1 + f.sent, data: data})
 		select {
-		case <-f.answers:
+		case answered := <-f.answers:
+			if answered != id {
+				return "foreign answer"
+			}
+			f.sent += uint32(len(data))
 			return "served"
 		case <-f.reset:
 			return "reset"
@@ -191,7 +196,7 @@
 
 // close ends the flow.
 func (f *clientFlow) close() {
-	f.send(&packet{flags: flagACK | flagFIN, seq: f.seq + 1})
+	f.send(&packet{flags: flagACK | flagFIN, seq: f.seq + 1 + f.sent})
 	time.AfterFunc(time.Second, func() {
 		f.client.mutex.Lock()
 		delete(f.client.flows, f.key.client.port)
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -45,6 +45,10 @@
 	rec               *recorder
 	onOpening         func(opening)
 	onRun             func(h *host, id string, via netip.Addr)
+	onOpen            func(h *host, key flowKey)
+	onReset           func(h *host, key flowKey, via netip.Addr)
+
+	stall sync.Mutex // locked while the host stalls: it handles what arrived when it goes on
 
 	mutex    sync.Mutex
 	flows    map[flowKey]*hostFlow
@@ -114,6 +118,8 @@
 			h.rec.log("host %s got a forged packet from %s", h.id, from)
 			continue
 		}
+		h.stall.Lock()
+		h.stall.Unlock()
 		h.handle(&p, from.Addr().Unmap())
 	}
 }
@@ -124,7 +130,8 @@
 	flow := h.flows[key]
 	switch {
 	case p.has(flagSYN):
-		if flow == nil || flow.open {
+		isCopy := flow != nil && !flow.open
+		if !isCopy {
 			flow = &hostFlow{seq: rand.Uint32()}
 			h.flows[key] = flow
 		}
@@ -135,16 +142,26 @@
 			h.onOpening(opening{at: time.Now(), host: h, via: via, key: key})
 		}
 		h.send(key, reply)
+		if !isCopy {
+			h.resend(key, flow, reply, firstResend, maxResends)
+		}
 		return
 	case flow == nil || !flow.open && p.ack != flow.seq+1:
 		h.mutex.Unlock()
 		if !p.has(flagRST) {
-			h.rec.log("host %s resets %s: it does not hold the flow", h.id, flowName(key))
+			h.rec.log("host %s resets %s, which is not open there; the packet came through %s", h.id, flowName(key), via)
+			if h.onReset != nil {
+				h.onReset(h, key, via)
+			}
 			h.send(key, &packet{flags: flagRST, echo: p.echo, seq: p.ack})
 		}
 		return
 	}
+	opened := !flow.open
 	flow.open, flow.echo = true, p.echo
+	if opened && h.onOpen != nil {
+		h.onOpen(h, key)
+	}
 	if p.has(flagRST) {
 		delete(h.flows, key)
 		h.mutex.Unlock()
@@ -172,6 +189,28 @@
 	time.AfterFunc(h.work, func() { h.answer(key, flow, id) })
 }
 
+// Resends of a packet that is not acknowledged (PROTOCOL.md, "Flows").
+const (
+	firstResend = 200 * time.Millisecond
+	maxResend   = 1600 * time.Millisecond
+	maxResends  = 8
+)
+
+// resend sends the answer to a SYN again until the flow is open, with growing waits.
+func (h *host) resend(key flowKey, flow *hostFlow, reply *packet, wait time.Duration, left int) {
+	time.AfterFunc(wait, func() {
+		h.stall.Lock()
+		h.stall.Unlock()
+		h.mutex.Lock()
+		again := !flow.open && h.flows[key] == flow && left > 0
+		h.mutex.Unlock()
+		if again {
+			h.send(key, reply)
+			h.resend(key, flow, reply, min(2*wait, maxResend), left-1)
+		}
+	})
+}
+
 // answer sends the answer to a request, and again until the client has acknowledged it.
 func (h *host) answer(key flowKey, flow *hostFlow, id string) {
 	body := fmt.Sprintf("answer to %s", id)
--- a/review/standin/overflow.go
+++ b/review/standin/overflow.go
@@ -6,7 +6,7 @@
 )
 
 // deployments are the deployments of the scripts.
-var deployments = map[string]plan{"config-storm": kfrAccra, "last-hosts": kfrAccra}
+var deployments = map[string]plan{"config-storm": kfrAccra, "last-hosts": kfrAccra, "restart": withStaleSeeds(kfrAccra, 2), "kill-all": kfrAccra}
 
 func init() { scripts["config-storm"] = configStorm }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -29,6 +29,8 @@
 	mutex    sync.Mutex
 	openings []opening
 	runs     map[string][]*host // by request
+	openAt   map[flowKey]*host  // the host of each open flow
+	resets   map[flowKey]reset  // the last reset that a host sent on a flow
 	version  int
 	routes   []map[string]any
 	acked    time.Time // of the last configuration
@@ -36,11 +38,19 @@
 
 var zones = []string{"tema-hall", "kaneshie-hall", "spintex-hall"}
 
+// reset is a reset that a host sent because of a packet of a flow that it does not hold.
+type reset struct {
+	host *host
+	via  netip.Addr // the machine that the packet came through
+}
+
 // plan says how many machines and hosts a deployment has.
 type plan struct {
 	nodes    []int // by zone
 	services []service
 	routes   int // further routes that see no traffic
+	// staleSeeds is how many of the three seeds are stale: no machine is there any more.
+	staleSeeds int
 }
 
 type service struct {
@@ -75,7 +85,7 @@
 // newWorld starts the store, the hosts with their entries, the first configuration, the balancers
 // and the clients.
 func newWorld(rec *recorder, dir string, p plan) (*world, error) {
-	w := &world{rec: rec, dir: dir, runs: map[string][]*host{}}
+	w := &world{rec: rec, dir: dir, runs: map[string][]*host{}, openAt: map[flowKey]*host{}, resets: map[flowKey]reset{}}
 	words, template, err := runLine()
 	if err != nil {
 		return nil, err
@@ -157,6 +167,16 @@
 				w.runs[id] = append(w.runs[id], h)
 				w.mutex.Unlock()
 			}
+			h.onOpen = func(h *host, key flowKey) {
+				w.mutex.Lock()
+				w.openAt[key] = h
+				w.mutex.Unlock()
+			}
+			h.onReset = func(h *host, key flowKey, via netip.Addr) {
+				w.mutex.Lock()
+				w.resets[key] = reset{host: h, via: via}
+				w.mutex.Unlock()
+			}
 			w.hosts = append(w.hosts, h)
 			added = append(added, h)
 			w.announce(h)
@@ -172,7 +192,11 @@
 	index := 0
 	var seeds []string
 	for z, count := range p.nodes {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", addrs[index], ports[1]))
+		seed := addrs[index]
+		if z < p.staleSeeds {
+			seed = netip.AddrFrom4([4]byte{127, 10, byte(z + 1), 99})
+		}
+		seeds = append(seeds, fmt.Sprintf("%s:%d", seed, ports[1]))
 		for i := range count {
 			n := &node{
 				name: fmt.Sprintf("front-%s-%d", zones[z], i+1), zone: zones[z], addr: addrs[index],
