Last resort ends by the time of the deletion, not of the news

Cause: a back end that was deleted without a drain is the last resort of its service for 1.5 s, counted from when the balancer learned of the deletion. leave_limit counts from the deletion. With the watcher gone the news takes 1.4 to 1.9 s.

Entries gone at about 05:21:33.93; five balancers log the view with the deletions at 05:21:35.64 and their last opening for the service at 05:21:37.13 to 37.19, whatever the age of their views.

Ruled out: late news alone (all knew within 1.9 s), the admission queue and repeated openings (both are decided by the present table).

Change: a replica keeps the latest time at which a deleted entry is known to have existed, from its own contact to the store or from the peer that sends the deletion (fields existed_ms, gone_in_outage; older versions neither send nor need them). The last resort ends at that time plus leave_limit less a tenth, and after 1.5 s as before. The age from which an outage is assumed scales with the follower's other times, and only an outage that lasted for the limit lifts the bound; before, a watcher that failed at a limit of 5 s passed for an outage. Only entries that were deleted in an outage come back into the ready ones.

Why it works: the deletion cannot have happened before a moment at which the view, known to be current, had the entry.

Two tests of the compiler get the contact that they used to leave out or to state as an age; the expected times are as before, but for "most while the store is reachable", whose view was 2 s old: 0.7 s are left of the limit, not 1.5.

--- a/internal/follower/dissemination.go
+++ b/internal/follower/dissemination.go
@@ -177,7 +177,7 @@
 		core.applyPart(from, received, effects)
 		return
 	}
-	core.setReplicaAge()
+	core.setReplicaContact(false)
 	applied, changed := core.replica.ApplyDelta(core.now, &received.Delta)
 	core.forward(received.Route, effects, func(route message.Route) message.Message {
 		forwarded := *received
@@ -215,7 +215,7 @@
 		return // a duplicate, or a part of another delta
 	}
 	if delta != nil {
-		core.setReplicaAge()
+		core.setReplicaContact(true)
 		if _, changed := core.replica.ApplyDelta(core.now, delta); changed {
 			core.recordChange(effects, string(from.From))
 		}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -176,11 +176,15 @@
 	}
 }
 
-// setReplicaAge passes the view's age to the replica before an update is applied.
-func (core *Core) setReplicaAge() {
+// setReplicaContact tells the replica how current it is before an update is applied. delayed states
+// that the update was created an unknown time ago.
+func (core *Core) setReplicaContact(delayed bool) {
+	contact := view.NoContact
 	if core.verified {
-		core.replica.SetAge(core.age())
+		contact = view.Contact{CurrentAt: core.verifiedAt, Outage: core.age() >= core.settings.OutageAge}
 	}
+	contact.Delayed = delayed
+	core.replica.SetContact(contact)
 }
 
 // age returns the time since the view was last known to be current.
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -117,7 +117,7 @@
 
 // apply applies the result of a read and reports whether anything changed.
 func (core *Core) apply(result *ReadResult) bool {
-	core.setReplicaAge()
+	core.setReplicaContact(false)
 	core.assembly = view.Assembly{} // its parts start at an older revision
 	if result.Snapshot != nil {
 		return core.replica.ApplySnapshot(core.now, result.Snapshot)
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -29,6 +29,10 @@
 	// TakeoverAge is the age of the view at which the first node in the takeover order reads the
 	// store itself. TakeoverStep is added for each further position, up to TakeoverAgeLimit.
 	TakeoverAge, TakeoverStep, TakeoverAgeLimit time.Duration
+	// OutageAge is the age of the view from which on the store is assumed to have been unreachable.
+	// Failures of the nodes that read the store do not let a view become this old, because other
+	// nodes take over earlier.
+	OutageAge time.Duration
 	// SlowTakeoverStep is added for each further position if a takeover is not urgent: the view is
 	// current, or other nodes are already trying and the store does not answer them.
 	SlowTakeoverStep time.Duration
@@ -66,6 +70,7 @@
 		TakeoverAge:      1700 * time.Millisecond,
 		TakeoverStep:     60 * time.Millisecond,
 		TakeoverAgeLimit: 2200 * time.Millisecond,
+		OutageAge:        2500 * time.Millisecond,
 		SlowTakeoverStep: 400 * time.Millisecond,
 		NoUpdateTimeout:  1200 * time.Millisecond,
 		DigestInterval:   400 * time.Millisecond,
@@ -86,7 +91,7 @@
 const maxLimit = 5500 * time.Millisecond
 
 // ScaledTo returns settings that put a change into force within a limit. It scales the times of
-// watches, takeovers, digests and retries by the same ratio, so that a fleet whose users tolerate
+// watches, takeovers, outages, digests and retries by the same ratio, so that a fleet whose users tolerate
 // more delay makes fewer requests. CallTimeout is never increased, because a lost request must end
 // and be repeated within the limit. BackoffLimit is never increased either, so that retries against
 // a failing store do not become slower.
@@ -96,7 +101,7 @@
 	backoffLimit, callTimeout := settings.BackoffLimit, settings.CallTimeout
 	for _, duration := range []*time.Duration{
 		&settings.WatchWait, &settings.ChangeInterval, &settings.TakeoverAge, &settings.TakeoverStep,
-		&settings.TakeoverAgeLimit, &settings.NoUpdateTimeout, &settings.DigestInterval, &settings.BackoffLimit,
+		&settings.TakeoverAgeLimit, &settings.OutageAge, &settings.NoUpdateTimeout, &settings.DigestInterval, &settings.BackoffLimit,
 		&settings.CallTimeout,
 	} {
 		*duration = time.Duration(float64(*duration) * ratio)
--- a/internal/steering/compiler.go
+++ b/internal/steering/compiler.go
@@ -19,8 +19,8 @@
 // MB, during which packets wait; small machines have a fifth of a core. A Compiler is not safe for
 // concurrent use.
 type Compiler struct {
-	zone  lb.Zone
-	table *Table // the table of the last compilation; nil before the first
+	settings Settings
+	table    *Table // the table of the last compilation; nil before the first
 	// hosts holds the hosts of the last table, by name.
 	hosts    map[lb.BackendName]*Host
 	services map[lb.ServiceName]*members
@@ -50,13 +50,13 @@
 	stale bool
 }
 
-// NewCompiler returns a compiler for a balancer in the zone.
-func NewCompiler(zone lb.Zone) *Compiler { return &Compiler{zone: zone} }
+// NewCompiler returns a compiler.
+func NewCompiler(settings Settings) *Compiler { return &Compiler{settings: settings} }
 
-// Compile builds a table from scratch for the state of the replica at the time now, for a balancer
-// in zone.
+// Compile builds a table from scratch for the state of the replica at the time now, with the
+// default settings of a balancer in zone.
 func Compile(replica *view.Replica, zone lb.Zone, now time.Duration) *Table {
-	return NewCompiler(zone).compileFull(replica, now)
+	return NewCompiler(DefaultSettings(zone)).compileFull(replica, now)
 }
 
 // Compile builds the table for the state of the replica at the time now. Every call must pass the
@@ -114,7 +114,7 @@
 
 func (c *Compiler) clear() {
 	*c = Compiler{
-		zone:       c.zone,
+		settings:   c.settings,
 		hosts:      make(map[lb.BackendName]*Host),
 		services:   make(map[lb.ServiceName]*members),
 		expiring:   make(map[lb.BackendName]*Host),
@@ -326,10 +326,10 @@
 		}
 	}
 	zones := len(c.zones)
-	if c.zones[c.zone] == 0 {
+	if c.zones[c.settings.Zone] == 0 {
 		zones++ // the balancer's own zone has clients even if it has no hosts
 	}
-	service.setEvenWeights(c.zone, zones)
+	service.setEvenWeights(c.settings.Zone, zones)
 	service.ColdNeeded = lb.TotalSlots(service.zoneCapacity) < lb.TotalSlots(capacityByZone(service.Cold))
 	return service
 }
@@ -353,7 +353,7 @@
 func (c *Compiler) setRole(host *Host, known *view.KnownBackend, now time.Duration) {
 	starting := known.ColdUntil > now
 	cold := starting && c.coldRates[host.Service] > 0
-	lapsed := known.DeletedAt + lapsedTimeout
+	lapsed := c.settings.lastResortEnd(known)
 	switch {
 	case host.State != lb.BackendActive:
 	case c.evacuated[host.Zone]:
--- a/internal/steering/compiler_test.go
+++ b/internal/steering/compiler_test.go
@@ -109,13 +109,14 @@
 // returned earlier do not change.
 func TestIncrementalCompileEqualsFullCompile(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		replica, compiler := view.NewReplica(), NewCompiler(zoneA)
+		replica, compiler := view.NewReplica(), NewCompiler(DefaultSettings(zoneA))
 		now, revision := time.Duration(0), int64(1)
 		var before *Table
 		var beforeText string
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond
-			replica.SetAge(time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Second)
+			age := time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Second
+			replica.SetContact(view.Contact{CurrentAt: now - age, Outage: rapid.Bool().Draw(t, "outage")})
 			changes := &view.Changes{}
 			for range rapid.IntRange(0, 4).Draw(t, "changes") {
 				revision++
@@ -178,7 +179,7 @@
 	builder.addHost("i-1", "web", zoneA, lb.BackendActive)
 	builder.addHost(first, "web", zoneA, lb.BackendActive)
 	builder.addRoute(443, view.Target{Service: "web", Weight: 1})
-	replica, compiler := builder.replica(), NewCompiler(zoneA)
+	replica, compiler := builder.replica(), NewCompiler(DefaultSettings(zoneA))
 	is.Equal(describeHosts(compiler.Compile(replica, 0).services["web"].Ready), describeHosts(Compile(replica, zoneA, 0).services["web"].Ready))
 	other := view.Backend{
 		Name: second, Identity: 99, Service: "web", Zone: zoneA, State: lb.BackendActive, Created: 20,
@@ -225,7 +226,7 @@
 			replica.ApplyChanges(0, &view.Changes{Revision: revision, Changes: []view.Change{{Revision: revision, Backend: &backend}}})
 		}
 		b.Run(fmt.Sprintf("shared/%d", hosts), func(b *testing.B) {
-			compiler := NewCompiler("zone-1")
+			compiler := NewCompiler(DefaultSettings("zone-1"))
 			compiler.Compile(replica, 0)
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -81,7 +81,7 @@
 	// deletedInOutage counts the lapsed hosts whose entries were deleted while the store was
 	// unreachable.
 	deletedInOutage int
-	// lapsedInUse is set if the lapsed hosts get new flows as the ready ones do.
+	// lapsedInUse is set if the hosts that deletedInOutage counts get new flows as the ready ones do.
 	lapsedInUse bool
 	ring        []*Host
 	// zoneCapacity holds the total capacity of the ready hosts by zone.
@@ -132,10 +132,6 @@
 	t.version, t.revision = replica.Version(), replica.Revision()
 }
 
-// lapsedTimeout is how long a back end that was deleted without a drain may serve as a last resort.
-// It is well below the time after which a leaving back end must get no new flows.
-const lapsedTimeout = 1500 * time.Millisecond
-
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
@@ -162,22 +158,29 @@
 	return len(t.frontends), ready
 }
 
-// useLapsed moves the lapsed hosts to Ready if they are at least half of the service and their
-// entries were deleted while the store was unreachable. During an outage the store drops the
-// entries of back ends that cannot reach it. Those still alive register again soon, and until then
-// the remaining ones would be overloaded. An entry that is deleted while the store is reachable
-// belongs to a back end that leaves, which must get no new flows.
+// useLapsed moves the lapsed hosts whose entries were deleted while the store was unreachable to
+// Ready if they are at least half of the service. During an outage the store drops the entries of
+// back ends that cannot reach it. Those still alive register again soon, and until then the
+// remaining ones would be overloaded. An entry that is deleted while the store is reachable belongs
+// to a back end that leaves, which must get no new flows.
 func (s *Service) useLapsed() {
 	if s.deletedInOutage == 0 || s.deletedInOutage < len(s.Ready) {
 		return
 	}
-	s.Ready = append(s.Ready, s.Lapsed...)
-	s.Lapsed, s.lapsedInUse = nil, true
+	left := s.Lapsed[:0]
+	for _, host := range s.Lapsed {
+		if host.deletedInOutage {
+			s.Ready = append(s.Ready, host)
+		} else {
+			left = append(left, host)
+		}
+	}
+	s.Lapsed, s.lapsedInUse = left, true
 }
 
 // IsReady reports whether a host of the table is one of the ready hosts of the service.
 func (s *Service) IsReady(host *Host) bool {
-	return host.Service == s.Name && (host.role == roleReady || host.role == roleLapsed && s.lapsedInUse)
+	return host.Service == s.Name && (host.role == roleReady || host.role == roleLapsed && host.deletedInOutage && s.lapsedInUse)
 }
 
 // Ring returns the ready hosts sorted by zone and, within a zone, by a hash that is the same at all
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -46,6 +46,7 @@
 func (builder *viewBuilder) replica() *view.Replica {
 	replica := view.NewReplica()
 	replica.ApplyListing(0, &builder.listing)
+	replica.SetContact(view.Contact{CurrentAt: 0})
 	return replica
 }
 
@@ -240,7 +241,7 @@
 }
 
 // TestDeletedHostKeepsFlowsAsLastResort checks that a host that was deleted without a drain gets
-// new flows until lapsedTimeout if no other host is left, and that its open flows continue after
+// new flows until lastResortTimeout if no other host is left, and that its open flows continue after
 // that.
 func TestDeletedHostKeepsFlowsAsLastResort(t *testing.T) {
 	is := is.New(t)
@@ -254,7 +255,7 @@
 	flow := flowTo(443, 1)
 	frontend := flow.Frontend()
 	is.Equal(soon.Service(&flow).Pick(flow.ID(), nil, nil).Name, lb.BackendName("i-1"))
-	is.Equal(soon.Expires(), time.Second+lapsedTimeout)
+	is.Equal(soon.Expires(), time.Second+lastResortTimeout)
 
 	later := Compile(replica, zoneA, soon.Expires())
 	is.Equal(later.Service(&flow).Pick(flow.ID(), nil, nil), nil)
@@ -284,7 +285,7 @@
 	duplicate.Backend.Identity = 99
 	duplicate.Backend.Created = known[0].Backend.Created + 1
 	for _, order := range [][]view.KnownBackend{{known[0], duplicate}, {duplicate, known[0]}} {
-		table, compiler := newTable(), NewCompiler(zoneA)
+		table, compiler := newTable(), NewCompiler(DefaultSettings(zoneA))
 		compiler.clear()
 		compiler.addAll(table, order, 0)
 		compiler.finish(table, view.NewReplica())
--- a/internal/steering/weights_test.go
+++ b/internal/steering/weights_test.go
@@ -169,19 +169,22 @@
 func TestLapsedHalfOfServiceStaysInUse(t *testing.T) {
 	cases := []struct {
 		name   string
-		lapsed int // of six
-		age    time.Duration
-		ready  int // hosts that accept new flows immediately
+		lapsed int           // of six
+		age    time.Duration // of the view when the replica learns of the deletions
+		outage bool
+		ready  int           // hosts that accept new flows immediately
+		lasts  time.Duration // how long the lapsed hosts may serve
 	}{
-		{"none", 0, 5 * time.Second, 6},
-		{"one", 1, 5 * time.Second, 5},
-		{"fewer than half", 2, 5 * time.Second, 4},
-		{"half", 3, 5 * time.Second, 6},
-		{"most", 5, 5 * time.Second, 6},
-		{"all", 6, 5 * time.Second, 6},
-		{"half while the store is reachable", 3, time.Second, 3},
-		{"most while the store is reachable", 5, 2 * time.Second, 1},
-		{"all while the store is reachable", 6, time.Second, 0},
+		{"none", 0, 5 * time.Second, true, 6, 0},
+		{"one", 1, 5 * time.Second, true, 5, lastResortTimeout},
+		{"fewer than half", 2, 5 * time.Second, true, 4, lastResortTimeout},
+		{"half", 3, 5 * time.Second, true, 6, lastResortTimeout},
+		{"most", 5, 5 * time.Second, true, 6, lastResortTimeout},
+		{"all", 6, 5 * time.Second, true, 6, lastResortTimeout},
+		{"half while the store is reachable", 3, time.Second, false, 3, lastResortTimeout},
+		{"most while the store is reachable", 5, 2 * time.Second, false, 1, 700 * time.Millisecond},
+		{"all, and the news took longer than the limit", 6, 4 * time.Second, false, 0, 0},
+		{"all while the store is reachable", 6, time.Second, false, 0, lastResortTimeout},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -195,14 +198,18 @@
 					Revision: int64(11 + index), Deleted: builder.listing.Backends[index].Backend.Name,
 				})
 			}
-			replica.SetAge(test.age)
+			replica.SetContact(view.Contact{CurrentAt: time.Second - test.age, Outage: test.outage})
 			replica.ApplyChanges(time.Second, changes)
 			table := Compile(replica, zoneA, time.Second)
 			is.Equal(len(table.services["web"].Ready), test.ready)
-			later := Compile(replica, zoneA, time.Second+lapsedTimeout)
+			later := Compile(replica, zoneA, time.Second+test.lasts)
 			is.Equal(len(later.services["web"].Ready), 6-test.lapsed)
 			is.Equal(later.Expires(), time.Duration(0))
-			is.True(test.lapsed == 0 || table.Expires() == time.Second+lapsedTimeout)
+			if test.lasts > 0 {
+				is.Equal(table.Expires(), time.Second+test.lasts)
+			} else {
+				is.Equal(table.Expires(), time.Duration(0))
+			}
 		})
 	}
 }
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -117,7 +117,7 @@
 		openingHeld:    make(chan struct{}, 1),
 		viewAvailable:  make(chan struct{}),
 		core:           core.New(coreSettings),
-		compiler:       steering.NewCompiler(settings.Zone),
+		compiler:       steering.NewCompiler(steering.Settings{Zone: settings.Zone, LeaveLimit: settings.Timings.LeaveLimit}),
 		member:         membership,
 		follower:       follower.New(followerSettings),
 		outliers:       outlier.New(outlier.DefaultSettings(settings.Node)),
--- a/internal/view/columns.go
+++ b/internal/view/columns.go
@@ -98,6 +98,8 @@
 	each(func(e *BackendEntry) { columns.signed(e.Backend.ColdMillis) })
 	each(func(e *BackendEntry) { columns.flag(e.Deleted) })
 	each(func(e *BackendEntry) { columns.signed(e.DeletedMillis) })
+	each(func(e *BackendEntry) { columns.signed(e.ExistedMillis) })
+	each(func(e *BackendEntry) { columns.flag(e.DuringOutage) })
 	header := &columnWriter{}
 	header.number(uint64(len(entries)))
 	header.number(uint64(len(table.texts)))
@@ -260,5 +262,10 @@
 	each(func(e *BackendEntry) { e.Backend.ColdMillis = columns.signed() })
 	each(func(e *BackendEntry) { e.Deleted = columns.flag() })
 	each(func(e *BackendEntry) { e.DeletedMillis = columns.signed() })
+	if len(columns.data) == 0 {
+		return entries, columns.err // written by a version without the columns that follow
+	}
+	each(func(e *BackendEntry) { e.ExistedMillis = columns.signed() })
+	each(func(e *BackendEntry) { e.DuringOutage = columns.flag() })
 	return entries, columns.err
 }
--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -20,8 +20,13 @@
 	Revision int64 `json:"revision"` // of the last change
 	Deleted  bool  `json:"gone,omitempty"`
 	// DeletedMillis is the time since the sender learned of the deletion.
-	DeletedMillis int64   `json:"gone_ms,omitempty"`
-	Backend       Backend `json:"backend"`
+	DeletedMillis int64 `json:"gone_ms,omitempty"`
+	// ExistedMillis is the time since the entry was last known to exist. It is 0 if the sender does
+	// not know, or runs a version without this field.
+	ExistedMillis int64 `json:"existed_ms,omitempty"`
+	// DuringOutage is set if the store was unreachable for a part of ExistedMillis.
+	DuringOutage bool    `json:"gone_in_outage,omitempty"`
+	Backend      Backend `json:"backend"`
 }
 
 // BackendEntries is a list of back ends as messages encode it: a few back ends as JSON, whose words
@@ -128,7 +133,7 @@
 		}
 	}
 	for index := range d.Backends {
-		if err := d.Backends[index].Backend.Validate(); err != nil {
+		if err := d.Backends[index].Validate(); err != nil {
 			return errors.Wrapf(err, "backends[%d]", index)
 		}
 	}
@@ -145,6 +150,14 @@
 	return nil
 }
 
+// Validate returns an error that names the first unusable value.
+func (e *BackendEntry) Validate() error {
+	if e.ExistedMillis < 0 || e.ExistedMillis > maxExistedMillis {
+		return errors.Newf("existed_ms %d is not between 0 and %d", e.ExistedMillis, int64(maxExistedMillis))
+	}
+	return e.Backend.Validate()
+}
+
 // Validate returns an error that names the first unusable value.
 func (r *Route) Validate() error {
 	if !r.Frontend.Address.IsValid() {
--- a/internal/view/parts.go
+++ b/internal/view/parts.go
@@ -112,7 +112,8 @@
 }
 
 // Add adds the next part and returns the complete delta after the last one, else nil. The delta has
-// the revision of its oldest part; later changes must be requested from there on. Add ignores a
+// the revision of its oldest part; later changes must be requested from there on. Its other parts
+// have aged meanwhile (Contact.Delayed). Add ignores a
 // part that is not the next one. A part with a different After, as from a peer that lacks some
 // history of the first sender, cannot be combined with the others, so Add discards all parts.
 func (a *Assembly) Add(part *Delta) *Delta {
--- a/internal/view/prune.go
+++ b/internal/view/prune.go
@@ -28,7 +28,7 @@
 func (r *Replica) pruneBackend(now time.Duration, name lb.BackendName) bool {
 	entry := r.backends[name]
 	switch {
-	case entry.Deleted && now-entry.deletedAt > TombstoneRetention:
+	case entry.Deleted && now-entry.learnedAt > TombstoneRetention:
 		r.history.compactedRevision = max(r.history.compactedRevision, entry.Revision)
 		delete(r.backends, name)
 		delete(r.expiring, name)
--- a/internal/view/replica.go
+++ b/internal/view/replica.go
@@ -25,9 +25,8 @@
 	backends              map[lb.BackendName]*backendEntry
 	evacuations           map[lb.Zone]*EvacuationEntry
 	coldRates             ColdRates
-	// afterOutage is set if the next update is the first one after a time without contact to the
-	// store.
-	afterOutage bool
+	// contact describes the replica before the next update.
+	contact Contact
 	// expiring contains the back ends that are deleted or have a previous instance, both of which
 	// are remembered only for a limited time.
 	expiring map[lb.BackendName]bool
@@ -41,10 +40,7 @@
 // backendEntry is a back end with the times and the previous instance that the replica tracks.
 type backendEntry struct {
 	BackendEntry
-	deletedAt time.Duration
-	// deletedDuringOutage is set if the entry was deleted while the balancer had no contact to the
-	// store.
-	deletedDuringOutage bool
+	deletion
 	// coldUntil is the latest time at which the back end has warmed up.
 	coldUntil time.Duration
 	// previous is the instance before this one; nil if none is remembered.
@@ -74,6 +70,7 @@
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
 	return &Replica{
+		contact:         NoContact,
 		routes:          make(map[lb.Frontend]*RouteEntry),
 		backends:        make(map[lb.BackendName]*backendEntry),
 		evacuations:     make(map[lb.Zone]*EvacuationEntry),
@@ -141,14 +138,6 @@
 // Configured reports whether the replica has a configuration.
 func (r *Replica) Configured() bool { return r.configurationRevision > 0 }
 
-// outageAge is the age of a view from which on the store is assumed to have been unreachable.
-// Failures of the nodes that read the store do not let a view become this old, because other nodes
-// take over earlier.
-const outageAge = 2500 * time.Millisecond
-
-// SetAge sets the age of the view. It must be called before an update is applied.
-func (r *Replica) SetAge(age time.Duration) { r.afterOutage = age >= outageAge }
-
 // Advance records that nothing has changed up to a revision.
 func (r *Replica) Advance(revision int64) {
 	r.revision = max(r.revision, revision)
@@ -289,8 +278,7 @@
 	}
 	existing.Deleted = true
 	existing.Revision = revision
-	existing.deletedAt = now
-	existing.deletedDuringOutage = r.afterOutage
+	existing.deletion = r.contact.deletionLearned(now)
 	r.expiring[name] = true
 	r.markChanged(name)
 	r.lastChange = max(r.lastChange, revision)
@@ -311,12 +299,15 @@
 // KnownBackend is a back end with the state that the replica tracks for it.
 type KnownBackend struct {
 	Backend Backend
-	// Deleted is set if the entry was deleted. DeletedAt is the time at which the replica learned
-	// of the deletion.
+	// Deleted is set if the entry was deleted. DeletedAt is the time at which the first replica
+	// learned of the deletion.
 	Deleted   bool
 	DeletedAt time.Duration
-	// DeletedDuringOutage is set if the entry was deleted while the balancer had no contact to the
-	// store. During an outage, the store drops the entries of back ends that cannot reach it.
+	// DeletedAfter is a time at which the entry still existed, or UnknownTime. The deletion
+	// happened between DeletedAfter and DeletedAt.
+	DeletedAfter time.Duration
+	// DeletedDuringOutage is set if the store was unreachable between DeletedAfter and DeletedAt.
+	// During an outage, the store drops the entries of back ends that cannot reach it.
 	DeletedDuringOutage bool
 	// ColdUntil is the latest time at which the back end has warmed up.
 	ColdUntil time.Duration
@@ -339,6 +330,7 @@
 // knownBackend returns the exported form of the entry.
 func (e *backendEntry) knownBackend() KnownBackend {
 	return KnownBackend{
-		Backend: e.Backend, Deleted: e.Deleted, DeletedAt: e.deletedAt, DeletedDuringOutage: e.deletedDuringOutage, ColdUntil: e.coldUntil, Previous: e.previous,
+		Backend: e.Backend, Deleted: e.Deleted, DeletedAt: e.learnedAt, DeletedAfter: e.existedAt, DeletedDuringOutage: e.duringOutage,
+		ColdUntil: e.coldUntil, Previous: e.previous,
 	}
 }
--- a/internal/view/replication.go
+++ b/internal/view/replication.go
@@ -61,7 +61,7 @@
 		current := entry.BackendEntry
 		current.Backend.ColdMillis = coldMillis(now, entry.coldUntil)
 		if current.Deleted {
-			current.DeletedMillis = (now - entry.deletedAt).Milliseconds()
+			entry.deletion.encode(now, &current)
 		}
 		entries = append(entries, current)
 	}
@@ -151,13 +151,15 @@
 		if existing != nil && existing.Revision >= entry.Revision {
 			continue
 		}
-		r.setEntry(&backendEntry{
-			BackendEntry:        BackendEntry{Revision: entry.Revision, Deleted: entry.Deleted, Backend: entry.Backend},
-			deletedAt:           now - time.Duration(entry.DeletedMillis)*time.Millisecond,
-			deletedDuringOutage: r.afterOutage,
-			coldUntil:           now + time.Duration(entry.Backend.ColdMillis)*time.Millisecond,
-			previous:            existing.previousInstance(now, &entry.Backend),
-		})
+		received := &backendEntry{
+			BackendEntry: BackendEntry{Revision: entry.Revision, Deleted: entry.Deleted, Backend: entry.Backend},
+			coldUntil:    now + time.Duration(entry.Backend.ColdMillis)*time.Millisecond,
+			previous:     existing.previousInstance(now, &entry.Backend),
+		}
+		if entry.Deleted {
+			received.deletion = r.contact.deletionReceived(now, entry, existing)
+		}
+		r.setEntry(received)
 		r.lastChange = max(r.lastChange, entry.Revision)
 	}
 }
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -34,6 +34,7 @@
 // ApplySnapshot applies a snapshot and reports whether anything changed. It ignores a snapshot that
 // is older than the replica.
 func (r *Replica) ApplySnapshot(now time.Duration, snapshot *Snapshot) bool {
+	r.contact.Delayed = true
 	_, changed := r.ApplyDelta(now, &snapshot.View)
 	return changed
 }
--- a/internal/view/snapshot_test.go
+++ b/internal/view/snapshot_test.go
@@ -114,6 +114,8 @@
 	return view.BackendEntry{
 		Revision: rapid.Int64Range(0, 1<<60).Draw(t, "revision"), Deleted: rapid.Bool().Draw(t, "gone"),
 		DeletedMillis: rapid.Int64Range(-5, 1<<40).Draw(t, "gone_ms"),
+		ExistedMillis: rapid.Int64Range(0, 24*60*60*1000).Draw(t, "existed_ms"),
+		DuringOutage:  rapid.Bool().Draw(t, "gone_in_outage"),
 		Backend: view.Backend{
 			Name: lb.BackendName("n" + name), Identity: rapid.Uint64().Draw(t, "identity"), Service: "web",
 			Address:         netip.AddrPortFrom(netip.MustParseAddr(rapid.SampledFrom([]string{"10.0.0.1", "2001:db8::1"}).Draw(t, "address")), 80),
