Openings are decided by a table that is valid at their time

Cause: back ends whose role ends with time alone, a last resort or a cold start, left the table with the next tick. Ticks come each 0.1 s and may be late, and an opening or a held one that was decided before went by the old table. The limit for back ends that left holds for openings, not for ticks.

Change: decisions on packets and on held openings compile an expired table first (compileExpired), as the tick does.

--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -158,7 +158,8 @@
 func (engine *engine) decide(packet *core.Packet) core.Decision {
 	started := engine.clock()
 	engine.mutex.Lock()
-	engine.core.Step(engine.now(), &core.Event{Packet: packet}, &engine.coreEffects)
+	engine.compileExpired()
+	engine.core.Step(engine.lastStep, &core.Event{Packet: packet}, &engine.coreEffects)
 	decision := engine.coreEffects.Decision
 	engine.processCoreChanges()
 	engine.decisionTime.observe(engine.clock() - started)
@@ -204,9 +205,7 @@
 		if engine.table != nil && engine.loadLog.admissionRates.deviating > 0 {
 			engine.logAdmissionRates() // admission rates go on rising without further load updates
 		}
-		if engine.table != nil && engine.table.Expires() != 0 && engine.lastStep >= engine.table.Expires() {
-			engine.compile()
-		}
+		engine.compileExpired()
 	})
 }
 
@@ -356,6 +355,16 @@
 	engine.updateCapacity()
 }
 
+// compileExpired compiles the view again if the roles of back ends in the table have changed with
+// time alone. Decisions must not wait for the next tick with this: ticks may be late, and a back end
+// that has left must get no opening after its time.
+func (engine *engine) compileExpired() {
+	now := engine.now()
+	if engine.table != nil && engine.table.Expires() != 0 && now >= engine.table.Expires() {
+		engine.compile()
+	}
+}
+
 // resolve returns the control address of a known node.
 func (engine *engine) resolve(id lb.NodeID) (netip.AddrPort, bool) {
 	engine.mutex.Lock()
--- a/internal/tokennode/queue.go
+++ b/internal/tokennode/queue.go
@@ -21,7 +21,8 @@
 // are still held. Calls must not run concurrently.
 func (engine *engine) stepQueue(event *core.Event) (released []core.Released, more bool) {
 	engine.mutex.Lock()
-	engine.core.Step(engine.now(), event, &engine.coreEffects)
+	engine.compileExpired()
+	engine.core.Step(engine.lastStep, event, &engine.coreEffects)
 	engine.releasedOpenings = append(engine.releasedOpenings[:0], engine.coreEffects.Released...)
 	engine.processCoreChanges()
 	engine.releasedLines = engine.releasedLines[:0]
