Messages and answers that waited during a pause do not verify the view

What callers saw: TestNoOpeningsAfterLeaveLimit with pauses of processes among its failures showed openings at back ends that had left up to 1.6 s after the limit, through a balancer that had been paused.

Cause: what arrives during a pause waits in the sockets, and was counted from when it was processed: a digest from before a deletion made the view current as of a moment after it. The age of a view also included the pause, which then passed for an outage of the store and let back ends that had left into the ready ones.

Change: the follower notices a gap between its steps. What it receives just after one counts as received when the gap began; so does the answer to a watch that was under way. The gap does not count towards an outage.

The simulated fleet learned to pause nodes.

--- a/internal/follower/dissemination.go
+++ b/internal/follower/dissemination.go
@@ -142,7 +142,7 @@
 	previousWatcher := core.watcher
 	core.updateWatcher(digest.WatcherStatus, digest.Route)
 	relevant = relevant || core.watcher != previousWatcher
-	verifiedAt := core.now - time.Duration(digest.AgeMillis)*time.Millisecond
+	verifiedAt := core.timeBefore(digest.AgeMillis)
 	switch {
 	case digest.MinCurrentRevision > core.replica.Revision():
 		core.requestFrom(from.Address, effects)
@@ -177,7 +177,7 @@
 		core.applyPart(from, received, effects)
 		return
 	}
-	core.setReplicaContact(false)
+	core.setReplicaContact(core.mayHaveWaited())
 	applied, changed := core.replica.ApplyDelta(core.now, &received.Delta)
 	core.forward(received.Route, effects, func(route message.Route) message.Message {
 		forwarded := *received
@@ -189,7 +189,7 @@
 	}
 	core.assembly = view.Assembly{} // its parts start at an older revision
 	if !received.Unverified {
-		core.markVerified(core.now - time.Duration(received.AgeMillis)*time.Millisecond)
+		core.markVerified(core.timeBefore(received.AgeMillis))
 	}
 	if !changed {
 		return
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -37,14 +37,17 @@
 	phase   time.Duration // of its ticks
 	core    *Core
 	dead    bool
-	fault   storeFault
-	stalled bool // the connection of the pending read is stalled; the next read opens a new one
-	read    *Read
-	readAt  time.Duration         // when the pending read was started
-	calls   int                   // reads and writes, without reads that may be stale, which cost a tenth
-	stale   int                   // reads that may be stale
-	listed  int                   // listings of all entries
-	sent    map[time.Duration]int // number of messages, by second
+	// pausedUntil is the end of a pause of the process. Messages and answers wait in its sockets.
+	pausedUntil time.Duration
+	answered    *ReadResult // waits for the end of the pause
+	fault       storeFault
+	stalled     bool // the connection of the pending read is stalled; the next read opens a new one
+	read        *Read
+	readAt      time.Duration         // when the pending read was started
+	calls       int                   // reads and writes, without reads that may be stale, which cost a tenth
+	stale       int                   // reads that may be stale
+	listed      int                   // listings of all entries
+	sent        map[time.Duration]int // number of messages, by second
 }
 
 // delivery is a message in transit.
@@ -114,7 +117,7 @@
 
 // step passes an event to a node and processes its effects.
 func (fleet *fleet) step(node *fleetNode, event *Event) {
-	if node.dead {
+	if node.dead || fleet.now < node.pausedUntil {
 		return
 	}
 	var effects Effects
@@ -154,6 +157,9 @@
 		fleet.deliver()
 		for _, node := range fleet.nodes {
 			fleet.answer(node)
+			if fleet.now < node.pausedUntil {
+				continue
+			}
 			if (fleet.now+node.phase)%TickInterval == 0 {
 				fleet.step(node, &Event{})
 			}
@@ -174,6 +180,10 @@
 		if isTooLong(item.sent) {
 			continue
 		}
+		if receiver := fleet.nodeAt(item.to); receiver != nil && fleet.now < receiver.pausedUntil {
+			later = append(later, item)
+			continue
+		}
 		for _, node := range fleet.nodes {
 			separated := node.zone != item.from.zone && (node.zone == fleet.partitionedZone || item.from.zone == fleet.partitionedZone)
 			if node.address == item.to && !separated && !(node == fleet.requestsOnly && routed(item.sent)) {
@@ -184,6 +194,16 @@
 	fleet.deliveries = append(later, fleet.deliveries...)
 }
 
+// nodeAt returns the node with an address, or nil.
+func (fleet *fleet) nodeAt(address netip.AddrPort) *fleetNode {
+	for _, node := range fleet.nodes {
+		if node.address == address {
+			return node
+		}
+	}
+	return nil
+}
+
 // isTooLong reports whether the transport would drop a message because of its size.
 func isTooLong(sent message.Message) bool {
 	delta, found := sent.(message.ViewDelta)
@@ -207,7 +227,11 @@
 
 // answer completes the pending read of a node if it is due.
 func (fleet *fleet) answer(node *fleetNode) {
-	if node.read == nil || node.dead {
+	if answered := node.answered; answered != nil && fleet.now >= node.pausedUntil {
+		node.answered, node.read = nil, nil
+		fleet.step(node, &Event{Read: answered})
+	}
+	if node.read == nil || node.dead || node.answered != nil {
 		return
 	}
 	waited := fleet.now - node.readAt
@@ -246,6 +270,10 @@
 	default:
 		return
 	}
+	if fleet.now < node.pausedUntil {
+		node.answered = &result
+		return
+	}
 	node.read = nil
 	fleet.step(node, &Event{Read: &result})
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,6 +25,7 @@
 	now      time.Duration
 	started  bool
 	startAt  time.Duration
+	pause    pause // the last one of the process
 
 	peers []Peer // without this node
 	// rank is this node's position among the nodes of its zone, in rendezvous order with leaving
@@ -120,6 +121,7 @@
 // core keeps the previous time.
 func (core *Core) Step(now time.Duration, event *Event, effects *Effects) {
 	*effects = Effects{Messages: effects.Messages[:0]}
+	core.detectPause(now)
 	core.now = max(now, core.now)
 	if !core.started {
 		core.started = true
@@ -181,7 +183,7 @@
 func (core *Core) setReplicaContact(delayed bool) {
 	contact := view.NoContact
 	if core.verified {
-		contact = view.Contact{CurrentAt: core.verifiedAt, Outage: core.age() >= core.settings.OutageAge}
+		contact = view.Contact{CurrentAt: core.verifiedAt, Outage: core.runningAge() >= core.settings.OutageAge}
 	}
 	contact.Delayed = delayed
 	core.replica.SetContact(contact)
--- a/internal/follower/leave_test.go
+++ b/internal/follower/leave_test.go
@@ -62,7 +62,7 @@
 	for end := run.now + duration; run.now < end; {
 		run.fleet.run(simulationStep)
 		for _, node := range run.nodes {
-			if !node.dead {
+			if !node.dead && run.now >= node.pausedUntil {
 				run.check(node)
 			}
 		}
@@ -132,7 +132,7 @@
 // playFailures deletes the back ends once or twice while nodes fail.
 func (run *leaveRun) playFailures() {
 	failures := []failure{{run.drawTime(-300, 0), run.killWatcher}}
-	others := []func(){run.killWatcher, run.failStoreOfNode, run.startKilled, run.announce, run.compactHistory, run.changeConfiguration, run.registerAgain}
+	others := []func(){run.killWatcher, run.failStoreOfNode, run.pauseNode, run.startKilled, run.announce, run.compactHistory, run.changeConfiguration, run.registerAgain}
 	for range run.random.IntN(5) {
 		failures = append(failures, failure{run.drawTime(-1000, 4000), others[run.random.IntN(len(others))]})
 	}
@@ -176,11 +176,15 @@
 	run.randomNode().fault = faults[run.random.IntN(len(faults))]
 }
 
+func (run *leaveRun) pauseNode() {
+	run.randomNode().pausedUntil = run.now + run.drawTime(100, 4000)
+}
+
 // startKilled starts all killed nodes again, with empty views.
 func (run *leaveRun) startKilled() {
 	for _, node := range run.nodes {
 		if node.dead {
-			node.dead, node.read, node.fault = false, nil, faultNone
+			node.dead, node.read, node.answered, node.fault = false, nil, nil, faultNone
 			node.core = New(run.settingsOf(node, run.random.Uint64()).ScaledTo(run.limit))
 		}
 	}
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -130,11 +130,15 @@
 }
 
 // verificationTime returns the time at which a read shows the view to be current: for a watch, this
-// is its end, and for a listing, the request of its first page.
+// is its end, and for a listing, the request of its first page. If the process was paused during a
+// watch, the answer may have waited since the start of the pause.
 func (core *Core) verificationTime(result *ReadResult) time.Duration {
 	if result.Listing != nil {
 		return core.readAt
 	}
+	if core.readAt < core.pause.end {
+		return max(core.readAt, core.pause.start)
+	}
 	return core.now
 }
 
--- a/internal/follower/watcher.go
+++ b/internal/follower/watcher.go
@@ -185,7 +185,7 @@
 func (core *Core) updateWatcher(received message.WatcherStatus, route message.Route) {
 	reported := received.Watcher
 	if reported != "" {
-		if at := core.now - time.Duration(received.WatcherAgeMillis)*time.Millisecond; at >= core.watcherReportedAt {
+		if at := core.timeBefore(received.WatcherAgeMillis); at >= core.watcherReportedAt {
 			core.watcherReportedAt = at
 			core.watcherListing = received.Listing
 		}
