Soak: all hosts of a service leave while the reader of the store fails

The soak knew single removals. The kind leave_all deletes the entries of all hosts of a service without a drain, just after a configuration change and the kill of the balancer that reads the store; the hosts serve on, and others follow after 4.5 s. RuleDrain judges it as the other removals.

TestBackendsDeletedInOutageServe: after an outage longer than the limit all nodes, also those that learn of it from others, let the back ends deleted in it serve for 1.5 s (fails if the message does not carry the outage). The comment of DefaultSettings says that 2.6 s is when nodes know, and where a time that they add has to fit.

--- a/internal/follower/leave_test.go
+++ b/internal/follower/leave_test.go
@@ -108,6 +108,46 @@
 	}
 }
 
+// TestBackendsDeletedInOutageServe checks that the back ends whose entries were deleted in an outage
+// of the store still get openings at all nodes for a while after it, until they have registered
+// again, and no longer.
+func TestBackendsDeletedInOutageServe(t *testing.T) {
+	const outage = 9 * time.Second
+	for _, limit := range []time.Duration{time.Second, defaultLimit, maxLimit, 8 * time.Second} {
+		for seed := range uint64(10) {
+			run := newLeaveRun(t, seed, limit)
+			run.setFaults(faultRefused)
+			run.fleet.run(outage - time.Second)
+			run.deleteAll()
+			run.fleet.run(time.Second)
+			run.setFaults(faultNone)
+			run.fleet.run(3 * time.Second) // for all nodes to learn of the deletions
+			for _, node := range run.nodes {
+				known, found := node.core.Replica().Backend(leavingBackend(0))
+				if !found || !known.Deleted || !known.DeletedDuringOutage {
+					t.Fatalf("limit %s, seed %d: %s knows %+v of a back end that was deleted in the outage", limit, seed, node.id, known)
+				}
+				settings := steering.Settings{Zone: node.zone, LeaveLimit: limit}
+				soon := steering.NewCompiler(settings).Compile(node.core.Replica(), known.DeletedAt+time.Second)
+				later := steering.NewCompiler(settings).Compile(node.core.Replica(), known.DeletedAt+2*time.Second)
+				if _, ready := soon.Counts(); ready != leavingBackends {
+					t.Errorf("limit %s, seed %d: %s has %d ready back ends 1 s after it learned of the deletions", limit, seed, node.id, ready)
+				}
+				if _, ready := later.Counts(); ready != 0 {
+					t.Errorf("limit %s, seed %d: %s has %d ready back ends 2 s after it learned of the deletions", limit, seed, node.id, ready)
+				}
+			}
+		}
+	}
+}
+
+// setFaults sets how the store fails for all nodes.
+func (run *leaveRun) setFaults(fault storeFault) {
+	for _, node := range run.nodes {
+		node.fault = fault
+	}
+}
+
 // TestNoOpeningsAfterLeaveLimit guards against openings to back ends that are gone: a node that
 // learned of the deletions late, because the watcher failed, used to count its own grace period
 // from the moment at which it learned, beyond the limit.
--- a/internal/follower/settings.go
+++ b/internal/follower/settings.go
@@ -55,8 +55,10 @@
 	BackoffBase, BackoffLimit time.Duration
 }
 
-// DefaultSettings returns the default settings of a node. With them, a change is in force within
-// 2.6 s after the store has acknowledged it, even if the designated watcher fails at that moment.
+// DefaultSettings returns the default settings of a node. With them, all nodes know of a change
+// within 2.6 s after the store has acknowledged it, even if the designated watcher fails at that
+// moment. A time for which nodes go on by the old state after that must fit into the rest of the
+// limit, as that of a back end that was deleted without a drain does (steering.Settings).
 // TakeoverStep exceeds the time for a read and its dissemination (30 to 50 ms), so that a node
 // learns of a takeover before it takes over itself.
 func DefaultSettings(self lb.NodeID, zone lb.Zone, seed uint64) Settings {
--- a/internal/lab/soak/faults/faults.go
+++ b/internal/lab/soak/faults/faults.go
@@ -21,7 +21,7 @@
 	} {
 		kinds = append(kinds, storeFailure{fault})
 	}
-	return append(kinds, stallHost{})
+	return append(kinds, stallHost{}, leaveTogether{})
 }
 
 // platformFault is embedded by faults that affect the whole platform.
--- a/internal/lab/soak/locks.go
+++ b/internal/lab/soak/locks.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/netip"
+	"strings"
 	"syscall"
 	"time"
 
@@ -28,6 +31,29 @@
 // AwaitReady waits until the node reports that it is ready.
 func (n *Node) AwaitReady(ctx context.Context) error { return n.process.AwaitServing(ctx, n.readyURL) }
 
+// IsWatcher reports whether the node says in its metrics that it reads the store for the others. A
+// node that does not answer is not the watcher: other nodes take over its task.
+func (n *Node) IsWatcher(ctx context.Context) bool {
+	const line = "\nrobinpulley_reader 1\n"
+	url := strings.TrimSuffix(n.readyURL, "/readyz") + "/metrics"
+	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return err == nil && strings.Contains(string(text), line)
+}
+
+// metricsTimeout bounds the time until a node has answered with its metrics.
+const metricsTimeout = 200 * time.Millisecond
+
 // LockReplica reserves a replica and its host for one fault. It returns locked=false if another
 // fault has reserved the replica. The returned function sets the replica's host, which may be a
 // new one, and releases the replica.
