An answer of the store above the size limit leads to a listing

Cause: the answer to a watch has each version of an entry. Above 8 MiB it was cut off by io.LimitReader, which ends like a whole answer; the rest did not decode, counted as lost, and the same watch was asked for again.

Ruled out: the store (it answers each watch in milliseconds), the links (loopback), peers (none has a newer view).

Change: data above a limit is an error of its own (internal/limitio), for a watch the failure too_large, which lines and metrics name. It leads to a listing, whose pages are bounded, as a compacted history does. Other readers with a limit name it, too.

Why it works: a listing has each entry once, so its size does not grow with the number of changes, and the other balancers get what has changed from the one that listed.

--- a/internal/follower/api.go
+++ b/internal/follower/api.go
@@ -57,6 +57,7 @@
 const (
 	ReasonStart       Reason = "start"        // the node has no view yet
 	ReasonCompacted   Reason = "history_gone" // a watch cannot continue, because the store has compacted the history
+	ReasonTooLarge    Reason = "too_large"    // a watch cannot continue, because its answer exceeds the size limit
 	ReasonWatcher     Reason = "reader"       // the node is the designated watcher
 	ReasonWatcherLost Reason = "reader_gone"  // the designated watcher is leaving or has failed
 	ReasonUnverified  Reason = "unconfirmed"  // the node does not know yet whether its view is current
@@ -94,13 +95,15 @@
 	FailureRejected    Failure = "rejected"    // the store rejects the request as invalid
 	FailureMissing     Failure = "missing"     // there is no usable snapshot
 	FailureConflict    Failure = "conflict"    // another node has written a newer snapshot
+	FailureTooLarge    Failure = "too_large"   // the answer exceeds the size limit
 )
 
 // Answered reports whether the store processed the request. This includes the cases that it has no
-// snapshot, has compacted its history, or already has a newer snapshot.
+// snapshot, has compacted its history, already has a newer snapshot, or has more to say than this
+// node reads.
 func (failure Failure) Answered() bool {
 	switch failure {
-	case FailureNone, FailureCompacted, FailureMissing, FailureConflict:
+	case FailureNone, FailureCompacted, FailureMissing, FailureConflict, FailureTooLarge:
 		return true
 	}
 	return false
--- a/internal/follower/fleet_store_test.go
+++ b/internal/follower/fleet_store_test.go
@@ -127,3 +127,36 @@
 	fleet := settledFleet(t, 3, 20, 1) // takes 10 s
 	is.True(fleet.calls() <= 14)       // excluding listings that may be stale
 }
+
+// TestTooLargeWatchLeadsToListing guards against a fleet that stops following the store: if more has
+// changed since its views than the answer to a watch may contain, every further watch fails, too.
+func TestTooLargeWatchLeadsToListing(t *testing.T) {
+	for _, limit := range []time.Duration{time.Second, defaultLimit, maxLimit} {
+		for seed := range uint64(20) {
+			fleet := settledFleetWithin(t, 1+int(seed%3), 2+int(seed%4), seed, limit)
+			fleet.maxChanges = 20
+			for _, node := range fleet.watchers() {
+				node.dead = true
+			}
+			for version := range uint64(40) {
+				fleet.store.Configure(2+version, 81)
+			}
+			fleet.run(time.Duration(float64(inForceLimit) * limit.Seconds() / defaultLimit.Seconds()))
+			if behind := fleet.behind(); behind > 0 {
+				t.Errorf("limit %s, seed %d: %d of %d nodes are behind", limit, seed, behind, len(fleet.nodes))
+			}
+		}
+	}
+}
+
+// TestTooLargeListingIsRetriedWithBackoff checks that an answer above the size limit for which there
+// is no smaller one is asked for at the rate of other failures.
+func TestTooLargeListingIsRetriedWithBackoff(t *testing.T) {
+	is := is.New(t)
+	core := New(DefaultSettings("n", "z", 1))
+	var effects Effects
+	read := Read{Kind: ReadList, Reason: ReasonStart}
+	core.Step(time.Second, &Event{Read: &ReadResult{Read: read, Failure: FailureTooLarge}}, &effects)
+	is.Equal(effects.Read, nil)
+	is.True(core.nextRead > core.now)
+}
--- a/internal/follower/fleet_test.go
+++ b/internal/follower/fleet_test.go
@@ -63,6 +63,7 @@
 	t               *testing.T
 	store           *viewtest.Store
 	compacted       int64          // the history up to this revision is compacted
+	maxChanges      int            // an answer with more changes is too large; 0: there is no limit
 	snapshot        *view.Snapshot // the last snapshot written to the store
 	staleListing    *view.Listing  // the result of stale listings; nil: the present state
 	nodes           []*fleetNode
@@ -265,6 +266,8 @@
 		result.Listing = fleet.store.List()
 	case node.read.After < fleet.compacted:
 		result.Failure = FailureCompacted
+	case fleet.maxChanges > 0 && len(fleet.store.Changes(node.read.After).Changes) > fleet.maxChanges:
+		result.Failure = FailureTooLarge
 	case fleet.store.Revision() > node.read.After || waited >= node.read.Wait:
 		result.Changes = fleet.store.Changes(node.read.After)
 	default:
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -74,7 +74,7 @@
 	lastUpdateAt      time.Duration // when a peer last sent a message about the view
 	readPending       bool
 	readAt            time.Duration // when the pending read, or else the last one, was started
-	needsListing      bool          // the store has compacted the history after the replica's revision
+	listingReason     Reason        // why no watch can continue from the replica's revision; empty if one can
 	noSnapshot        bool          // the store has no usable snapshot
 	snapshotMisses    int           // how often the store had no snapshot
 	publishPending    bool
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -29,7 +29,7 @@
 
 // dueRead returns the read that is due, or nil.
 func (core *Core) dueRead() *Read {
-	if core.replica.Revision() == 0 || core.needsListing {
+	if core.replica.Revision() == 0 || core.listingReason != "" {
 		return core.fullRead()
 	}
 	reason, due := core.readReason()
@@ -52,13 +52,13 @@
 
 // fullRead returns a read of the whole state. At the start, this is the snapshot that the
 // designated watcher has written, or else a listing of all entries. The answer may be several
-// seconds old, because a peer or a watch from its revision supplies the later changes. If the store
-// has compacted its history, only a current listing is useful, because a stale one may be older
-// than the present view.
+// seconds old, because a peer or a watch from its revision supplies the later changes. If no watch
+// can continue from the present view, only a current listing is useful, because a stale one may be
+// older than the view.
 func (core *Core) fullRead() *Read {
 	read := &Read{Kind: ReadList, Reason: ReasonStart, Timeout: core.settings.CallTimeout, Pause: core.settings.CallTimeout}
-	if core.needsListing {
-		read.Reason = ReasonCompacted
+	if core.listingReason != "" {
+		read.Reason = core.listingReason
 		return read
 	}
 	read.Stale = true
@@ -123,7 +123,7 @@
 		return core.replica.ApplySnapshot(core.now, result.Snapshot)
 	}
 	if result.Listing != nil {
-		core.needsListing = false
+		core.listingReason = ""
 		return core.replica.ApplyListing(core.now, result.Listing)
 	}
 	return core.replica.ApplyChanges(core.now, result.Changes)
@@ -143,21 +143,18 @@
 }
 
 // handleFailure schedules the next read after a failure; the delay grows with the number of
-// failures. If the history is compacted, the store does answer. A node that read because nobody
-// else did then becomes the designated watcher. It publishes this before the listing, which may
-// take seconds.
+// failures.
 func (core *Core) handleFailure(result *ReadResult, effects *Effects) {
 	failure := result.Failure
-	if failure == FailureCompacted {
-		core.needsListing = true
-		core.nextRead = core.now
-		core.takeOver(result.Read.Reason, core.settings.NoUpdateTimeout)
-		if core.sendsDigests() {
-			core.sendDigest(effects)
-		}
+	switch {
+	case failure == FailureCompacted:
+		core.listInstead(ReasonCompacted, result, effects)
 		return
-	}
-	if failure == FailureMissing {
+	case failure == FailureTooLarge && result.Read.Kind == ReadWatch:
+		// The same watch would get an answer that is at least as large.
+		core.listInstead(ReasonTooLarge, result, effects)
+		return
+	case failure == FailureMissing:
 		core.handleMissingSnapshot()
 		return
 	}
@@ -166,6 +163,18 @@
 	core.stepDown(effects)
 }
 
+// listInstead schedules a listing of all entries, because no watch can continue from the present
+// view. The store does answer, so a node that read because nobody else did becomes the designated
+// watcher. It publishes this before the listing, which may take seconds.
+func (core *Core) listInstead(reason Reason, result *ReadResult, effects *Effects) {
+	core.listingReason = reason
+	core.nextRead = core.now
+	core.takeOver(result.Read.Reason, core.settings.NoUpdateTimeout)
+	if core.sendsDigests() {
+		core.sendDigest(effects)
+	}
+}
+
 // backoff returns the delay before the next read. It doubles from BackoffBase to BackoffLimit, with
 // a random factor between a half and one and a half. A throttled node starts at the limit. A node
 // that receives updates, and is not the first of its zone, waits longer: the first node retries
--- a/internal/follower/watcher.go
+++ b/internal/follower/watcher.go
@@ -139,7 +139,7 @@
 func (core *Core) watcherStatus() message.WatcherStatus {
 	switch {
 	case core.active:
-		return message.WatcherStatus{Watcher: core.settings.Self, Listing: core.needsListing}
+		return message.WatcherStatus{Watcher: core.settings.Self, Listing: core.listingReason != ""}
 	case core.watcherLost || core.watcher == "":
 		return message.WatcherStatus{}
 	}
@@ -153,7 +153,7 @@
 // read to verify the first view is no reason either, unless this node is an initial reader, because
 // otherwise the seeds read.
 func (core *Core) takeOver(reason Reason, within time.Duration) {
-	if core.active || reason == ReasonCompacted || core.leaving {
+	if core.active || reason == ReasonCompacted || reason == ReasonTooLarge || core.leaving {
 		return
 	}
 	if reason == ReasonUnverified && !core.isInitialReader() {
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"robinpulley.example/robinpulley/internal/limitio"
 )
 
 // maxAnswerBytes bounds the bytes that are read of an answer.
@@ -51,7 +52,7 @@
 	if response.StatusCode != http.StatusOK {
 		return Answer{}, errors.Newf("probe %s: status %d, want %d", url, response.StatusCode, http.StatusOK)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := limitio.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return Answer{}, errors.Wrapf(err, "probe %s: read the answer", url)
 	}
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -7,13 +7,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/limitio"
 )
 
 // maxListBytes is the maximum size of the response: 10,000 machines of 400 bytes each.
@@ -43,13 +43,10 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("machine list %q: status %q", url, response.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	body, err := limitio.ReadAll(response.Body, maxListBytes)
 	if err != nil {
 		return nil, errors.Wrapf(err, "machine list %q", url)
 	}
-	if len(body) > maxListBytes {
-		return nil, errors.Newf("machine list %q: more than %d bytes", url, maxListBytes)
-	}
 	return parse(url, body)
 }
 
--- a/internal/operator/load.go
+++ b/internal/operator/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/limitio"
 	"robinpulley.example/robinpulley/internal/loadreport"
 )
 
@@ -130,13 +130,10 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %s: only balancers of this version in affinity token mode serve %s", response.Status, reportPath)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
+	body, err := limitio.ReadAll(response.Body, maxReportBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the response")
 	}
-	if len(body) > maxReportBytes {
-		return nil, errors.Newf("the response exceeds %d bytes", maxReportBytes)
-	}
 	report := &loadreport.Report{}
 	if err := json.Unmarshal(body, report); err != nil {
 		return nil, errors.Wrap(err, "decode the response")
--- a/internal/store/call.go
+++ b/internal/store/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"robinpulley.example/robinpulley/internal/lb"
+	"robinpulley.example/robinpulley/internal/limitio"
 )
 
 // maxResponseBytes is the maximum size of the response to one request.
@@ -28,7 +28,7 @@
 		return err
 	}
 	defer httpResponse.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
+	body, err := limitio.ReadAll(httpResponse.Body, maxResponseBytes)
 	if err == nil {
 		err = json.Unmarshal(body, response)
 	}
@@ -99,7 +99,7 @@
 // classify converts a response whose status is not 200 into an error.
 func (client *Client) classify(path string, httpResponse *http.Response) error {
 	// If the body is unreadable, the error contains only the status code.
-	body, _ := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
+	body, _ := limitio.ReadAll(httpResponse.Body, maxResponseBytes)
 	var failure gatewayError
 	_ = json.Unmarshal(body, &failure)
 	cause := errors.Newf("%s: status %d, code %d: %s", path, httpResponse.StatusCode, failure.Code, failure.Message)
