--- a/internal/follower/api.go
+++ b/internal/follower/api.go
@@ -135,6 +135,8 @@
 	// Read is a read to be started. At most one read is pending at a time.
 	Read     *Read
 	Messages []Outgoing
+	// Contacts are control addresses of other nodes that a snapshot named.
+	Contacts []netip.AddrPort
 	// Changed is set if the step has changed the view. Source then names the origin of the change:
 	// a peer, the store, or pruning.
 	Changed bool
--- a/internal/follower/fleet_store_test.go
+++ b/internal/follower/fleet_store_test.go
@@ -160,3 +160,67 @@
 	is.Equal(effects.Read, nil)
 	is.True(core.nextRead > core.now)
 }
+
+// TestSnapshotNamesLivingNodes guards against a node that starts and finds no other one because its
+// seeds are down: the snapshot names other nodes, and is written again when most of those are gone.
+func TestSnapshotNamesLivingNodes(t *testing.T) {
+	is := is.New(t)
+	fleet := settledFleet(t, 3, 4, 1)
+	is.True(fleet.livingContacts() >= 6) // the first nodes of the zones, and the watcher's zone
+	before := fleet.calls()
+	fleet.run(20 * time.Second)
+	writesNothing := fleet.snapshot
+	is.True(fleet.calls()-before <= 16) // watches of 1.4 s each, no write
+
+	watcher := fleet.watchers()[0]
+	for _, node := range fleet.nodes {
+		node.dead = node != watcher && node.zone == watcher.zone
+	}
+	fleet.announce()
+	fleet.run(6 * time.Second)
+	is.True(fleet.snapshot == writesNothing) // of six contacts, three are left
+	is.Equal(fleet.livingContacts(), 3)
+	for _, node := range fleet.nodes {
+		node.dead = node != watcher && node.zone != watcher.zone
+	}
+	fleet.announce()
+	fleet.run(6 * time.Second)
+	is.Equal(fleet.livingContacts(), 4) // written again: the watcher's zone
+
+	started := New(DefaultSettings("started", watcher.zone, 1))
+	var effects Effects
+	read := Read{Kind: ReadSnapshot, Reason: ReasonStart, Stale: true}
+	started.Step(fleet.now, &Event{Read: &ReadResult{Read: read, Snapshot: fleet.snapshot}}, &effects)
+	is.Equal(effects.Contacts, fleet.snapshot.Peers)
+}
+
+// livingContacts counts the nodes that the snapshot names and that are alive.
+func (fleet *fleet) livingContacts() int {
+	count := 0
+	for _, contact := range fleet.snapshot.Peers {
+		if node := fleet.nodeAt(contact); node != nil && !node.dead {
+			count++
+		}
+	}
+	return count
+}
+
+// TestFailedWriteOfContactsIsRepeated checks that a snapshot is written again after a failed write,
+// but not after a conflict, which shows that another node has written one.
+func TestFailedWriteOfContactsIsRepeated(t *testing.T) {
+	for _, test := range []struct {
+		failure Failure
+		again   bool
+	}{{FailureNone, false}, {FailureConflict, false}, {FailureLost, true}} {
+		t.Run(string(test.failure), func(t *testing.T) {
+			is := is.New(t)
+			fleet := settledFleet(t, 1, 3, 1)
+			core := fleet.watchers()[0].core
+			publication := &Publication{Snapshot: fleet.snapshot}
+			core.publishPending, core.peersChanged, core.nextPublish = true, false, 0
+			var effects Effects
+			core.Step(fleet.now, &Event{Published: &PublishResult{Publication: *publication, Failure: test.failure}}, &effects)
+			is.Equal(effects.Publication != nil, test.again)
+		})
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"robinpulley.example/robinpulley/internal/lb"
@@ -79,6 +80,8 @@
 	snapshotMisses    int           // how often the store had no snapshot
 	publishPending    bool
 	publishedRevision int64 // the store's revision of the last snapshot that this node wrote
+	publishedContacts []netip.AddrPort
+	peersChanged      bool // since the last call of publishedContactsLeft
 	nextPublish       time.Duration
 	nextRead          time.Duration
 	failures          int
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/rendezvous"
+	"robinpulley.example/robinpulley/internal/view"
 )
 
 // watcherKey is the rendezvous key that ranks the nodes of a zone for the role of the designated
@@ -34,6 +36,7 @@
 	}
 	core.setRelays()
 	core.checkWatcher()
+	core.peersChanged = true
 }
 
 // ZoneNodes returns the nodes of the local zone by rank, including this one. The result is valid
@@ -43,6 +46,18 @@
 // ZoneRelays returns the first nodes of the other zones. The result is valid until the next step.
 func (core *Core) ZoneRelays() []Peer { return core.relays }
 
+// contacts returns the control addresses that nodes which start may contact: those of the first nodes
+// of the zones, and of further nodes of the local zone by rank, including this one.
+func (core *Core) contacts() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, peer := range slices.Concat(core.relays, core.zoneNodes) {
+		if len(addresses) < view.MaxSnapshotPeers && !peer.Leaving {
+			addresses = append(addresses, peer.Control)
+		}
+	}
+	return addresses
+}
+
 // position returns the index of a node of the local zone by rank, or -1 if it is not in the zone.
 func (core *Core) position(id lb.NodeID) int {
 	return slices.IndexFunc(core.zoneNodes, func(peer Peer) bool { return peer.ID == id })
--- a/internal/follower/publish.go
+++ b/internal/follower/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"robinpulley.example/robinpulley/internal/view"
@@ -44,13 +45,35 @@
 
 // duePublication returns the snapshot that is to be written now, or nil.
 func (core *Core) duePublication() *Publication {
-	due := core.active && !core.publishPending && core.now >= core.nextPublish
-	if !due || !core.replica.Configured() || core.replica.MinCurrentRevision() <= core.publishedRevision {
+	if !core.active || core.publishPending || core.now < core.nextPublish || !core.replica.Configured() {
+		return nil
+	}
+	if core.replica.MinCurrentRevision() <= core.publishedRevision && !core.publishedContactsLeft() {
 		return nil
 	}
 	core.publishPending = true
 	core.nextPublish = core.now + publishInterval
-	return &Publication{Snapshot: core.replica.Snapshot(core.now), Timeout: core.settings.CallTimeout}
+	snapshot := core.replica.Snapshot(core.now)
+	snapshot.Peers = core.contacts()
+	core.publishedContacts = snapshot.Peers
+	return &Publication{Snapshot: snapshot, Timeout: core.settings.CallTimeout}
+}
+
+// publishedContactsLeft reports whether less than half of the nodes that a snapshot would name now
+// are in the last one that this node wrote, so that nodes that start might find none of those in it.
+func (core *Core) publishedContactsLeft() bool {
+	if !core.peersChanged {
+		return false
+	}
+	core.peersChanged = false
+	present := core.contacts()
+	kept := 0
+	for _, contact := range present {
+		if slices.Contains(core.publishedContacts, contact) {
+			kept++
+		}
+	}
+	return 2*kept < len(present)
 }
 
 // finishPublication processes the result of a write. A write whose answer was lost may have
@@ -58,10 +81,13 @@
 func (core *Core) finishPublication(result *PublishResult) {
 	core.publishPending = false
 	revision := result.Publication.Snapshot.View.Revision
-	if result.Failure == FailureConflict {
+	switch result.Failure {
+	case FailureNone:
+	case FailureConflict:
 		core.publishedRevision = revision // another node has written a snapshot that is at least as new
-	}
-	if result.Failure != FailureNone {
+		return
+	default:
+		core.peersChanged, core.publishedContacts = true, nil // they may not have been written
 		return
 	}
 	core.publishedRevision = revision
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -94,6 +94,9 @@
 	core.nextRead = core.now
 	previousRevision := core.replica.Revision()
 	changed := core.apply(result)
+	if result.Snapshot != nil {
+		effects.Contacts = result.Snapshot.Peers
+	}
 	if result.Read.Stale {
 		if changed {
 			core.recordChange(effects, sourceStore)
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,8 +41,9 @@
 	// lines. Node.queueMutex serializes these calls.
 	releasedOpenings []core.Released
 	releasedLines    []decisionLine
-	// viewAvailable is closed when the first table is compiled.
+	// viewAvailable is closed when the first table is compiled, at firstTableAt.
 	viewAvailable chan struct{}
+	firstTableAt  time.Duration
 
 	mutex    sync.Mutex
 	lastStep time.Duration // time of the last step
@@ -69,8 +71,9 @@
 	// evaluates the outcome reports of the zone.
 	evaluatesOutliers bool
 	zoneDisruption    *disruption.Zone
-	otherMembers      int // alive members, this node excluded
-	leavingMembers    int // alive members in a planned stop, this node included
+	otherMembers      int              // alive members, this node excluded
+	contacts          []netip.AddrPort // nodes that were alive when the snapshot was written that this node has read
+	leavingMembers    int              // alive members in a planned stop, this node included
 	calls             callCounts
 	decisions         decisionLog
 	decisionTime      durationHistogram
@@ -326,6 +329,9 @@
 func (engine *engine) followerStep(event *follower.Event) {
 	engine.follower.Step(engine.now(), event, &engine.followerEffects)
 	engine.outbox = append(engine.outbox, engine.followerEffects.Messages...)
+	if contacts := engine.followerEffects.Contacts; len(contacts) > 0 {
+		engine.contacts = contacts
+	}
 	if engine.followerEffects.Changed {
 		engine.compile()
 		engine.logView(engine.followerEffects.Source)
@@ -347,6 +353,7 @@
 		return
 	}
 	if engine.table == nil {
+		engine.firstTableAt = engine.lastStep
 		close(engine.viewAvailable)
 	}
 	engine.table = engine.compiler.Compile(replica, engine.lastStep)
@@ -372,23 +379,38 @@
 	return engine.member.Resolve(id)
 }
 
-// joinRequest returns the request to send to seeds, and whether this node knows no other member.
-func (engine *engine) joinRequest() (request message.Ping, alone bool) {
+// joinRequest returns the request to send to seeds, or to the contacts if this node knows no other
+// member, which alone states.
+func (engine *engine) joinRequest() (request message.Ping, alone bool, contacts []netip.AddrPort) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	return engine.member.JoinRequest(), engine.otherMembers == 0
+	return engine.member.JoinRequest(), engine.otherMembers == 0, engine.contacts
 }
 
+// aloneTimeout is how long after its first view a node without contact to another one is not ready.
+// It would send packets of open flows by tokens that others know to be wrong. If no other node is
+// alive, waiting longer would help nobody.
+const aloneTimeout = 400 * time.Millisecond
+
 // readiness reports whether this node can decide on packets, and the reason if not.
 func (engine *engine) readiness() (ready bool, reason string) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	if engine.table == nil {
+	switch {
+	case engine.table == nil:
 		return false, "no configuration known yet"
+	case engine.otherMembers == 0 && engine.clock() < engine.firstTableAt+aloneTimeout && engine.expectsMembers():
+		return false, "no other balancer known yet"
 	}
 	return true, ""
 }
 
+// expectsMembers reports whether this node knows an address of another node.
+func (engine *engine) expectsMembers() bool {
+	isOther := func(address netip.AddrPort) bool { return address != engine.settings.ControlAddress }
+	return slices.ContainsFunc(engine.settings.Seeds, isOther) || slices.ContainsFunc(engine.contacts, isOther)
+}
+
 // noPeerAddress is the data plane's lookup of peer addresses. With affinity token, nodes do not
 // relay packets to each other.
 func noPeerAddress(lb.NodeID) (netip.AddrPort, bool) { return netip.AddrPort{}, false }
--- a/internal/tokennode/node.go
+++ b/internal/tokennode/node.go
@@ -292,19 +292,25 @@
 	// requests were lost repeat them at random times spread over the interval.
 	seedInterval       = 300 * time.Millisecond
 	joinedSeedInterval = 10 * time.Second // interval while other members are known
+	// contactInterval is the mean time from the requests to all seeds to those to contacts.
+	contactInterval = 100 * time.Millisecond
+	contactsAtOnce  = 2
 )
 
-// joinSeeds sends join requests to the seeds until ctx ends: first one to each seed, then one to a
-// random seed at a time, at a short interval while this node knows no other member. It continues
-// at a long interval afterwards, so that two parts of a fleet that lost each other merge again.
+// joinSeeds sends join requests until ctx ends, at a short interval while this node knows no other
+// member. It continues at a long interval afterwards, so that two parts of a fleet that lost each
+// other merge again.
 func (node *Node) joinSeeds(ctx context.Context) {
-	for first := true; ; first = false {
-		request, alone := node.engine.joinRequest()
-		for _, seed := range seedsToContact(node.settings.Load(), first) {
-			node.endpoints.Transport.Send(seed, request)
+	for attempt := 0; ; attempt++ {
+		request, alone, contacts := node.engine.joinRequest()
+		for _, target := range joinTargets(node.settings.Load(), attempt, alone, contacts) {
+			node.endpoints.Transport.Send(target, request)
 		}
 		interval := joinedSeedInterval
-		if alone {
+		switch {
+		case attempt == 0:
+			interval = contactInterval/2 + rand.N(contactInterval)
+		case alone:
 			interval = seedInterval/2 + rand.N(seedInterval)
 		}
 		select {
@@ -315,6 +321,22 @@
 	}
 }
 
+// joinTargets returns the receivers of a join request: first all seeds, then a random seed. Seeds may be
+// down or replaced, so that every other request of a node that knows no other member goes to contacts.
+func joinTargets(settings *config.Settings, attempt int, alone bool, contacts []netip.AddrPort) []netip.AddrPort {
+	if alone && attempt%2 == 1 {
+		return randomContacts(settings.ControlAddress, contacts)
+	}
+	return seedsToContact(settings, attempt == 0)
+}
+
+// randomContacts returns a few random contacts other than this node.
+func randomContacts(self netip.AddrPort, contacts []netip.AddrPort) []netip.AddrPort {
+	others := slices.DeleteFunc(slices.Clone(contacts), func(contact netip.AddrPort) bool { return contact == self })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(contactsAtOnce, len(others))]
+}
+
 // seedsToContact returns the seeds other than this node: all of them, or a random one.
 func seedsToContact(settings *config.Settings, all bool) []netip.AddrPort {
 	seeds := slices.DeleteFunc(slices.Clone(settings.Seeds), func(seed netip.AddrPort) bool {
--- a/internal/tokennode/platform_test.go
+++ b/internal/tokennode/platform_test.go
@@ -8,10 +8,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"robinpulley.example/robinpulley/internal/follower"
 	"robinpulley.example/robinpulley/internal/lab/platformsim"
+	"robinpulley.example/robinpulley/platform"
 )
 
 func TestFlowsSurviveStopsKillsAndDrains(t *testing.T) {
@@ -217,3 +220,18 @@
 	acceptedTwice := slices.ContainsFunc(flows, func(flow openFlow) bool { return len(flow.AcceptingHosts) > 1 })
 	is.New(testbed.t).True(acceptedTwice)
 }
+
+// TestNodeWithStaleSeedsJoins guards against a node that knows no other one for seconds, and sends
+// packets by tokens that the others know to be wrong: if none of its seeds answers, it joins through
+// the nodes that the snapshot of the view names.
+func TestNodeWithStaleSeedsJoins(t *testing.T) {
+	testbed := newTestbed(t, 2)
+	testbed.waitUntil("a snapshot names both nodes", func() bool {
+		read := follower.Read{Kind: follower.ReadSnapshot, Stale: true, Timeout: time.Second, Pause: time.Second}
+		result := platform.NewStore(testbed.store.URL()).Read(t.Context(), read)
+		return result.Snapshot != nil && len(result.Snapshot.Peers) == 2
+	})
+	testbed.nodes = append(testbed.nodes, testbed.newNodeWithSeeds(2, []netip.AddrPort{freeControlAddress(t)}))
+	testbed.waitUntil("the node knows the others", func() bool { return testbed.metricsContain(2, "robinpulley_members_alive 3\n") })
+	testbed.waitUntil("the node is ready", func() bool { return testbed.ready(2) })
+}
--- a/internal/tokennode/testbed_test.go
+++ b/internal/tokennode/testbed_test.go
@@ -133,7 +133,16 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// newNode starts a node whose seeds are all nodes before it.
 func (testbed *testbed) newNode(index int) *testNode {
+	var seeds []netip.AddrPort
+	for _, other := range testbed.nodes {
+		seeds = append(seeds, other.settings.ControlAddress)
+	}
+	return testbed.newNodeWithSeeds(index, seeds)
+}
+
+func (testbed *testbed) newNodeWithSeeds(index int, seeds []netip.AddrPort) *testNode {
 	node := &testNode{settings: config.Settings{
 		Node:           lb.NodeID(fmt.Sprintf("n%d", index)),
 		Zone:           lb.Zone(fmt.Sprintf("zone-%d", index%2)),
@@ -142,6 +151,7 @@
 		ControlAddress: freeControlAddress(testbed.t),
 		AdminAddress:   freeTCPAddress(testbed.t),
 		StoreEndpoints: []string{testbed.store.URL()},
+		Seeds:          seeds,
 		LogLevel:       "info",
 		Limits:         config.Limits{ControlBytesPerSecond: 14000},
 		Timings: config.Timings{
@@ -149,9 +159,6 @@
 			DrainGrace: 300 * time.Millisecond, DrainLimit: 20 * time.Second,
 		},
 	}}
-	for _, other := range testbed.nodes {
-		node.settings.Seeds = append(node.settings.Seeds, other.settings.ControlAddress)
-	}
 	testbed.start(node)
 	return node
 }
--- a/internal/view/delta.go
+++ b/internal/view/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 
 	"github.com/cockroachdb/errors"
 
@@ -179,13 +180,18 @@
 	return errors.Wrap(r.Objective.Validate(), "objective")
 }
 
+// isHostAddress reports whether packets to an address reach a single host.
+func isHostAddress(address netip.AddrPort) bool {
+	ip := address.Addr()
+	return address.IsValid() && !ip.IsUnspecified() && !ip.IsMulticast() && address.Port() != 0
+}
+
 // Validate returns an error that names the first unusable value.
 func (b *Backend) Validate() error {
 	if b.Name == "" || b.Service == "" {
 		return errors.Newf("name %q or service %q is missing", b.Name, b.Service)
 	}
-	address := b.Address.Addr()
-	if !b.Address.IsValid() || address.IsUnspecified() || address.IsMulticast() || b.Address.Port() == 0 {
+	if !isHostAddress(b.Address) {
 		return errors.Newf("address %q is not the address of a single host", b.Address)
 	}
 	if b.StartUnixMillis < 0 {
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,18 @@
 // peer, or by a watch of the store from the snapshot's revision.
 type Snapshot struct {
 	View Delta
+	// Peers contains the control addresses of some balancers that were alive when the snapshot was
+	// written. A balancer that starts contacts them if none of its seeds answers.
+	Peers []netip.AddrPort
+}
+
+// MaxSnapshotPeers is the maximum number of peers in a snapshot.
+const MaxSnapshotPeers = 16
+
+// snapshotHeader is the JSON part of an encoded snapshot. Versions without peers ignore that field.
+type snapshotHeader struct {
+	*Delta
+	Peers []netip.AddrPort `json:"peers,omitempty"`
 }
 
 // snapshotFormat is the first byte of an encoded snapshot. A compressed block (RFC 1951) follows:
@@ -43,7 +56,7 @@
 func (s *Snapshot) Pack() ([]byte, error) {
 	header := s.View
 	header.Backends = nil
-	headerText, err := json.Marshal(&header)
+	headerText, err := json.Marshal(snapshotHeader{&header, s.Peers})
 	if err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
@@ -80,9 +93,18 @@
 		return nil, errors.New("snapshot: the view is missing")
 	}
 	snapshot := &Snapshot{}
-	if err := json.Unmarshal(header, &snapshot.View); err != nil {
+	decoded := snapshotHeader{Delta: &snapshot.View}
+	if err := json.Unmarshal(header, &decoded); err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
+	if snapshot.Peers = decoded.Peers; len(snapshot.Peers) > MaxSnapshotPeers {
+		return nil, errors.Newf("snapshot: %d peers are too many", len(snapshot.Peers))
+	}
+	for index, peer := range snapshot.Peers {
+		if !isHostAddress(peer) {
+			return nil, errors.Newf("snapshot: peers[%d]: address %q is not the address of a single host", index, peer)
+		}
+	}
 	if snapshot.View.Backends, err = readColumns(reader.data); err != nil {
 		return nil, errors.Wrap(err, "snapshot")
 	}
--- a/internal/view/snapshot_test.go
+++ b/internal/view/snapshot_test.go
@@ -202,3 +202,30 @@
 		})
 	}
 }
+
+// TestSnapshotNamesPeers checks that the peers of a snapshot are read again, also by versions that do
+// not know them, and that unusable ones are rejected by position and value.
+func TestSnapshotNamesPeers(t *testing.T) {
+	is := is.New(t)
+	snapshot := view.NewReplica().Snapshot(0)
+	snapshot.Peers = []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7946"), netip.MustParseAddrPort("[2001:db8::1]:7946")}
+	packed, err := snapshot.Pack()
+	is.NoErr(err)
+	unpacked, err := view.UnpackSnapshot(packed)
+	is.NoErr(err)
+	is.Equal(unpacked.Peers, snapshot.Peers)
+
+	snapshot.Peers[1] = netip.MustParseAddrPort("0.0.0.0:7946")
+	packed, err = snapshot.Pack()
+	is.NoErr(err)
+	_, err = view.UnpackSnapshot(packed)
+	is.True(err != nil)
+	is.Equal(err.Error(), `snapshot: peers[1]: address "0.0.0.0:7946" is not the address of a single host`)
+
+	snapshot.Peers = make([]netip.AddrPort, view.MaxSnapshotPeers+1)
+	packed, err = snapshot.Pack()
+	is.NoErr(err)
+	_, err = view.UnpackSnapshot(packed)
+	is.True(err != nil)
+	is.Equal(err.Error(), "snapshot: 17 peers are too many")
+}
