--- a/internal/lab/soak/faults/faults_test.go
+++ b/internal/lab/soak/faults/faults_test.go
@@ -12,6 +12,16 @@
 	"robinpulley.example/robinpulley/internal/lab/soak/faults"
 )
 
+// buildProgram builds the balancer and returns its path.
+func buildProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "robinpulley")
+	build := exec.Command("go", "build", "-o", program, "robinpulley.example/robinpulley/cmd/robinpulley")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%s\n%s", err, output)
+	}
+	return program
+}
+
 func TestPlanIsDeterministic(t *testing.T) {
 	is := is.New(t)
 	size := soak.DefaultSize()
@@ -35,11 +45,6 @@
 // guarantee that this test verifies.
 func TestEveryKindOfFault(t *testing.T) {
 	is := is.New(t)
-	program := filepath.Join(t.TempDir(), "robinpulley")
-	build := exec.Command("go", "build", "-o", program, "robinpulley.example/robinpulley/cmd/robinpulley")
-	if output, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%s\n%s", err, output)
-	}
 	size := soak.Size{Nodes: 4, Hosts: 3, Zones: 2, ShortFlows: 10, PersistentFlows: 4}
 	var steps []soak.Step
 	for index, kind := range faults.All() {
@@ -55,7 +60,7 @@
 		Steps:     steps,
 		Size:      size,
 		Bounds:    soak.Bounds{ChangeLimit: time.Hour, UndisturbedTime: time.Hour},
-		Program:   program,
+		Program:   buildProgram(t),
 		Directory: t.TempDir(),
 	}, faults.All(), t.Output())
 	is.NoErr(err)
--- a/internal/steering/lastresort.go
+++ b/internal/steering/lastresort.go
@@ -3,23 +3,9 @@
 import (
 	"time"
 
-	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/view"
 )
 
-// Settings configures a Compiler. See DefaultSettings.
-type Settings struct {
-	Zone lb.Zone // of the balancer
-	// LeaveLimit is the time after the deletion of a back end's entry from which on the back end
-	// must get no new flows.
-	LeaveLimit time.Duration
-}
-
-// DefaultSettings returns the default settings of a balancer in the zone.
-func DefaultSettings(zone lb.Zone) Settings {
-	return Settings{Zone: zone, LeaveLimit: 3 * time.Second}
-}
-
 // lastResortTimeout is the maximum time after a balancer has learned of a deletion for which the
 // back end may serve as a last resort: if it is alive, it has registered again by then, unless it
 // leaves.
