Tests of the message encoding have a sample of each type

samples() lacked the seven types on the view, the load and the outcomes, so that neither the round trip nor the seeds of the fuzzing had them. They are there now, with back ends as JSON and in columns, and a test fails if a type of the decoder has none.

--- a/internal/message/codec_test.go
+++ b/internal/message/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -10,10 +11,52 @@
 
 	"robinpulley.example/robinpulley/internal/lb"
 	"robinpulley.example/robinpulley/internal/message"
+	"robinpulley.example/robinpulley/internal/view"
+	"robinpulley.example/robinpulley/internal/view/viewtest"
 )
 
-// samples returns at least one message of each type in message.go and openflow.go.
+// samples returns at least one message of each type.
 func samples() []message.Message {
+	return slices.Concat(clusterSamples(), viewSamples(), loadSamples())
+}
+
+// viewSamples returns messages about the view, with few back ends, which are encoded as JSON, and with
+// more, which are encoded in columns.
+func viewSamples() []message.Message {
+	few := view.BackendEntries{
+		{Revision: 8, Backend: viewtest.Backend("i-1", lb.BackendActive)},
+		{Revision: 9, Deleted: true, DeletedMillis: 40, ExistedMillis: 1700, DuringOutage: true, Backend: viewtest.Backend("i-2", lb.BackendDraining)},
+	}
+	watcher := message.WatcherStatus{Watcher: "a-1", WatcherAgeMillis: 20, Listing: true}
+	return []message.Message{
+		message.ViewDigest{Revision: 9, MinCurrentRevision: 8, AgeMillis: 300, WatcherStatus: watcher, Route: message.Route{ForZone: true}},
+		message.ViewRequest{After: 7, PartStart: 3},
+		message.ViewDelta{AgeMillis: 300, WatcherStatus: watcher, Route: message.Route{Origin: "a-1"}, Delta: view.Delta{
+			After: 7, Revision: 9, Unseen: &view.Span{From: 7, To: 9}, Part: &view.Part{From: 1, To: 4}, Version: 2, ConfigurationRevision: 3, Backends: few,
+			Routes:          []view.RouteEntry{{Revision: 3, Route: viewtest.Route(443, "web")}},
+			UnknownRemovals: []view.RemovalEntry{{Revision: 8, Name: "i-3"}},
+			Evacuations:     []view.EvacuationEntry{{Revision: 8, Zone: "a"}},
+		}},
+		message.ViewDelta{Unverified: true, Delta: view.Delta{Revision: 9, AllRoutes: true, Backends: slices.Repeat(few, 4)}},
+	}
+}
+
+// loadSamples returns messages about the load and the outcomes of requests.
+func loadSamples() []message.Message {
+	services := []message.ServiceWork{{
+		Service: "web", Solicited: true, Levels: []message.LevelWork{{Priority: 1, Begun: 20, Refused: 3}},
+		Answers: []message.ZoneAnswers{{Zone: "a", Count: 5, LogLoadSum: -7, Rejected: 1}},
+	}}
+	return []message.Message{
+		message.LoadReport{Services: services},
+		message.LoadState{Sender: "a-1", Sequence: 4, Zones: []message.ZoneWork{{Zone: "a", AgeMillis: 30, Services: services}}},
+		message.OutcomeReport{WholeZone: true, Backends: []message.BackendOutcomes{{Identity: 1<<64 - 1, Bad: 2, Good: 3, NewReporters: 1}}},
+		message.OutcomeVerdict{Sender: "a-1", Sequence: 4, Watched: []uint64{1}, Ejected: []uint64{1<<64 - 1}},
+	}
+}
+
+// clusterSamples returns the messages of membership, placements and flows.
+func clusterSamples() []message.Message {
 	updates := []message.MemberUpdate{
 		{Node: "a-1", Zone: "a", Control: "127.0.0.1:4000", Data: "127.0.0.1:4001", State: message.MemberAlive, Incarnation: 1 << 62},
 		{Node: "b-1", State: message.MemberDead, Incarnation: 3},
@@ -120,6 +163,19 @@
 	is.Equal(string(dst), "kept")
 }
 
+// TestSamplesHaveAllTypes checks that no type of message is left out of the tests of the encoding.
+func TestSamplesHaveAllTypes(t *testing.T) {
+	sampled := make(map[message.Type]bool)
+	for _, sample := range samples() {
+		sampled[sample.MessageType()] = true
+	}
+	for _, kind := range message.Types() {
+		if !sampled[kind] {
+			t.Errorf("there is no sample of type %q", kind)
+		}
+	}
+}
+
 // FuzzDecode checks that every message that Decode accepts can be encoded, and that decoding and
 // encoding it again produces the same line.
 func FuzzDecode(f *testing.F) {
