--- a/internal/lab/soak/faults/leave.go
+++ b/internal/lab/soak/faults/leave.go
@@ -42,9 +42,7 @@
 	time.Sleep(changeTime)
 	restart, err := killWatcher(ctx, s)
 	if err != nil {
-		for _, h := range hosts {
-			h.unlock(h.host)
-		}
+		unlockHosts(hosts)
 		unlockLoad()
 		return nil, err
 	}
@@ -93,9 +91,7 @@
 	for index := service * count; index < (service+1)*count; index++ {
 		replica, host, unlock, locked := s.LockReplica(index)
 		if !locked {
-			for _, h := range hosts {
-				h.unlock(h.host)
-			}
+			unlockHosts(hosts)
 			return nil, false
 		}
 		hosts = append(hosts, lockedHost{replica, host, unlock})
@@ -103,6 +99,13 @@
 	return hosts, true
 }
 
+// unlockHosts releases hosts that stay as they are.
+func unlockHosts(hosts []lockedHost) {
+	for _, h := range hosts {
+		h.unlock(h.host)
+	}
+}
+
 // killWatcher kills the balancers that read the store for the others. It returns a function that
 // starts them again. Balancers that another fault has reserved are left out.
 func killWatcher(ctx context.Context, s *soak.Site) (restart func() error, err error) {
--- a/internal/steering/weights_test.go
+++ b/internal/steering/weights_test.go
@@ -183,7 +183,7 @@
 		{"all", 6, 5 * time.Second, true, 6, lastResortTimeout},
 		{"half while the store is reachable", 3, time.Second, false, 3, lastResortTimeout},
 		{"most while the store is reachable", 5, 2 * time.Second, false, 1, 700 * time.Millisecond},
-		{"all, and the news took longer than the limit", 6, 4 * time.Second, false, 0, 0},
+		{"all, learned later than the limit", 6, 4 * time.Second, false, 0, 0},
 		{"all while the store is reachable", 6, time.Second, false, 0, lastResortTimeout},
 	}
 	for _, test := range cases {
--- a/internal/tokennode/seeds_test.go
+++ b/internal/tokennode/seeds_test.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// TestLoneNodeTurnsToContacts checks that a node asks the contacts soon if no seed has answered, and the
-// seeds again, and that a node that knows others leaves the contacts alone.
-func TestLoneNodeTurnsToContacts(t *testing.T) {
+// TestLoneNodeContactsOtherNodes checks that a node that knows no other member sends its requests to
+// the contacts and the seeds in turn, and that other nodes send none to the contacts.
+func TestLoneNodeContactsOtherNodes(t *testing.T) {
 	is := is.New(t)
 	own, seed := netip.MustParseAddrPort("10.0.0.1:7946"), netip.MustParseAddrPort("10.0.0.2:7946")
 	settings := &config.Settings{ControlAddress: own, Seeds: []netip.AddrPort{seed}}
--- a/internal/view/deletion.go
+++ b/internal/view/deletion.go
@@ -29,9 +29,9 @@
 // deletion is what a replica knows about the time of a deletion.
 type deletion struct {
 	learnedAt time.Duration // as KnownBackend.DeletedAt
-	// existedAt is the latest time at which the entry is known to have existed, or UnknownTime. The
-	// time at which the replica learned of the deletion is no substitute for it: promises on leaving
-	// back ends count from the deletion, and the news may have taken seconds.
+	// existedAt is the latest time at which the entry is known to have existed, or UnknownTime.
+	// learnedAt is no substitute for it: the limits for leaving back ends count from the deletion,
+	// and the update may have taken seconds to arrive.
 	existedAt    time.Duration
 	duringOutage bool // as KnownBackend.DeletedDuringOutage
 }
