Names and comments after a second reading

contactsOutdated (before: publishedContactsLeft, which read like a count), the comment on contacts of an engine, what check in leave_test judges and what another test bounds, and inject in place of strike.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -81,7 +81,7 @@
 	publishPending    bool
 	publishedRevision int64 // the store's revision of the last snapshot that this node wrote
 	publishedContacts []netip.AddrPort
-	peersChanged      bool // since the last call of publishedContactsLeft
+	peersChanged      bool // since the last call of contactsOutdated
 	nextPublish       time.Duration
 	nextRead          time.Duration
 	failures          int
--- a/internal/follower/leave_test.go
+++ b/internal/follower/leave_test.go
@@ -69,7 +69,9 @@
 	}
 }
 
-// check records whether a node would send an opening to a deleted back end.
+// check records whether a node would send an opening to a deleted back end. An opening after the limit
+// is a failure only at a node that knows of the deletion: TestChangeTakesEffectDespiteFailures bounds
+// how late nodes learn.
 func (run *leaveRun) check(node *fleetNode) {
 	if !node.core.Replica().Configured() {
 		return
@@ -172,13 +174,13 @@
 	}
 }
 
-// failure is a failure that strikes some time after the first deletion.
+// failure is a failure at a time relative to the first deletion.
 type failure struct {
 	after  time.Duration // negative: before the deletion
-	strike func()
+	inject func()
 }
 
-// playFailures deletes the back ends once or twice while nodes fail.
+// playFailures deletes the back ends twice while nodes fail.
 func (run *leaveRun) playFailures() {
 	failures := []failure{{run.drawTime(-300, 0), run.killWatcher}}
 	others := []func(){run.killWatcher, run.failStoreOfNode, run.pauseNode, run.startKilled, run.announce, run.compactHistory, run.changeConfiguration, run.registerAgain}
@@ -189,7 +191,7 @@
 	for offset := -run.limit; offset <= 3*run.limit; offset += simulationStep {
 		for _, next := range failures {
 			if next.after == offset {
-				next.strike()
+				next.inject()
 			}
 		}
 		run.advance(simulationStep)
--- a/internal/follower/publish.go
+++ b/internal/follower/publish.go
@@ -48,7 +48,7 @@
 	if !core.active || core.publishPending || core.now < core.nextPublish || !core.replica.Configured() {
 		return nil
 	}
-	if core.replica.MinCurrentRevision() <= core.publishedRevision && !core.publishedContactsLeft() {
+	if core.replica.MinCurrentRevision() <= core.publishedRevision && !core.contactsOutdated() {
 		return nil
 	}
 	core.publishPending = true
@@ -59,9 +59,9 @@
 	return &Publication{Snapshot: snapshot, Timeout: core.settings.CallTimeout}
 }
 
-// publishedContactsLeft reports whether less than half of the nodes that a snapshot would name now
+// contactsOutdated reports whether less than half of the nodes that a snapshot would name now
 // are in the last one that this node wrote, so that nodes that start might find none of those in it.
-func (core *Core) publishedContactsLeft() bool {
+func (core *Core) contactsOutdated() bool {
 	if !core.peersChanged {
 		return false
 	}
--- a/internal/tokennode/engine.go
+++ b/internal/tokennode/engine.go
@@ -72,7 +72,7 @@
 	evaluatesOutliers bool
 	zoneDisruption    *disruption.Zone
 	otherMembers      int              // alive members, this node excluded
-	contacts          []netip.AddrPort // nodes that were alive when the snapshot was written that this node has read
+	contacts          []netip.AddrPort // nodes that the snapshot names which this node read at its start
 	leavingMembers    int              // alive members in a planned stop, this node included
 	calls             callCounts
 	decisions         decisionLog
